--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# Targets: demo, test, check, soak, bench, capacity, generate, build.
+SHELL := /bin/bash
+TOOLS := go tool -modfile=tools/go.mod
+SEED ?= 1
+DURATION ?= 30s
+
+.PHONY: build test check fmt lint generate
+
+build:
+	go build -o bin/ ./cmd/...
+
+test:
+	go test -timeout 20m ./...
+
+fmt:
+	gofmt -w .
+
+lint:
+	@test -z "$$(gofmt -l .)" || { echo "gofmt: files need formatting:"; gofmt -l .; exit 1; }
+	go vet ./...
+	$(TOOLS) staticcheck ./...
+	$(TOOLS) revive -config revive.toml -set_exit_status ./...
+
+check: lint test
+
+SCHEMAS := $(wildcard encoder/*.schema.json)
+
+generate: $(SCHEMAS:.schema.json=.gen.go)
+
+encoder/%.gen.go: encoder/%.schema.json
+	$(TOOLS) go-jsonschema -p encoder --only-models --tags json -o $@ $<
+	gofmt -w $@
--- /dev/null
+++ b/parser/service.go
@@ -0,0 +1,263 @@
+package parser
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+)
+
+// ServiceFile is the name of the file that describes one service.
+const ServiceFile = "dogwoodweir.json"
+
+// Kinds of services.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+// Defaults of a service.
+const (
+	DefaultMaxConcurrency   = 64
+	DefaultMaxQueue         = 256
+	DefaultMaxTurns         = 72
+	DefaultMaxHistoryTokens = 250_000
+	DefaultMaxTokensPerCall = 4_096
+	DefaultMaxBodyBytes     = 4 << 20
+	DefaultRetryRatio       = 0.1
+	DefaultConnectMs        = 500
+	DefaultCallMs           = 120_000
+	DefaultSilenceMs        = 15_000
+	DefaultKeysMs           = 7 * 24 * 3_600_000
+	DefaultProgramsMs       = 7 * 24 * 3_600_000
+	DefaultIdleMs           = 24 * 3_600_000
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// Service parses and checks one service file and fills in the defaults.
+func Service(file string, data []byte) (encoder.Service, error) {
+	var service encoder.Service
+	if err := decode("service", file, data, &service); err != nil {
+		return encoder.Service{}, err
+	}
+	if err := checkService(file, &service); err != nil {
+		return encoder.Service{}, err
+	}
+	FillDefaults(&service)
+	return service, nil
+}
+
+// Services reads the service files in or below the directories and checks them
+// together. The result is in order of name.
+func Services(directories []string) ([]encoder.Service, error) {
+	var services []encoder.Service
+	files := map[string]string{}
+	for _, directory := range directories {
+		paths, err := serviceFiles(directory)
+		if err != nil {
+			return nil, err
+		}
+		for _, path := range paths {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return nil, &Error{operation: "service", kind: KindUnreadable, file: path, cause: err}
+			}
+			service, err := Service(path, data)
+			if err != nil {
+				return nil, err
+			}
+			if first, ok := files[service.Name]; ok && first != path {
+				return nil, &Error{
+					operation: "service", kind: KindDuplicate, file: path, field: "name",
+					expected: fmt.Sprintf("a name other than %q, which %s has", service.Name, first),
+				}
+			}
+			if _, ok := files[service.Name]; ok {
+				continue
+			}
+			files[service.Name] = path
+			services = append(services, service)
+		}
+	}
+	slices.SortFunc(services, func(a, b encoder.Service) int { return strings.Compare(a.Name, b.Name) })
+	return services, nil
+}
+
+func serviceFiles(directory string) ([]string, error) {
+	var paths []string
+	err := filepath.WalkDir(directory, func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if !entry.IsDir() && entry.Name() == ServiceFile {
+			paths = append(paths, filepath.Clean(path))
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, &Error{operation: "service", kind: KindUnreadable, file: directory, cause: err}
+	}
+	if len(paths) == 0 {
+		return nil, &Error{operation: "service", kind: KindMissing, file: directory, expected: "a file " + ServiceFile + " in it or below it"}
+	}
+	return paths, nil
+}
+
+func checkService(file string, s *encoder.Service) error {
+	fail := func(kind Kind, field, expected string) error {
+		return &Error{operation: "service", kind: kind, file: file, field: field, expected: expected}
+	}
+	if !namePattern.MatchString(s.Name) {
+		return fail(KindRange, "name", "1 to 63 lower-case letters, digits and hyphens")
+	}
+	if !namePattern.MatchString(s.Workspace) {
+		return fail(KindRange, "workspace", "1 to 63 lower-case letters, digits and hyphens")
+	}
+	switch s.Kind {
+	case KindModel:
+		if len(s.Models) == 0 {
+			return fail(KindMissing, "models", "at least one model for a service of kind model")
+		}
+		if len(s.NonRepeatable) > 0 {
+			return fail(KindRange, "nonRepeatable", "no patterns for a service of kind model")
+		}
+	case KindPlain:
+		if len(s.Models) > 0 {
+			return fail(KindRange, "models", "no models for a service of kind plain")
+		}
+	default:
+		return fail(KindRange, "kind", `"model" or "plain"`)
+	}
+	seen := map[string]bool{}
+	for i, model := range s.Models {
+		if model.Name == "" || seen[model.Name] {
+			return fail(KindDuplicate, fmt.Sprintf("models[%d].name", i), "a name that no other model of the service has")
+		}
+		seen[model.Name] = true
+	}
+	for i, pattern := range s.NonRepeatable {
+		if !strings.HasPrefix(pattern.Path, "/") {
+			return fail(KindRange, fmt.Sprintf("nonRepeatable[%d].path", i), "a path that starts with /")
+		}
+	}
+	for _, bound := range bounds(s) {
+		if bound.value < bound.low || bound.value > bound.high {
+			return fail(KindRange, bound.field, fmt.Sprintf("%g to %g", bound.low, bound.high))
+		}
+	}
+	return nil
+}
+
+type bound struct {
+	field            string
+	value, low, high float64
+}
+
+// bounds lists the numeric fields that are set, with their limits.
+func bounds(s *encoder.Service) []bound {
+	var all []bound
+	add := func(field string, value, low, high float64) {
+		all = append(all, bound{field: field, value: value, low: low, high: high})
+	}
+	if l := s.Limits; l != nil {
+		add("limits.maxConcurrency", float64(l.MaxConcurrency), 0, 4096)
+		add("limits.maxQueue", float64(l.MaxQueue), 0, 100_000)
+		add("limits.requestsPerSec", l.RequestsPerSec, 0, 100_000)
+		add("limits.maxTurns", float64(l.MaxTurns), 0, 10_000)
+		add("limits.maxHistoryTokens", float64(l.MaxHistoryTokens), 0, 2_000_000)
+		add("limits.maxTokensPerCall", float64(l.MaxTokensPerCall), 0, 200_000)
+		add("limits.maxBodyBytes", float64(l.MaxBodyBytes), 0, 64<<20)
+		add("limits.retryRatio", l.RetryRatio, 0, 1)
+	}
+	if b := s.Budget; b != nil {
+		add("budget.tokens", float64(b.Tokens), 0, 1e12)
+		add("budget.cost", b.Cost, 0, 1e12)
+		add("budget.turns", float64(b.Turns), 0, 1e6)
+		add("budget.timeMs", float64(b.TimeMs), 0, 1e12)
+	}
+	if t := s.Timeouts; t != nil {
+		add("timeouts.connectMs", float64(t.ConnectMs), 0, 60_000)
+		add("timeouts.callMs", float64(t.CallMs), 0, 24*3_600_000)
+		add("timeouts.silenceMs", float64(t.SilenceMs), 0, 3_600_000)
+	}
+	if r := s.Retention; r != nil {
+		add("retention.keysMs", float64(r.KeysMs), 0, 1e12)
+		add("retention.programsMs", float64(r.ProgramsMs), 0, 1e12)
+		add("retention.idleMs", float64(r.IdleMs), 0, 1e12)
+	}
+	if w := s.Weights; w != nil {
+		add("weights.cache", w.Cache, 0, 1_000)
+		add("weights.link", w.Link, 0, 1_000)
+	}
+	return all
+}
+
+// FillDefaults sets every optional group of the service and every value of zero
+// that has a default.
+func FillDefaults(s *encoder.Service) {
+	if s.Targets.Role == "" {
+		s.Targets.Role = s.Name
+	}
+	s.Limits = orNew(s.Limits)
+	s.Budget = orNew(s.Budget)
+	s.Timeouts = orNew(s.Timeouts)
+	s.Retention = orNew(s.Retention)
+	s.Weights = orNew(s.Weights)
+	orDefault(&s.Limits.MaxConcurrency, DefaultMaxConcurrency)
+	orDefault(&s.Limits.MaxQueue, DefaultMaxQueue)
+	orDefault(&s.Limits.MaxTurns, DefaultMaxTurns)
+	orDefault(&s.Limits.MaxHistoryTokens, DefaultMaxHistoryTokens)
+	orDefault(&s.Limits.MaxTokensPerCall, DefaultMaxTokensPerCall)
+	orDefault(&s.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
+	orDefault(&s.Limits.RetryRatio, DefaultRetryRatio)
+	orDefault(&s.Timeouts.ConnectMs, DefaultConnectMs)
+	orDefault(&s.Timeouts.CallMs, DefaultCallMs)
+	orDefault(&s.Timeouts.SilenceMs, DefaultSilenceMs)
+	orDefault(&s.Retention.KeysMs, DefaultKeysMs)
+	orDefault(&s.Retention.ProgramsMs, DefaultProgramsMs)
+	orDefault(&s.Retention.IdleMs, DefaultIdleMs)
+	orDefault(&s.Weights.Cache, 1)
+	orDefault(&s.Weights.Link, 1)
+}
+
+func orNew[T any](value *T) *T {
+	if value == nil {
+		return new(T)
+	}
+	return value
+}
+
+func orDefault[T int | float64](value *T, fallback T) {
+	if *value == 0 {
+		*value = fallback
+	}
+}
+
+// MayRepeat reports whether a call to a plain service may be sent again when it
+// is not known whether it ran.
+func MayRepeat(s encoder.Service, method, path string) bool {
+	for _, pattern := range s.NonRepeatable {
+		if matches(pattern, method, path) {
+			return false
+		}
+	}
+	return true
+}
+
+func matches(pattern encoder.Pattern, method, path string) bool {
+	if pattern.Method == "" && (method == "GET" || method == "HEAD") {
+		return false
+	}
+	if pattern.Method != "" && !strings.EqualFold(pattern.Method, method) {
+		return false
+	}
+	if prefix, ok := strings.CutSuffix(pattern.Path, "*"); ok {
+		return strings.HasPrefix(path, prefix)
+	}
+	return path == pattern.Path
+}
--- /dev/null
+++ b/parser/settings.go
@@ -0,0 +1,239 @@
+package parser
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"os"
+)
+
+// Settings is the settings file of one daemon.
+type Settings struct {
+	// Host is the unique name of this host.
+	Host string `json:"host"`
+	// FailureDomain and Region place the host.
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	// CallerAddress serves callers and operators, PeerAddress other daemons and
+	// MetricsAddress metrics and health; each is an IP number and a port.
+	CallerAddress  string `json:"callerAddress"`
+	PeerAddress    string `json:"peerAddress"`
+	MetricsAddress string `json:"metricsAddress"`
+	// Platform has the addresses of the platform's services.
+	Platform Platform `json:"platform"`
+	// Domains lists all failure domains with their region.
+	Domains []Domain `json:"domains"`
+	// ShardsPerDomain is the number of shards of each failure domain; it must be
+	// the same on all daemons.
+	ShardsPerDomain int `json:"shardsPerDomain,omitempty"`
+	// Keys are the bearer keys of callers and operators.
+	Keys []Key `json:"keys"`
+	// TLS, when set, authenticates daemons to each other.
+	TLS *TLS `json:"tls,omitempty"`
+	// Store has the limits of the platform's store.
+	Store Store `json:"store,omitzero"`
+	// Timing has the intervals of leases, heartbeats and shutdown.
+	Timing Timing `json:"timing,omitzero"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"logLevel,omitempty"`
+}
+
+// Platform has the base URLs of the platform's services.
+type Platform struct {
+	Tables   string `json:"tables"`
+	Objects  string `json:"objects"`
+	HostList string `json:"hostList"`
+	Weights  string `json:"weights,omitempty"`
+	// Token is sent as a bearer token to the platform, and with orders to targets.
+	Token string `json:"token,omitempty"`
+}
+
+// Domain is one failure domain.
+type Domain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+}
+
+// Roles of keys.
+const (
+	RoleCaller   = "caller"
+	RoleOperator = "operator"
+)
+
+// Key is one bearer key, stored as its SHA-256 in hexadecimal.
+type Key struct {
+	// Client owns the key; for operators it is the operator's name.
+	Client string `json:"client"`
+	// Role is "caller" or "operator".
+	Role   string `json:"role"`
+	SHA256 string `json:"sha256"`
+}
+
+// TLS names PEM files.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+// Store has the limits of the platform's store for all daemons together.
+type Store struct {
+	WritesPerSec float64 `json:"writesPerSec,omitempty"`
+	ReadsPerSec  float64 `json:"readsPerSec,omitempty"`
+	// MaxPendingRecords and MaxPendingBytes bound what one daemon holds that is
+	// not yet committed.
+	MaxPendingRecords int `json:"maxPendingRecords,omitempty"`
+	MaxPendingBytes   int `json:"maxPendingBytes,omitempty"`
+}
+
+// Timing has intervals in milliseconds.
+type Timing struct {
+	LeaseMs          int `json:"leaseMs,omitempty"`
+	HeartbeatMs      int `json:"heartbeatMs,omitempty"`
+	ConfigPollMs     int `json:"configPollMs,omitempty"`
+	HostListMs       int `json:"hostListMs,omitempty"`
+	DrainMs          int `json:"drainMs,omitempty"`
+	DurabilityWaitMs int `json:"durabilityWaitMs,omitempty"`
+	AuditMs          int `json:"auditMs,omitempty"`
+}
+
+// Defaults of the settings.
+const (
+	DefaultShardsPerDomain   = 32
+	DefaultWritesPerSec      = 400
+	DefaultReadsPerSec       = 1_500
+	DefaultMaxPendingRecords = 4_096
+	DefaultMaxPendingBytes   = 16 << 20
+	DefaultLeaseMs           = 6_000
+	DefaultHeartbeatMs       = 1_000
+	DefaultConfigPollMs      = 1_000
+	DefaultHostListMs        = 1_000
+	DefaultDrainMs           = 130_000
+	DefaultDurabilityWaitMs  = 10_000
+	DefaultAuditMs           = 10_000
+	DefaultLogLevel          = "info"
+)
+
+// SettingsFile reads, checks and completes a settings file.
+func SettingsFile(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, &Error{operation: "settings", kind: KindUnreadable, file: path, cause: err}
+	}
+	return ParseSettings(path, data)
+}
+
+// ParseSettings checks and completes the settings in data; file is named in
+// errors.
+func ParseSettings(file string, data []byte) (Settings, error) {
+	var settings Settings
+	if err := decode("settings", file, data, &settings); err != nil {
+		return Settings{}, err
+	}
+	settings.fillDefaults()
+	if err := settings.check(file); err != nil {
+		return Settings{}, err
+	}
+	return settings, nil
+}
+
+func (s *Settings) fillDefaults() {
+	orDefault(&s.ShardsPerDomain, DefaultShardsPerDomain)
+	orDefault(&s.Store.WritesPerSec, DefaultWritesPerSec)
+	orDefault(&s.Store.ReadsPerSec, DefaultReadsPerSec)
+	orDefault(&s.Store.MaxPendingRecords, DefaultMaxPendingRecords)
+	orDefault(&s.Store.MaxPendingBytes, DefaultMaxPendingBytes)
+	orDefault(&s.Timing.LeaseMs, DefaultLeaseMs)
+	orDefault(&s.Timing.HeartbeatMs, DefaultHeartbeatMs)
+	orDefault(&s.Timing.ConfigPollMs, DefaultConfigPollMs)
+	orDefault(&s.Timing.HostListMs, DefaultHostListMs)
+	orDefault(&s.Timing.DrainMs, DefaultDrainMs)
+	orDefault(&s.Timing.DurabilityWaitMs, DefaultDurabilityWaitMs)
+	orDefault(&s.Timing.AuditMs, DefaultAuditMs)
+	if s.LogLevel == "" {
+		s.LogLevel = DefaultLogLevel
+	}
+}
+
+func (s *Settings) check(file string) error {
+	fail := func(kind Kind, field, expected string) error {
+		return &Error{operation: "settings", kind: kind, file: file, field: field, expected: expected}
+	}
+	if !namePattern.MatchString(s.Host) {
+		return fail(KindRange, "host", "1 to 63 lower-case letters, digits and hyphens")
+	}
+	addresses := []struct{ field, value string }{
+		{"callerAddress", s.CallerAddress},
+		{"peerAddress", s.PeerAddress},
+		{"metricsAddress", s.MetricsAddress},
+	}
+	for _, address := range addresses {
+		if _, err := netip.ParseAddrPort(address.value); err != nil {
+			return fail(KindRange, address.field, "an IP number and a port, such as 127.0.0.1:7000")
+		}
+	}
+	urls := []struct{ field, value string }{
+		{"platform.tables", s.Platform.Tables},
+		{"platform.objects", s.Platform.Objects},
+		{"platform.hostList", s.Platform.HostList},
+	}
+	for _, url := range urls {
+		if url.value == "" {
+			return fail(KindMissing, url.field, "the base URL of the platform's service")
+		}
+	}
+	if err := s.checkPlace(fail); err != nil {
+		return err
+	}
+	if err := s.checkKeys(fail); err != nil {
+		return err
+	}
+	if s.ShardsPerDomain < 1 || s.ShardsPerDomain > 65_536 {
+		return fail(KindRange, "shardsPerDomain", "1 to 65536")
+	}
+	if s.Timing.HeartbeatMs*3 > s.Timing.LeaseMs {
+		return fail(KindRange, "timing.heartbeatMs", "at most a third of timing.leaseMs")
+	}
+	if s.Store.WritesPerSec < 1 {
+		return fail(KindRange, "store.writesPerSec", "at least 1")
+	}
+	switch s.LogLevel {
+	case "debug", "info", "warn", "error":
+		return nil
+	}
+	return fail(KindRange, "logLevel", `"debug", "info", "warn" or "error"`)
+}
+
+func (s *Settings) checkPlace(fail func(Kind, string, string) error) error {
+	found := false
+	seen := map[string]bool{}
+	for i, domain := range s.Domains {
+		if !namePattern.MatchString(domain.Name) || domain.Region == "" {
+			return fail(KindRange, fmt.Sprintf("domains[%d]", i), "a name and a region")
+		}
+		if seen[domain.Name] {
+			return fail(KindDuplicate, fmt.Sprintf("domains[%d].name", i), "each failure domain once")
+		}
+		seen[domain.Name] = true
+		found = found || domain.Name == s.FailureDomain && domain.Region == s.Region
+	}
+	if !found {
+		return fail(KindRange, "failureDomain", "a failure domain in domains, with the same region")
+	}
+	return nil
+}
+
+func (s *Settings) checkKeys(fail func(Kind, string, string) error) error {
+	for i, key := range s.Keys {
+		if key.Client == "" {
+			return fail(KindMissing, fmt.Sprintf("keys[%d].client", i), "the client or operator that owns the key")
+		}
+		if key.Role != RoleCaller && key.Role != RoleOperator {
+			return fail(KindRange, fmt.Sprintf("keys[%d].role", i), `"caller" or "operator"`)
+		}
+		if sum, err := hex.DecodeString(key.SHA256); err != nil || len(sum) != 32 {
+			return fail(KindRange, fmt.Sprintf("keys[%d].sha256", i), "64 hexadecimal digits")
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/provider/provider.go
@@ -0,0 +1,254 @@
+// Package provider defines the narrow interfaces through which dogwoodweir
+// meets its platform: the table service, the object store, the host list, the
+// model engines, the weight store and the plain services.
+//
+// # Usage
+//
+// Decision packages do not import adapters. Plumbing takes these interfaces in
+// its New functions; package connector implements them over HTTP and package
+// emulator implements them in memory with fault switches.
+//
+//	result, err := tables.Commit(ctx, transaction)
+//	switch provider.KindOf(err) {
+//	case provider.KindNone:      // took effect
+//	case provider.KindConflict:  // did not take effect: a condition failed
+//	case provider.KindUnavailable: // did not take effect
+//	case provider.KindUnknown:   // may have taken effect: read back
+//	}
+package provider
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+)
+
+// Clock tells the time. Use it in place of time.Now so that tests can move time.
+type Clock interface {
+	Now() time.Time
+}
+
+// VersionAbsent is the version condition for a row that must not exist.
+const VersionAbsent int64 = 0
+
+// Row is one versioned row of a table. Versions start at 1 and rise by 1 with
+// each write of the row; a deleted row that is written again continues to rise.
+type Row struct {
+	Table   string          `json:"table"`
+	Key     string          `json:"key"`
+	Version int64           `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
+
+// Condition requires that a row has exactly the given version, or does not
+// exist when Version is VersionAbsent.
+type Condition struct {
+	Table   string `json:"table"`
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Write sets or deletes one row.
+type Write struct {
+	Table  string          `json:"table"`
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+// Transaction applies all writes atomically if all conditions hold. ID names the
+// transaction in logs.
+type Transaction struct {
+	ID         string      `json:"id"`
+	Conditions []Condition `json:"conditions,omitempty"`
+	Writes     []Write     `json:"writes"`
+}
+
+// CommitResult has the new version of each written row, in the order of the
+// transaction's writes.
+type CommitResult struct {
+	Versions []int64 `json:"versions"`
+}
+
+// Tables is the platform's transactional table service.
+type Tables interface {
+	// Commit applies a transaction. Classify its error with KindOf.
+	Commit(ctx context.Context, transaction Transaction) (CommitResult, error)
+	// Read returns one row. A row that does not exist has Version VersionAbsent
+	// and no error.
+	Read(ctx context.Context, table, key string) (Row, error)
+	// Scan returns up to limit rows with the key prefix, in key order, after the
+	// key given ("" starts at the beginning).
+	Scan(ctx context.Context, table, prefix, after string, limit int) ([]Row, error)
+}
+
+// Objects is the platform's object store. Put is idempotent: objects are
+// immutable under their name.
+type Objects interface {
+	Put(ctx context.Context, name string, value []byte) error
+	// Get fails with KindNotFound when there is no such object.
+	Get(ctx context.Context, name string) ([]byte, error)
+	List(ctx context.Context, prefix string) ([]string, error)
+	Delete(ctx context.Context, name string) error
+}
+
+// Member is one entry of the platform's host list.
+type Member struct {
+	Host          string `json:"host"`
+	Address       string `json:"address"`
+	FailureDomain string `json:"failureDomain"`
+	Region        string `json:"region"`
+	// Role is "daemon" for hosts of the system and the service's name for targets.
+	Role    string `json:"role"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// HostLister returns the platform's list of live and leaving hosts. The list
+// lags: it may name dead hosts and miss new ones.
+type HostLister interface {
+	List(ctx context.Context) ([]Member, error)
+}
+
+// ChatMessage is one message of a history in the chat-completions form.
+type ChatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+	Name    string `json:"name,omitempty"`
+}
+
+// GenerateRequest asks an engine for a completion.
+type GenerateRequest struct {
+	// Call identifies the call and attempt; every chunk of the answer carries it.
+	Call    string `json:"call"`
+	Program string `json:"program"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	// Blocks is the hash chain of the prompt: one hash for each BlockTokens tokens.
+	Blocks       []uint64      `json:"blocks,omitempty"`
+	Messages     []ChatMessage `json:"messages"`
+	PromptTokens int           `json:"promptTokens"`
+	MaxTokens    int           `json:"maxTokens"`
+	// Priority orders the engine's queue; lower runs first.
+	Priority int `json:"priority"`
+	// Skip resumes a stream: the first Skip tokens are generated but not sent.
+	Skip int `json:"skip,omitempty"`
+	// Seed makes the answer reproducible, so that a resumed stream has no gap.
+	Seed int64 `json:"seed"`
+}
+
+// BlockTokens is the number of tokens in one block of the prefix cache.
+const BlockTokens = 64
+
+// Chunk is one piece of a streamed answer. The last one has Final set and
+// carries the usage.
+type Chunk struct {
+	Call     string `json:"call"`
+	Sequence int    `json:"sequence"`
+	Text     string `json:"text,omitempty"`
+	Final    bool   `json:"final,omitempty"`
+	Usage    Usage  `json:"usage,omitzero"`
+}
+
+// Usage counts the tokens of one call.
+type Usage struct {
+	PromptTokens     int `json:"promptTokens"`
+	CachedTokens     int `json:"cachedTokens"`
+	CompletionTokens int `json:"completionTokens"`
+}
+
+// LoadReport is what an engine says about itself; it lags by up to seconds.
+type LoadReport struct {
+	Target         string    `json:"target"`
+	At             time.Time `json:"at"`
+	Running        int       `json:"running"`
+	Waiting        int       `json:"waiting"`
+	WaitingTokens  int       `json:"waitingTokens"`
+	FreeBlocks     int       `json:"freeBlocks"`
+	TotalBlocks    int       `json:"totalBlocks"`
+	TokensPerSec   float64   `json:"tokensPerSec"`
+	PrefillPerSec  float64   `json:"prefillPerSec"`
+	Models         []string  `json:"models"`
+	Adapters       []string  `json:"adapters,omitempty"`
+	Role           string    `json:"role,omitempty"`
+	Leaving        bool      `json:"leaving,omitempty"`
+	FencingNumber  int64     `json:"fencingNumber"`
+	MaxConcurrency int       `json:"maxConcurrency"`
+}
+
+// CacheEvent says that blocks entered or left an engine's prefix cache. Events
+// are late and have gaps in Sequence.
+type CacheEvent struct {
+	Target   string   `json:"target"`
+	Sequence int64    `json:"sequence"`
+	Stored   []uint64 `json:"stored,omitempty"`
+	Removed  []uint64 `json:"removed,omitempty"`
+}
+
+// Order tells an engine to change what it holds or does.
+type Order struct {
+	// Kind is "load", "unload", "role", "hold", "release", "export" or "import".
+	Kind    string `json:"kind"`
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
+	Version string `json:"version,omitempty"`
+	Role    string `json:"role,omitempty"`
+	Program string `json:"program,omitempty"`
+	// Object names the exported KV cache of an export or import.
+	Object string `json:"object,omitempty"`
+	// FencingNumber rises; engines that check it refuse a lower one with
+	// KindFenced.
+	FencingNumber int64 `json:"fencingNumber"`
+	// ExpiresAfter bounds how long the order may be under way.
+	ExpiresAfter time.Duration `json:"expiresAfter,omitempty"`
+}
+
+// Engine is one model engine on a runner.
+type Engine interface {
+	// Generate streams an answer to emit. A KindRefused error means that nothing
+	// ran.
+	Generate(ctx context.Context, request GenerateRequest, emit func(Chunk) error) error
+	Cancel(ctx context.Context, call string) error
+	Report(ctx context.Context) (LoadReport, error)
+	// Events returns cache events after the sequence number given.
+	Events(ctx context.Context, after int64) ([]CacheEvent, error)
+	Order(ctx context.Context, order Order) error
+	// Held lists the programs for which the engine holds memory.
+	Held(ctx context.Context) ([]string, error)
+}
+
+// Weights is the rate-limited weight store.
+type Weights interface {
+	// Fetch waits until the model's weights may be read; it fails with
+	// KindUnavailable when the rate limit is exceeded.
+	Fetch(ctx context.Context, target, model, version string) error
+}
+
+// InvokeRequest is a call to a plain service or a tool.
+type InvokeRequest struct {
+	// Call identifies the call and attempt, for correlation.
+	Call string `json:"call"`
+	// Key is the idempotency key of a call that may not be repeated.
+	Key    string            `json:"key,omitempty"`
+	Method string            `json:"method"`
+	Path   string            `json:"path"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body,omitempty"`
+}
+
+// InvokeResult is the answer of a plain service.
+type InvokeResult struct {
+	Call   string            `json:"call"`
+	Status int               `json:"status"`
+	Header map[string]string `json:"header,omitempty"`
+	Body   []byte            `json:"body,omitempty"`
+}
+
+// Service is one target of a plain service or tool.
+type Service interface {
+	// Invoke runs a call. KindRefused and KindUnavailable mean that it did not
+	// run; any other error means that it may have run.
+	Invoke(ctx context.Context, request InvokeRequest) (InvokeResult, error)
+	// Lookup returns the result recorded under a key; KindNotFound when the
+	// target keeps none, KindUnsupported when it cannot tell.
+	Lookup(ctx context.Context, key string) (InvokeResult, error)
+}
