--- /dev/null
+++ b/admitter/client.go
@@ -0,0 +1,46 @@
+package admitter
+
+import (
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2/simplelru"
+	"golang.org/x/time/rate"
+)
+
+// maxClients bounds the number of clients whose rate is tracked.
+const maxClients = 4_096
+
+// Rates limits the calls a second of each client.
+type Rates struct {
+	perSec  float64
+	clients *lru.LRU[string, *rate.Limiter]
+}
+
+// NewRates returns limits of perSec calls a second with a burst of two seconds;
+// 0 means no limit.
+func NewRates(perSec float64) *Rates {
+	r := &Rates{perSec: perSec}
+	// NewLRU fails only for sizes below 1.
+	r.clients, _ = lru.NewLRU[string, *rate.Limiter](maxClients, nil)
+	return r
+}
+
+// Allow takes one call of the client. When it is refused, it returns the time
+// after which one is allowed.
+func (r *Rates) Allow(now time.Time, client string) (time.Duration, bool) {
+	if r.perSec <= 0 {
+		return 0, true
+	}
+	limiter, ok := r.clients.Get(client)
+	if !ok {
+		limiter = rate.NewLimiter(rate.Limit(r.perSec), max(1, int(2*r.perSec)))
+		r.clients.Add(client, limiter)
+	}
+	if limiter.AllowN(now, 1) {
+		return 0, true
+	}
+	reservation := limiter.ReserveN(now, 1)
+	wait := reservation.DelayFrom(now)
+	reservation.CancelAt(now)
+	return wait, false
+}
--- /dev/null
+++ b/admitter/concurrency.go
@@ -0,0 +1,82 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// ConcurrencyOptions configure a limit.
+type ConcurrencyOptions struct {
+	Min     float64
+	Max     float64
+	Initial float64
+	// Wait is the queueing time at the target above which the limit falls.
+	Wait time.Duration
+	// Decrease is the factor of one decrease, Pause the time between two.
+	Decrease float64
+	Pause    time.Duration
+	// SlowStart is the time over which a new target's limit rises to its value.
+	SlowStart time.Duration
+	// Fixed keeps the limit at Max.
+	Fixed bool
+}
+
+// DefaultConcurrency returns the options of a target with the given upper limit.
+func DefaultConcurrency(limit int) ConcurrencyOptions {
+	upper := math.Max(1, float64(limit))
+	return ConcurrencyOptions{
+		Min: math.Min(2, upper), Max: upper, Initial: math.Min(16, upper),
+		Wait: 3 * time.Second, Decrease: 0.9, Pause: time.Second, SlowStart: 10 * time.Second,
+	}
+}
+
+// Concurrency is the limit of calls in flight at one target. It rises by one for
+// each full use of the limit and falls by a factor when calls wait too long.
+type Concurrency struct {
+	options ConcurrencyOptions
+	value   float64
+	since   time.Time
+	fell    time.Time
+}
+
+// NewConcurrency returns a limit that is not in slow start.
+func NewConcurrency(options ConcurrencyOptions) *Concurrency {
+	return &Concurrency{options: options, value: options.Initial}
+}
+
+// Restart begins slow start, as for a new target or one that was unreachable.
+func (c *Concurrency) Restart(now time.Time) {
+	c.since = now
+	c.value = math.Min(c.value, c.options.Initial)
+}
+
+// Limit returns the number of calls that may be in flight now, at least 1.
+func (c *Concurrency) Limit(now time.Time) int {
+	value := c.value
+	if c.options.Fixed {
+		value = c.options.Max
+	}
+	if c.options.SlowStart > 0 && !c.since.IsZero() {
+		share := now.Sub(c.since).Seconds() / c.options.SlowStart.Seconds()
+		if share < 1 {
+			value *= math.Max(0, share)
+		}
+	}
+	return max(1, int(value))
+}
+
+// Observe takes the queueing time of one call at the target and the number of
+// calls in flight when it ended.
+func (c *Concurrency) Observe(now time.Time, waited time.Duration, inFlight int) {
+	if waited > c.options.Wait {
+		if now.Sub(c.fell) >= c.options.Pause {
+			c.value = math.Max(c.options.Min, c.value*c.options.Decrease)
+			c.fell = now
+		}
+		return
+	}
+	// A limit that is not used tells nothing about a higher one.
+	if float64(inFlight) >= 0.8*c.value {
+		c.value = math.Min(c.options.Max, c.value+1/c.value)
+	}
+}
--- /dev/null
+++ b/admitter/shedding.go
@@ -0,0 +1,151 @@
+package admitter
+
+import (
+	"math"
+	"time"
+)
+
+// Request is a call that asks to be accepted.
+type Request struct {
+	// NewProgram is set for the first call of a program.
+	NewProgram bool
+	// Queued is the number of calls that wait in this daemon for the service.
+	Queued int
+	// Programs is the number of programs of the service under way here.
+	Programs int
+	// Wait is the estimated queueing time.
+	Wait time.Duration
+	// Seconds is the estimated service time.
+	Seconds float64
+	// Deadline is zero when the call has none.
+	Deadline time.Time
+}
+
+// Decision is what becomes of a call. Code is empty when it is accepted.
+type Decision struct {
+	Code       string
+	RetryAfter time.Duration
+}
+
+// Codes of refusals.
+const (
+	CodeQueueFull   = "queueFull"
+	CodeOverloaded  = "overloaded"
+	CodeDeadline    = "deadlineExceeded"
+	CodeRateLimited = "rateLimited"
+	CodeNoTarget    = "noTarget"
+	// CodeOutcomeUnknown ends a call that may have run and is not sent again.
+	CodeOutcomeUnknown = "outcomeUnknown"
+)
+
+// Static accepts calls up to a queue limit; new programs up to half of it.
+type Static struct{ MaxQueue int }
+
+// Decide implements the baseline.
+func (s Static) Decide(_ time.Time, r Request) Decision {
+	limit := s.MaxQueue
+	if r.NewProgram {
+		limit /= 2
+	}
+	if r.Queued >= limit {
+		return Decision{Code: CodeQueueFull, RetryAfter: max(time.Second, r.Wait)}
+	}
+	return Decision{}
+}
+
+// Observe does nothing: the limit is static.
+func (s Static) Observe(time.Time, Sample) {}
+
+// Sample is what one finished call says about overload.
+type Sample struct {
+	// Waited is the time in the queues of the daemon and of the target.
+	Waited time.Duration
+	// Expected and Cached are the tokens of the prompt that were expected to be
+	// cached and that were.
+	Expected int
+	Cached   int
+	Programs int
+}
+
+// SheddingOptions configure adaptive shedding.
+type SheddingOptions struct {
+	MaxQueue int
+	// Wait is the queueing time above which the limit of programs falls.
+	Wait time.Duration
+	// MissShare is the share of expected cached tokens that were missing above
+	// which the limit falls: the programs under way no longer fit into memory.
+	MissShare   float64
+	MinPrograms float64
+	MaxPrograms float64
+	Initial     float64
+	Decrease    float64
+	Pause       time.Duration
+}
+
+// DefaultShedding returns the measured options.
+func DefaultShedding(maxQueue int) SheddingOptions {
+	return SheddingOptions{
+		MaxQueue: maxQueue, Wait: 2 * time.Second, MissShare: 0.3, MinPrograms: 4,
+		MaxPrograms: 4_096, Initial: 64, Decrease: 0.95, Pause: 2 * time.Second,
+	}
+}
+
+// Shedding limits the programs under way. The limit adapts to queueing time and
+// to missing cache, so that new programs are refused before those under way slow
+// each other down.
+type Shedding struct {
+	options SheddingOptions
+	limit   float64
+	waited  float64
+	miss    float64
+	fell    time.Time
+}
+
+// NewShedding returns adaptive shedding for one service.
+func NewShedding(options SheddingOptions) *Shedding {
+	return &Shedding{options: options, limit: options.Initial}
+}
+
+// Limit returns the number of programs that may be under way.
+func (s *Shedding) Limit() float64 { return s.limit }
+
+// Decide accepts or refuses a call before it is sent.
+func (s *Shedding) Decide(now time.Time, r Request) Decision {
+	if !r.Deadline.IsZero() {
+		need := time.Duration(r.Seconds * float64(time.Second))
+		if now.Add(need).After(r.Deadline) {
+			return Decision{Code: CodeDeadline}
+		}
+	}
+	if r.Queued >= s.options.MaxQueue {
+		return Decision{Code: CodeQueueFull, RetryAfter: max(time.Second, r.Wait)}
+	}
+	if r.NewProgram && float64(r.Programs) >= s.limit {
+		return Decision{Code: CodeOverloaded, RetryAfter: max(2*time.Second, r.Wait)}
+	}
+	return Decision{}
+}
+
+// sampleGain is the weight of one call in the smoothed signals.
+const sampleGain = 0.05
+
+// Observe adapts the limit.
+func (s *Shedding) Observe(now time.Time, sample Sample) {
+	s.waited += sampleGain * (sample.Waited.Seconds() - s.waited)
+	if sample.Expected > 0 {
+		miss := math.Max(0, 1-float64(sample.Cached)/float64(sample.Expected))
+		s.miss += sampleGain * (miss - s.miss)
+	}
+	if s.waited > s.options.Wait.Seconds() || s.miss > s.options.MissShare {
+		if now.Sub(s.fell) >= s.options.Pause {
+			// Programs in use, not the limit, are what the signal was about.
+			s.limit = math.Min(s.limit, math.Max(float64(sample.Programs), s.options.MinPrograms))
+			s.limit = math.Max(s.options.MinPrograms, s.limit*s.options.Decrease)
+			s.fell = now
+		}
+		return
+	}
+	if float64(sample.Programs) >= 0.9*s.limit {
+		s.limit = math.Min(s.options.MaxPrograms, s.limit+2/s.limit)
+	}
+}
--- /dev/null
+++ b/router/cost.go
@@ -0,0 +1,239 @@
+package router
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// smallPool is the number of targets up to which all are candidates.
+const smallPool = 16
+
+// randomCandidates are drawn beside those with a known prefix: power of two
+// choices inside the region, and two anywhere.
+const randomCandidates = 2
+
+// candidate is a target with the tokens of the prompt that it is believed to hold.
+type candidate struct {
+	node   *Node
+	cached int
+}
+
+// Cost chooses the target with the lowest cost in seconds.
+type Cost struct {
+	fleet    *Fleet
+	weights  map[string]Weights
+	fallback Weights
+	random   *rand.Rand
+	buffer   []candidate
+	// Options switch parts of the cost off, for comparison.
+	options Options
+}
+
+// Options switch parts of the cost policy off so that their value can be measured.
+type Options struct {
+	NoCache      bool
+	NoSlowness   bool
+	NoLink       bool
+	NoCorrection bool
+	NoImport     bool
+}
+
+// NewCost returns the policy. The seed decides the random candidates.
+func NewCost(fleet *Fleet, weights Weights, seed uint64, options Options) *Cost {
+	return &Cost{
+		fleet: fleet, fallback: weights, weights: map[string]Weights{}, options: options,
+		random: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), buffer: make([]candidate, 0, 64),
+	}
+}
+
+// SetWeights sets the weights of one service.
+func (c *Cost) SetWeights(service string, weights Weights) { c.weights[service] = weights }
+
+// Decide returns the cheapest candidate. When it has no free slot and waiting for
+// it is cheaper than the best free one, Choice.Full is set.
+func (c *Cost) Decide(now time.Time, r *Request) Choice {
+	best := Choice{Cost: math.Inf(1)}
+	full := Choice{Cost: math.Inf(1)}
+	for _, k := range c.candidates(now, r) {
+		if !usable(k.node, r) {
+			continue
+		}
+		choice := c.price(k.node, k.cached, r)
+		if r.Admits != nil && !r.Admits(k.node) {
+			if choice.Cost < full.Cost {
+				full = choice
+			}
+			continue
+		}
+		if choice.Cost < best.Cost {
+			best = choice
+		}
+	}
+	if full.Node != nil && full.Cost < best.Cost {
+		full.Full = true
+		return full
+	}
+	return best
+}
+
+func usable(n *Node, r *Request) bool {
+	if !n.target.State.Accepts() || !n.Serves(r.Model, r.Adapter) {
+		return false
+	}
+	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, n.target.Name)
+}
+
+// candidates returns a bounded set: the targets with a known prefix and a few
+// random ones, or all targets of a small pool. The slice is reused.
+func (c *Cost) candidates(now time.Time, r *Request) []candidate {
+	list := c.buffer[:0]
+	p := c.fleet.pools[r.Service]
+	if p == nil {
+		return nil
+	}
+	note := func(n *Node, length int) {
+		for i := range list {
+			if list[i].node == n {
+				list[i].cached = max(list[i].cached, length)
+				return
+			}
+		}
+		if n.target.Service == r.Service {
+			list = append(list, candidate{node: n, cached: length})
+		}
+	}
+	if !c.options.NoCache {
+		c.fleet.cache.Lookup(now, r.Program, r.Root, r.Blocks, note)
+	}
+	if len(p.accepting) <= smallPool {
+		for _, n := range p.accepting {
+			note(n, 0)
+		}
+	} else {
+		c.draw(p.local, note)
+		c.draw(p.accepting, note)
+	}
+	// A pool whose drawn targets all lack the model or a slot is searched whole
+	// once, which is rare and bounded by the daemon's subset of 64 targets.
+	if len(p.accepting) > smallPool && !anyFree(list, r) {
+		for i, first := 0, c.random.IntN(len(p.accepting)); i < min(len(p.accepting), subset); i++ {
+			note(p.accepting[(first+i)%len(p.accepting)], 0)
+		}
+	}
+	c.buffer = list[:0]
+	return list
+}
+
+// subset bounds a search for a target with a free slot.
+const subset = 64
+
+func anyFree(list []candidate, r *Request) bool {
+	for i := range list {
+		if usable(list[i].node, r) && (r.Admits == nil || r.Admits(list[i].node)) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Cost) draw(nodes []*Node, note func(*Node, int)) {
+	if len(nodes) == 0 {
+		return
+	}
+	for range randomCandidates {
+		note(nodes[c.random.IntN(len(nodes))], 0)
+	}
+}
+
+// price estimates the seconds of the call at a target and adds what its wasted
+// prefill and its bytes on the link are worth.
+func (c *Cost) price(n *Node, cachedBlocks int, r *Request) Choice {
+	f, profile := c.fleet, &c.fleet.profile
+	if r.Plain {
+		return c.pricePlain(n, r)
+	}
+	choice := Choice{Node: n}
+	choice.Cached = min(cachedBlocks*provider.BlockTokens, r.PromptTokens)
+	choice.Uncached = r.PromptTokens - choice.Cached
+	rate := n.prefillRate()
+	calls, waiting := n.Calls(), n.WaitingTokens()
+	if c.options.NoCorrection {
+		calls, waiting = float64(n.report.Running+n.report.Waiting), float64(n.report.WaitingTokens)
+	}
+	batch := float64(n.MaxBatch())
+	running := math.Min(calls, batch-1)
+	answer := math.Max(1, profile.AnswerShare*float64(r.MaxTokens))
+	token := profile.DecodeBase + profile.DecodeSlope*(running+1)
+	choice.Wait = waiting / rate
+	if calls >= batch {
+		choice.Wait += (calls - batch + 1) / batch * answer * token
+	}
+	choice.Prefill = float64(choice.Uncached) / rate
+	c.consider(n, r, &choice)
+	// The call slows the others in the batch by one slope each for every token.
+	decode := answer * token
+	burden := answer * profile.DecodeSlope * running
+	slowness := n.slowness
+	if c.options.NoSlowness {
+		slowness = 1
+	}
+	transfer := 0.0
+	latency := profile.DomainLatency
+	weights := c.weightsOf(r.Service)
+	megabytes := 0.0
+	if f.Remote(n) && !c.options.NoLink {
+		bytes := f.LinkBytes(n, r)
+		transfer = bytes / profile.LinkBytesPerSec
+		latency = profile.RegionLatency
+		megabytes = bytes / 1e6
+	}
+	choice.Seconds = choice.Wait + choice.Prefill + decode + transfer + 2*latency.Seconds()
+	wasted := float64(choice.Uncached) / rate
+	choice.Cost = (choice.Wait+choice.Prefill+decode+burden)*slowness + transfer + 2*latency.Seconds() +
+		weights.Cache*wasted + weights.Link*megabytes
+	return choice
+}
+
+// consider compares recomputation of the missing prefix with the import of an
+// exported KV cache and takes the import when it is faster.
+func (c *Cost) consider(n *Node, r *Request, choice *Choice) {
+	e, ok := c.fleet.exports[r.Program]
+	if !ok || c.options.NoImport || e.tokens <= choice.Cached {
+		return
+	}
+	profile := &c.fleet.profile
+	rate := profile.LocalBytesPerSec
+	if e.region != n.target.Region {
+		rate = profile.LinkBytesPerSec
+	}
+	missing := float64(r.PromptTokens - e.tokens)
+	seconds := float64(e.tokens)*profile.KVBytesPerToken/rate + math.Max(0, missing)/n.prefillRate()
+	if seconds < choice.Prefill {
+		choice.Prefill, choice.Import = seconds, e.object
+		choice.Cached = min(e.tokens, r.PromptTokens)
+		choice.Uncached = r.PromptTokens - choice.Cached
+	}
+}
+
+func (c *Cost) weightsOf(service string) Weights {
+	if w, ok := c.weights[service]; ok {
+		return w
+	}
+	return c.fallback
+}
+
+// pricePlain orders targets of plain services by least outstanding requests,
+// then by observed time; a target of another region pays its latency.
+func (c *Cost) pricePlain(n *Node, r *Request) Choice {
+	latency := c.fleet.profile.DomainLatency
+	if c.fleet.Remote(n) {
+		latency = c.fleet.profile.RegionLatency
+	}
+	wait := float64(n.InFlight()) * n.service
+	seconds := wait + n.service + 2*latency.Seconds()
+	return Choice{Node: n, Seconds: seconds, Wait: wait, Cost: seconds}
+}
--- /dev/null
+++ b/router/target.go
@@ -0,0 +1,102 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// State is a target's state as the daemon sees it.
+type State int
+
+// States of a target. Only StateWarming, StateReady and StateDegraded take calls.
+const (
+	StateJoining State = iota
+	StateWarming
+	StateReady
+	StateDegraded
+	StateUnreachable
+	StateLeaving
+	StateGone
+)
+
+var stateNames = [...]string{"joining", "warming", "ready", "degraded", "unreachable", "leaving", "gone"}
+
+// String returns the state's name.
+func (s State) String() string {
+	if s < 0 || int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
+
+// ParseState returns the state with the given name and StateUnreachable for any
+// other text, so that an unknown state gets no calls.
+func ParseState(name string) State {
+	if i := slices.Index(stateNames[:], name); i >= 0 {
+		return State(i)
+	}
+	return StateUnreachable
+}
+
+// Accepts reports whether a target in this state may get new calls.
+func (s State) Accepts() bool {
+	return s == StateWarming || s == StateReady || s == StateDegraded
+}
+
+// Target is a back end that serves the calls of one service. Since is the time
+// at which it entered its state.
+type Target struct {
+	Name          string
+	Address       string
+	Service       string
+	FailureDomain string
+	Region        string
+	State         State
+	Since         time.Time
+}
+
+// Place is where the daemon runs.
+type Place struct {
+	Domain string
+	Region string
+}
+
+// Request is what a policy needs to know about a call.
+type Request struct {
+	Service string
+	Program string
+	// Root is the program at the top of a tree of sub-agents.
+	Root         string
+	Model        string
+	Adapter      string
+	Blocks       []uint64
+	PromptTokens int
+	MaxTokens    int
+	// Plain is set for calls of plain services, which have no tokens.
+	Plain bool
+	// Exclude names targets that must not be chosen.
+	Exclude []string
+	// Admits reports whether a target has a free slot; nil means that all have.
+	Admits func(*Node) bool
+}
+
+// Choice is the decision for one call.
+type Choice struct {
+	// Node is nil when no target may be used now.
+	Node *Node
+	// Seconds is the estimated time to completion at this target.
+	Seconds float64
+	// Wait and Prefill are the parts of Seconds before the first token.
+	Wait    float64
+	Prefill float64
+	// Cached and Uncached are the estimated tokens of the prompt.
+	Cached   int
+	Uncached int
+	// Cost is what the policy minimised.
+	Cost float64
+	// Full is set when the best target has no free slot: the call should wait.
+	Full bool
+	// Import names an exported KV cache that is cheaper to import than to
+	// recompute.
+	Import string
+}
--- /dev/null
+++ b/scheduler/policy.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/admitter"
+	"github.com/dogwoodweir/dogwoodweir/prioritizer"
+	"github.com/dogwoodweir/dogwoodweir/retainer"
+	"github.com/dogwoodweir/dogwoodweir/router"
+)
+
+// Decider is a policy: it answers a question of type Q at a time.
+type Decider[Q, A any] interface {
+	Decide(now time.Time, question Q) A
+}
+
+// Orderer ranks calls and keeps the accounts that the ranks depend on.
+type Orderer interface {
+	Decider[prioritizer.Call, time.Time]
+	Charge(now time.Time, program, client string, seconds float64)
+	End(program string)
+}
+
+// Shedder accepts or refuses calls and learns from those that finished.
+type Shedder interface {
+	Decider[admitter.Request, admitter.Decision]
+	Observe(now time.Time, sample admitter.Sample)
+}
+
+// Policy is the set of decisions that a scheduler makes.
+type Policy struct {
+	Name      string
+	Router    Decider[*router.Request, router.Choice]
+	Order     Orderer
+	Retention Decider[retainer.Pause, retainer.Decision]
+	// Shedding makes the shedder of one service.
+	Shedding func(Service) Shedder
+	// Concurrency gives the options of a target's limit.
+	Concurrency func(Service) admitter.ConcurrencyOptions
+	// Breakers opens circuit breakers on failing targets.
+	Breakers bool
+	// HedgeRatio is the share of calls that may be sent a second time; 0 is none.
+	HedgeRatio float64
+	// Release gives up the memory of programs that ended.
+	Release bool
+}
+
+// Parts are what a policy may refer to.
+type Parts struct {
+	Fleet  *router.Fleet
+	Pauses *retainer.Pauses
+	Seed   uint64
+}
+
+// Builder makes the policy of one scheduler.
+type Builder func(Parts) Policy
+
+// Switches turn single mechanisms of the standard policy off.
+type Switches struct {
+	Routing     router.Options
+	NoOrder     bool
+	NoRetention bool
+	NoRelease   bool
+	NoShedding  bool
+	NoAdaptive  bool
+	NoBreakers  bool
+	NoHedging   bool
+}
+
+// Standard returns the project's policy with every mechanism that pays.
+func Standard() Builder { return Ablated("policy", Switches{}) }
+
+// Ablated returns the standard policy with some mechanisms turned off.
+func Ablated(name string, off Switches) Builder {
+	return func(parts Parts) Policy {
+		p := Policy{
+			Name:      name,
+			Router:    router.NewCost(parts.Fleet, router.DefaultWeights(), parts.Seed, off.Routing),
+			Order:     prioritizer.NewAttained(prioritizer.DefaultWeights()),
+			Retention: retainer.NewExpected(parts.Pauses, retainer.DefaultLimits()),
+			Shedding: func(s Service) Shedder {
+				return admitter.NewShedding(admitter.DefaultShedding(s.MaxQueue))
+			},
+			Concurrency: func(s Service) admitter.ConcurrencyOptions {
+				return admitter.DefaultConcurrency(s.MaxConcurrency)
+			},
+			Breakers: !off.NoBreakers, HedgeRatio: 0.02, Release: !off.NoRelease,
+		}
+		if off.NoOrder {
+			p.Order = prioritizer.FirstCome{}
+		}
+		if off.NoRetention {
+			p.Retention = retainer.None{}
+		}
+		if off.NoShedding {
+			p.Shedding = staticShedding
+		}
+		if off.NoAdaptive {
+			p.Concurrency = fixedConcurrency
+		}
+		if off.NoHedging {
+			p.HedgeRatio = 0
+		}
+		return p
+	}
+}
+
+func staticShedding(s Service) Shedder { return admitter.Static{MaxQueue: s.MaxQueue} }
+
+func fixedConcurrency(s Service) admitter.ConcurrencyOptions {
+	options := admitter.DefaultConcurrency(s.MaxConcurrency)
+	options.Fixed = true
+	return options
+}
+
+// Baseline returns a baseline around a router: first come first served, no
+// retention, static limits. Circuit breakers stay, because no operator runs
+// without them.
+func Baseline(name string, route func(Parts) Decider[*router.Request, router.Choice]) Builder {
+	return func(parts Parts) Policy {
+		return Policy{
+			Name: name, Router: route(parts), Order: prioritizer.FirstCome{}, Retention: retainer.None{},
+			Shedding: staticShedding, Concurrency: fixedConcurrency, Breakers: true,
+		}
+	}
+}
+
+// RoundRobin returns the baseline that sends each call to the next target.
+func RoundRobin() Builder {
+	return Baseline("roundRobin", func(p Parts) Decider[*router.Request, router.Choice] {
+		return router.NewRoundRobin(p.Fleet, nil, p.Seed)
+	})
+}
+
+// LeastLoaded returns the baseline that sends each call to the target with the
+// fewest calls.
+func LeastLoaded() Builder {
+	return Baseline("leastLoaded", func(p Parts) Decider[*router.Request, router.Choice] {
+		return router.NewLeastLoaded(p.Fleet)
+	})
+}
+
+// Affinity returns the baseline that sends the calls of a program to one target.
+func Affinity() Builder {
+	return Baseline("affinity", func(p Parts) Decider[*router.Request, router.Choice] {
+		return router.NewAffinity(p.Fleet)
+	})
+}
--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,286 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/router"
+	"github.com/dogwoodweir/dogwoodweir/scheduler"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// farm is a small fake of the targets: it follows the commands and checks the
+// invariants that hold for every sequence of events.
+type farm struct {
+	t       *rapid.T
+	state   *scheduler.State
+	now     time.Time
+	targets []scheduler.Target
+	limit   int
+	next    scheduler.Ticket
+	infos   map[scheduler.Ticket]scheduler.CallInfo
+	running map[scheduler.Ticket][]string
+	open    []scheduler.Ticket
+	retries []scheduler.RetryCall
+	sends   map[scheduler.Ticket]int
+	// touched is set for calls of which an attempt may have run.
+	touched   map[scheduler.Ticket]bool
+	left      map[string]bool
+	calls     int
+	repeats   int
+	commands  []string
+	refusals  int
+	completed int
+}
+
+func newFarm(t *rapid.T, seed uint64, targets int, builder scheduler.Builder) *farm {
+	f := &farm{
+		t: t, now: start, limit: 3, infos: map[scheduler.Ticket]scheduler.CallInfo{},
+		running: map[scheduler.Ticket][]string{}, sends: map[scheduler.Ticket]int{},
+		touched: map[scheduler.Ticket]bool{}, left: map[string]bool{},
+	}
+	f.state = scheduler.New(scheduler.Options{
+		Place: router.Place{Domain: "a", Region: "r"}, Profile: router.DefaultProfile(), Seed: seed, Policy: builder,
+	})
+	f.update(scheduler.ServicesChanged{Services: []scheduler.Service{
+		{Name: "m", MaxConcurrency: f.limit, MaxQueue: 16, RetryRatio: 0.1, CallTimeout: time.Minute},
+		{Name: "p", Plain: true, MaxConcurrency: f.limit, MaxQueue: 16, RetryRatio: 0.1, CallTimeout: time.Minute},
+	}})
+	for i := range targets {
+		service := []string{"m", "p"}[i%2]
+		f.targets = append(f.targets, scheduler.Target{
+			Name: fmt.Sprintf("t%d", i), Service: service, FailureDomain: "a", Region: "r",
+			State: router.StateReady, Since: start.Add(-time.Hour),
+		})
+	}
+	f.update(scheduler.TargetsChanged{Targets: f.targets})
+	return f
+}
+
+func (f *farm) update(m scheduler.Message) {
+	for _, c := range f.state.Update(f.now, m) {
+		f.commands = append(f.commands, fmt.Sprintf("%T%+v", c, c))
+		f.apply(c)
+	}
+	f.check()
+}
+
+func (f *farm) apply(c scheduler.Command) {
+	switch c := c.(type) {
+	case scheduler.SendCall:
+		if f.left[c.Target] {
+			f.t.Fatalf("leaving target %s got a call", c.Target)
+		}
+		f.sends[c.Ticket]++
+		if f.sends[c.Ticket] > 1 {
+			f.repeats++
+			if !f.infos[c.Ticket].Repeatable {
+				f.t.Fatalf("non-repeatable call %d was sent %d times", c.Ticket, f.sends[c.Ticket])
+			}
+		}
+		f.running[c.Ticket] = append(f.running[c.Ticket], c.Target)
+		f.open = append(f.open, c.Ticket)
+	case scheduler.RefuseCall:
+		if c.Outcome == scheduler.NotRun && f.touched[c.Ticket] {
+			f.t.Fatalf("call %d was refused as not run after an attempt that may have run", c.Ticket)
+		}
+		if len(f.running[c.Ticket]) > 0 {
+			f.t.Fatalf("call %d was refused while it runs at %v", c.Ticket, f.running[c.Ticket])
+		}
+		f.refusals++
+	case scheduler.RetryCall:
+		f.retries = append(f.retries, c)
+	case scheduler.CancelSend:
+		f.drop(c.Ticket, c.Target)
+		f.touched[c.Ticket] = true
+	}
+}
+
+func (f *farm) drop(ticket scheduler.Ticket, target string) {
+	var kept []string
+	for _, t := range f.running[ticket] {
+		if t != target {
+			kept = append(kept, t)
+		}
+	}
+	f.running[ticket] = kept
+}
+
+func (f *farm) check() {
+	load := map[string]int{}
+	for _, targets := range f.running {
+		for _, t := range targets {
+			load[t]++
+		}
+	}
+	for _, t := range f.targets {
+		if load[t.Name] > f.limit {
+			f.t.Fatalf("target %s has %d calls, limit %d", t.Name, load[t.Name], f.limit)
+		}
+	}
+	// 10 % retries and 2 % hedges with bursts of 10 and 5 for each of two services.
+	if allowed := 0.12*float64(f.calls) + 30; float64(f.repeats) > allowed {
+		f.t.Fatalf("%d extra attempts for %d calls, allowed %.0f", f.repeats, f.calls, allowed)
+	}
+}
+
+func (f *farm) queue(info scheduler.CallInfo) {
+	f.next++
+	f.calls++
+	f.infos[f.next] = info
+	f.update(scheduler.CallQueued{Ticket: f.next, Call: info})
+}
+
+// pick returns a running attempt chosen by n.
+func (f *farm) pick(n int) (scheduler.Ticket, string, bool) {
+	var live []scheduler.Ticket
+	for _, ticket := range f.open {
+		if len(f.running[ticket]) > 0 {
+			live = append(live, ticket)
+		}
+	}
+	f.open = live
+	if len(live) == 0 {
+		return 0, "", false
+	}
+	ticket := live[n%len(live)]
+	return ticket, f.running[ticket][0], true
+}
+
+func (f *farm) finish(n int, outcome scheduler.Outcome, busy bool) {
+	ticket, target, ok := f.pick(n)
+	if !ok {
+		return
+	}
+	f.drop(ticket, target)
+	if outcome != scheduler.NotRun {
+		f.touched[ticket] = true
+	}
+	if outcome == scheduler.Done {
+		f.completed++
+	}
+	f.update(scheduler.CallFinished{
+		Ticket: ticket, Target: target, Outcome: outcome, Busy: busy, Latency: 300 * time.Millisecond,
+		Usage: provider.Usage{PromptTokens: f.infos[ticket].PromptTokens, CompletionTokens: 20},
+	})
+}
+
+func (f *farm) requeue() {
+	for _, r := range f.retries {
+		info := f.infos[r.Ticket]
+		info.Exclude, info.Attempt, info.Uncertain = r.Exclude, r.Attempt, r.Uncertain
+		f.update(scheduler.CallQueued{Ticket: r.Ticket, Call: info})
+	}
+	f.retries = f.retries[:0]
+}
+
+func (f *farm) step(kind, n int) {
+	f.now = f.now.Add(time.Duration(n%400) * time.Millisecond)
+	switch kind {
+	case 0, 1, 2, 3:
+		program := fmt.Sprintf("p%d", n%7)
+		info := scheduler.CallInfo{
+			Program: program, Client: fmt.Sprintf("c%d", n%3), Service: "m", PromptTokens: 64 * (1 + n%40),
+			MaxTokens: 200, Repeatable: true, Blocks: chainOf(program, 1+n%40), NewProgram: n%5 == 0,
+		}
+		if kind == 3 {
+			info.Service, info.Kind, info.Repeatable = "p", scheduler.KindPlain, n%2 == 0
+		}
+		if n%11 == 0 {
+			info.Deadline = f.now.Add(time.Duration(n) * time.Millisecond)
+		}
+		f.queue(info)
+	case 4, 5:
+		f.finish(n, scheduler.Done, false)
+	case 6:
+		f.finish(n, scheduler.NotRun, n%2 == 0)
+	case 7:
+		f.finish(n, scheduler.Unknown, false)
+	case 8:
+		f.update(scheduler.Tick{})
+		f.requeue()
+	case 9:
+		if ticket, target, ok := f.pick(n); ok {
+			f.update(scheduler.FirstToken{Ticket: ticket, Target: target})
+		}
+	case 10:
+		f.changeTarget(n)
+	case 11:
+		f.update(scheduler.ProgramPaused{Program: fmt.Sprintf("p%d", n%7), Tool: "tool"})
+		f.update(scheduler.ProgramEnded{Program: fmt.Sprintf("p%d", (n+3)%7)})
+	case 12:
+		f.update(scheduler.CallCancelled{Ticket: scheduler.Ticket(n) % (f.next + 1)})
+	}
+}
+
+func (f *farm) changeTarget(n int) {
+	t := &f.targets[n%len(f.targets)]
+	if t.State == router.StateReady {
+		t.State = []router.State{router.StateLeaving, router.StateUnreachable}[n%2]
+	} else {
+		t.State = router.StateReady
+	}
+	t.Since = f.now
+	f.left[t.Name] = t.State != router.StateReady
+	f.update(scheduler.TargetsChanged{Targets: f.targets})
+}
+
+func chainOf(program string, blocks int) []uint64 {
+	chain := make([]uint64, blocks)
+	hash := uint64(len(program)) * 1_000_003
+	for i := range chain {
+		hash = hash*31 + uint64(program[len(program)-1]) + 7
+		chain[i] = hash
+	}
+	return chain
+}
+
+// Guards against second sends of non-repeatable calls, refusals of calls that may
+// have run, calls above a target's limit, retries above the budget, calls to
+// targets that leave, and calls that neither run, wait nor have ended.
+func TestInvariantsUnderFailures(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFarm(t, rapid.Uint64().Draw(t, "seed"), 6, nil)
+		for range rapid.IntRange(50, 300).Draw(t, "steps") {
+			f.step(rapid.IntRange(0, 12).Draw(t, "kind"), rapid.IntRange(0, 10_000).Draw(t, "n"))
+		}
+		for i := range f.targets {
+			f.targets[i].State, f.targets[i].Since = router.StateReady, f.now
+			f.left[f.targets[i].Name] = false
+		}
+		f.update(scheduler.TargetsChanged{Targets: f.targets})
+		for range 600 {
+			f.now = f.now.Add(time.Second)
+			f.update(scheduler.Tick{})
+			f.requeue()
+			f.finish(0, scheduler.Done, false)
+		}
+		if f.state.Calls() != 0 {
+			t.Fatalf("%d calls have not ended after all targets recovered", f.state.Calls())
+		}
+	})
+}
+
+// Guards against decisions that depend on map order or hidden randomness.
+func TestEqualInputGivesEqualDecisions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		steps := rapid.SliceOfN(rapid.IntRange(0, 130_000), 50, 200).Draw(t, "steps")
+		run := func() []string {
+			f := newFarm(t, seed, 40, nil)
+			for _, n := range steps {
+				f.step(n%13, n/13)
+			}
+			return f.commands
+		}
+		if diff := cmp.Diff(run(), run()); diff != "" {
+			t.Fatalf("second run differs (-first +second):\n%s", diff)
+		}
+	})
+}
