--- a/router/cost.go
+++ b/router/cost.go
@@ -40,6 +40,8 @@
 	NoLink       bool
 	NoCorrection bool
 	NoImport     bool
+	NoBurden     bool
+	NoMemory     bool
 }
 
 // NewCost returns the policy. The seed decides the random candidates.
@@ -149,55 +151,77 @@
 	}
 }
 
-// price estimates the seconds of the call at a target and adds what its wasted
-// prefill and its bytes on the link are worth.
+// slowLimit is the ratio to the service's mean above which a target counts as
+// slow; below it the difference is noise of the prediction.
+const slowLimit = 1.7
+
+// price estimates the seconds of the call at a target, adds the delay that it
+// causes for others, and what wasted prefill and bytes on the link are worth.
 func (c *Cost) price(n *Node, cachedBlocks int, r *Request) Choice {
-	f, profile := c.fleet, &c.fleet.profile
 	if r.Plain {
 		return c.pricePlain(n, r)
 	}
+	f, profile, p := c.fleet, &c.fleet.profile, c.fleet.pools[r.Service]
 	choice := Choice{Node: n}
 	choice.Cached = min(cachedBlocks*provider.BlockTokens, r.PromptTokens)
 	choice.Uncached = r.PromptTokens - choice.Cached
-	rate := n.prefillRate()
 	calls, waiting := n.Calls(), n.WaitingTokens()
 	if c.options.NoCorrection {
 		calls, waiting = float64(n.report.Running+n.report.Waiting), float64(n.report.WaitingTokens)
 	}
 	batch := float64(n.MaxBatch())
 	running := math.Min(calls, batch-1)
-	answer := math.Max(1, profile.AnswerShare*float64(r.MaxTokens))
-	token := profile.DecodeBase + profile.DecodeSlope*(running+1)
-	choice.Wait = waiting / rate
+	answer := math.Min(p.answer, float64(max(1, r.MaxTokens)))
+	choice.Token = profile.DecodeBase + profile.DecodeSlope*(running+1)
+	// While a prompt is prefilled, each chunk shares its iteration with the batch.
+	rate := n.prefillRate()
+	compute := float64(choice.Uncached) / rate
+	shared := 1/rate + (choice.Token-profile.DecodeSlope)/profile.PrefillChunk
+	choice.Wait = waiting * shared
 	if calls >= batch {
-		choice.Wait += (calls - batch + 1) / batch * answer * token
+		choice.Wait += (calls - batch + 1) / batch * answer * choice.Token
 	}
-	choice.Prefill = float64(choice.Uncached) / rate
+	choice.Prefill = float64(choice.Uncached) * shared
 	c.consider(n, r, &choice)
-	// The call slows the others in the batch by one slope each for every token.
-	decode := answer * token
-	burden := answer * profile.DecodeSlope * running
-	slowness := n.slowness
-	if c.options.NoSlowness {
-		slowness = 1
-	}
-	transfer := 0.0
-	latency := profile.DomainLatency
-	weights := c.weightsOf(r.Service)
-	megabytes := 0.0
+	decode := answer * choice.Token
+	transfer, latency, megabytes := 0.0, profile.DomainLatency, 0.0
 	if f.Remote(n) && !c.options.NoLink {
 		bytes := f.LinkBytes(n, r)
-		transfer = bytes / profile.LinkBytesPerSec
-		latency = profile.RegionLatency
-		megabytes = bytes / 1e6
-	}
-	choice.Seconds = choice.Wait + choice.Prefill + decode + transfer + 2*latency.Seconds()
-	wasted := float64(choice.Uncached) / rate
-	choice.Cost = (choice.Wait+choice.Prefill+decode+burden)*slowness + transfer + 2*latency.Seconds() +
-		weights.Cache*wasted + weights.Link*megabytes
+		transfer, latency, megabytes = bytes/profile.LinkBytesPerSec, profile.RegionLatency, bytes/1e6
+	}
+	network := transfer + 2*latency.Seconds()
+	choice.Seconds = choice.Wait + choice.Prefill + decode + network
+	weights := c.weightsOf(r.Service)
+	choice.Cost = (choice.Wait+choice.Prefill+decode)*c.slow(n, p) + network +
+		weights.Cache*compute + weights.Link*megabytes
+	if !c.options.NoBurden {
+		// Every chunk and every token lengthens the iterations of all others.
+		choice.Cost += running * (compute + answer*profile.DecodeSlope)
+	}
+	if !c.options.NoMemory {
+		choice.Cost += c.eviction(n, &choice, rate)
+	}
 	return choice
 }
 
+// slow returns the factor by which a target is slower than its service's mean.
+func (c *Cost) slow(n *Node, p *pool) float64 {
+	if ratio := n.slowness / p.slowness; ratio > slowLimit && !c.options.NoSlowness {
+		return ratio
+	}
+	return 1
+}
+
+// eviction returns the seconds of prefill that others lose when the call's blocks
+// push theirs out of the target's memory.
+func (c *Cost) eviction(n *Node, choice *Choice, rate float64) float64 {
+	free := n.FreeBlocks()
+	if free < 0 {
+		return 0
+	}
+	return math.Max(0, float64(choice.Uncached)-free*provider.BlockTokens) / rate
+}
+
 // consider compares recomputation of the missing prefix with the import of an
 // exported KV cache and takes the import when it is faster.
 func (c *Cost) consider(n *Node, r *Request, choice *Choice) {
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -13,6 +14,10 @@
 	// daemon's own region.
 	accepting []*Node
 	local     []*Node
+	// slowness is the smoothed ratio of observed to predicted time over all nodes,
+	// answer the smoothed length of an answer.
+	slowness float64
+	answer   float64
 }
 
 // Fleet is the daemon's model of its targets. It is not safe for concurrent use.
@@ -69,7 +74,7 @@
 // cache; the cache estimate of a target that was gone or unreachable is dropped,
 // because it may have restarted.
 func (f *Fleet) SetTargets(now time.Time, targets []Target) {
-	old := f.nodes
+	old, pools := f.nodes, f.pools
 	f.nodes = make(map[string]*Node, len(targets))
 	f.pools = map[string]*pool{}
 	for _, t := range targets {
@@ -88,14 +93,17 @@
 		}
 		n.target = t
 		f.nodes[t.Name] = n
-		f.add(n)
+		f.add(n, pools[t.Service])
 	}
 }
 
-func (f *Fleet) add(n *Node) {
+func (f *Fleet) add(n *Node, before *pool) {
 	p := f.pools[n.target.Service]
 	if p == nil {
-		p = &pool{}
+		p = &pool{slowness: 1, answer: f.profile.AnswerTokens}
+		if before != nil {
+			p.slowness, p.answer = before.slowness, before.answer
+		}
 		f.pools[n.target.Service] = p
 	}
 	n.index = len(p.nodes)
@@ -133,16 +141,44 @@
 
 // Sent notes a call that goes to a target.
 func (f *Fleet) Sent(now time.Time, n *Node, ticket uint64, choice Choice) {
-	n.sent(now, ticket, choice.Uncached, choice.Seconds)
+	n.sent(now, ticket, &choice)
 }
 
 // Started notes the first token of a call.
-func (f *Fleet) Started(n *Node, ticket uint64) { n.started(ticket) }
+func (f *Fleet) Started(now time.Time, n *Node, ticket uint64) {
+	n.heard = now
+	n.started(ticket)
+}
+
+// Cancelled notes the end of a call that says nothing about its target.
+func (f *Fleet) Cancelled(now time.Time, n *Node, ticket uint64) { n.finished(now, ticket) }
 
-// Finished notes the end of a call; observed is 0 when its duration says nothing
-// about the target, as after a cancellation.
-func (f *Fleet) Finished(now time.Time, n *Node, ticket uint64, observed time.Duration) {
-	n.finished(now, ticket, observed)
+// slownessGain is the weight of one observation in a target's slowness: 10 calls
+// show a runner that became slow, one outlier does not. poolGain is that of the
+// service, which changes slowly.
+const (
+	slownessGain = 0.2
+	poolGain     = 0.02
+)
+
+// Finished notes the end of a call with the tokens that it generated.
+func (f *Fleet) Finished(now time.Time, n *Node, ticket uint64, observed time.Duration, tokens int) {
+	flight, ok := n.finished(now, ticket)
+	n.heard = now
+	p := f.pools[n.target.Service]
+	if !ok || p == nil || observed <= 0 {
+		return
+	}
+	n.service += 0.1 * (observed.Seconds() - n.service)
+	if tokens <= 0 {
+		return
+	}
+	p.answer += poolGain * (float64(tokens) - p.answer)
+	if predicted := flight.first + flight.token*float64(tokens); predicted > 0 {
+		ratio := math.Min(16, math.Max(0.25, observed.Seconds()/predicted))
+		n.slowness += slownessGain * (ratio - n.slowness)
+		p.slowness += poolGain * (ratio - p.slowness)
+	}
 }
 
 // Reported takes a load report and returns its node, nil for an unknown target.
--- a/router/node.go
+++ b/router/node.go
@@ -9,11 +9,13 @@
 
 // flight is one call of this daemon at a target.
 type flight struct {
-	ticket  uint64
-	sentAt  time.Time
-	doneAt  time.Time
-	tokens  int
-	seconds float64
+	ticket uint64
+	sentAt time.Time
+	doneAt time.Time
+	tokens int
+	// first and token are the predicted seconds before and of each token.
+	first   float64
+	token   float64
 	started bool
 	counted bool
 }
@@ -39,6 +41,8 @@
 	slowness float64
 	service  float64
 	index    int
+	// heard is when the target last answered anything.
+	heard time.Time
 }
 
 func newNode(target Target, profile *Profile) *Node {
@@ -116,8 +120,29 @@
 	return n.profile.PrefillPerSec
 }
 
-func (n *Node) sent(now time.Time, ticket uint64, tokens int, seconds float64) {
-	n.flights = append(n.flights, flight{ticket: ticket, sentAt: now, tokens: tokens, seconds: seconds})
+// Silent reports whether the target has answered nothing since the given time.
+func (n *Node) Silent(since time.Time) bool { return !n.heard.After(since) }
+
+// FreeBlocks estimates the free blocks of the KV cache, less what this daemon's
+// calls since the last report take; -1 when unknown.
+func (n *Node) FreeBlocks() float64 {
+	if n.report.TotalBlocks == 0 {
+		return -1
+	}
+	free := float64(n.report.FreeBlocks)
+	for i := range n.flights {
+		if f := &n.flights[i]; !f.counted {
+			free -= float64(f.tokens) / provider.BlockTokens
+		}
+	}
+	return math.Max(0, free)
+}
+
+func (n *Node) sent(now time.Time, ticket uint64, choice *Choice) {
+	n.flights = append(n.flights, flight{
+		ticket: ticket, sentAt: now, tokens: choice.Uncached, token: choice.Token,
+		first: choice.Wait + choice.Prefill,
+	})
 }
 
 func (n *Node) find(ticket uint64) int {
@@ -141,14 +166,10 @@
 	}
 }
 
-// slownessGain is the weight of one observation in the smoothed slowness: 10
-// calls show a runner that became slow, one outlier does not.
-const slownessGain = 0.2
-
-func (n *Node) finished(now time.Time, ticket uint64, observed time.Duration) {
+func (n *Node) finished(now time.Time, ticket uint64) (flight, bool) {
 	i := n.find(ticket)
 	if i < 0 {
-		return
+		return flight{}, false
 	}
 	f := n.flights[i]
 	n.flights = append(n.flights[:i], n.flights[i+1:]...)
@@ -165,14 +186,7 @@
 		n.recent[n.next%recentFlights] = f
 	}
 	n.next++
-	if observed <= 0 {
-		return
-	}
-	n.service += 0.1 * (observed.Seconds() - n.service)
-	if f.seconds > 0 {
-		ratio := math.Min(16, math.Max(0.25, observed.Seconds()/f.seconds))
-		n.slowness += slownessGain * (ratio - n.slowness)
-	}
+	return f, true
 }
 
 // received takes a load report. Own calls sent after the report was taken stay
@@ -182,6 +196,9 @@
 		return
 	}
 	n.report, n.reported = report, true
+	if report.At.After(n.heard) {
+		n.heard = report.At
+	}
 	n.total = float64(report.Running + report.Waiting)
 	n.tokens = float64(report.WaitingTokens)
 	for i := range n.flights {
--- a/router/profile.go
+++ b/router/profile.go
@@ -10,10 +10,12 @@
 	// for each sequence in the batch.
 	DecodeBase  float64
 	DecodeSlope float64
+	// PrefillChunk is the tokens of a prompt that one iteration of the batch adds.
+	PrefillChunk float64
 	// PlainSeconds is the first guess for a call of a plain service.
 	PlainSeconds float64
-	// AnswerShare is the usual share of MaxTokens that is generated.
-	AnswerShare float64
+	// AnswerTokens is the first guess for the length of an answer.
+	AnswerTokens float64
 	// MaxBatch is used until a report gives MaxConcurrency.
 	MaxBatch int
 	// BytesPerToken is the size of prompt text, KVBytesPerToken of its cache.
@@ -33,7 +35,7 @@
 func DefaultProfile() Profile {
 	return Profile{
 		PrefillPerSec: 8_000, DecodeBase: 0.016, DecodeSlope: 0.0008,
-		PlainSeconds: 0.2, AnswerShare: 0.35, MaxBatch: 24,
+		PrefillChunk: 256, PlainSeconds: 0.2, AnswerTokens: 150, MaxBatch: 24,
 		BytesPerToken: 4, KVBytesPerToken: 65_536,
 		LinkBytesPerSec: 3.75e6, LocalBytesPerSec: 125e6,
 		DomainLatency: time.Millisecond, RegionLatency: 8 * time.Millisecond,
--- a/router/target.go
+++ b/router/target.go
@@ -89,6 +89,8 @@
 	// Wait and Prefill are the parts of Seconds before the first token.
 	Wait    float64
 	Prefill float64
+	// Token is the estimated time of one token of the answer.
+	Token float64
 	// Cached and Uncached are the estimated tokens of the prompt.
 	Cached   int
 	Uncached int
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -29,10 +29,10 @@
 	}
 	a := &c.attempts[i]
 	a.started = true
-	s.fleet.Started(a.node, uint64(c.ticket))
+	s.fleet.Started(s.now, a.node, uint64(c.ticket))
 	s.hedges.Delete(c)
-	waited := s.now.Sub(a.sentAt) - seconds(a.choice.Prefill)
-	s.guard(a.node).limit.Observe(s.now, waited, a.node.InFlight())
+	a.waited = max(0, s.now.Sub(a.sentAt)-seconds(a.choice.Prefill))
+	s.guard(a.node).limit.Observe(s.now, a.waited, a.node.InFlight())
 	s.cancelOthers(c, i)
 }
 
@@ -48,15 +48,15 @@
 			continue
 		}
 		a := &c.attempts[i]
-		s.endAttempt(c, a, 0)
+		s.endAttempt(c, a)
 		s.guard(a.node).breaker.Cancelled()
 		s.emit(CancelSend{Ticket: c.ticket, Target: a.node.Name()})
 	}
 	c.attempts = append(c.attempts[:0], kept)
 }
 
-func (s *State) endAttempt(c *call, a *attempt, observed time.Duration) {
-	s.fleet.Finished(s.now, a.node, uint64(c.ticket), observed)
+func (s *State) endAttempt(c *call, a *attempt) {
+	s.fleet.Cancelled(s.now, a.node, uint64(c.ticket))
 	c.service.inFlight--
 }
 
@@ -75,7 +75,8 @@
 	a := c.attempts[i]
 	g := s.guard(a.node)
 	if m.Outcome == Done {
-		s.endAttempt(c, &a, m.Latency)
+		s.fleet.Finished(s.now, a.node, uint64(c.ticket), m.Latency, m.Usage.CompletionTokens)
+		c.service.inFlight--
 		g.breaker.Observe(s.now, true, s.random)
 		s.completed(c, &a, m)
 		s.cancelOthers(c, i)
@@ -83,7 +84,7 @@
 		s.pump(c.service)
 		return
 	}
-	s.endAttempt(c, &a, 0)
+	s.endAttempt(c, &a)
 	switch {
 	case m.Leaving:
 		s.fleet.MarkLeaving(a.node)
@@ -119,7 +120,7 @@
 		cache.Answered(s.now, a.node, c.info.Program, a.choice.Cached, m.Usage)
 		cache.Stored(s.now, a.node, c.info.Program, blocks)
 		sample.Expected, sample.Cached = a.choice.Cached, m.Usage.CachedTokens
-		sample.Waited += max(0, m.Latency-seconds(a.choice.Seconds-a.choice.Wait))
+		sample.Waited += a.waited
 	}
 	v.shedder.Observe(s.now, sample)
 	if p, ok := s.programs.Peek(c.info.Program); ok {
@@ -168,7 +169,7 @@
 	}
 	for i := range c.attempts {
 		a := &c.attempts[i]
-		s.endAttempt(c, a, 0)
+		s.endAttempt(c, a)
 		s.guard(a.node).breaker.Cancelled()
 		s.emit(CancelSend{Ticket: ticket, Target: a.node.Name()})
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -137,7 +137,7 @@
 	n := choice.Node
 	s.guard(n).breaker.Sent()
 	s.fleet.Sent(s.now, n, uint64(c.ticket), choice)
-	c.attempts = append(c.attempts, attempt{node: n, sentAt: s.now, choice: choice, hedge: hedge})
+	c.attempts = append(c.attempts, attempt{node: n, sentAt: s.now, choice: choice})
 	c.service.inFlight++
 	if !hedge && s.policy.HedgeRatio > 0 && c.info.Repeatable {
 		c.hedgeAt = s.now.Add(hedgeDelay(choice))
@@ -160,10 +160,14 @@
 }
 
 func (s *State) hedge(c *call) {
-	c.hedged = true
 	if len(c.attempts) != 1 || c.attempts[0].started || !c.info.Repeatable {
 		return
 	}
+	// A busy engine gains nothing from a second prefill elsewhere; one that has
+	// answered nothing since may have a silent connection.
+	if c.info.Kind == KindModel && !c.attempts[0].node.Silent(c.attempts[0].sentAt) {
+		return
+	}
 	exclude := c.info.Exclude
 	c.info.Exclude = append(append([]string(nil), exclude...), c.attempts[0].node.Name())
 	choice := s.route(c)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -27,8 +27,8 @@
 	node    *router.Node
 	sentAt  time.Time
 	choice  router.Choice
+	waited  time.Duration
 	started bool
-	hedge   bool
 }
 
 // call is a call that waits or runs.
