--- a/admitter/shedding.go
+++ b/admitter/shedding.go
@@ -60,10 +60,7 @@
 type Sample struct {
 	// Waited is the time in the queues of the daemon and of the target.
 	Waited time.Duration
-	// Expected and Cached are the tokens of the prompt that were expected to be
-	// cached and that were.
-	Expected int
-	Cached   int
+	// Programs is the number of programs under way.
 	Programs int
 }
 
@@ -71,10 +68,7 @@
 type SheddingOptions struct {
 	MaxQueue int
 	// Wait is the queueing time above which the limit of programs falls.
-	Wait time.Duration
-	// MissShare is the share of expected cached tokens that were missing above
-	// which the limit falls: the programs under way no longer fit into memory.
-	MissShare   float64
+	Wait        time.Duration
 	MinPrograms float64
 	MaxPrograms float64
 	Initial     float64
@@ -85,19 +79,17 @@
 // DefaultShedding returns the measured options.
 func DefaultShedding(maxQueue int) SheddingOptions {
 	return SheddingOptions{
-		MaxQueue: maxQueue, Wait: 2 * time.Second, MissShare: 0.3, MinPrograms: 4,
+		MaxQueue: maxQueue, Wait: 3 * time.Second, MinPrograms: 4,
 		MaxPrograms: 4_096, Initial: 64, Decrease: 0.95, Pause: 2 * time.Second,
 	}
 }
 
-// Shedding limits the programs under way. The limit adapts to queueing time and
-// to missing cache, so that new programs are refused before those under way slow
-// each other down.
+// Shedding limits the programs under way. The limit adapts to queueing time, so
+// that new programs are refused before those under way slow each other down.
 type Shedding struct {
 	options SheddingOptions
 	limit   float64
 	waited  float64
-	miss    float64
 	fell    time.Time
 }
 
@@ -126,17 +118,13 @@
 	return Decision{}
 }
 
-// sampleGain is the weight of one call in the smoothed signals.
+// sampleGain is the weight of one call in the smoothed queueing time.
 const sampleGain = 0.05
 
 // Observe adapts the limit.
 func (s *Shedding) Observe(now time.Time, sample Sample) {
 	s.waited += sampleGain * (sample.Waited.Seconds() - s.waited)
-	if sample.Expected > 0 {
-		miss := math.Max(0, 1-float64(sample.Cached)/float64(sample.Expected))
-		s.miss += sampleGain * (miss - s.miss)
-	}
-	if s.waited > s.options.Wait.Seconds() || s.miss > s.options.MissShare {
+	if s.waited > s.options.Wait.Seconds() {
 		if now.Sub(s.fell) >= s.options.Pause {
 			// Programs in use, not the limit, are what the signal was about.
 			s.limit = math.Min(s.limit, math.Max(float64(sample.Programs), s.options.MinPrograms))
--- /dev/null
+++ b/bencher/ablation.go
@@ -0,0 +1,99 @@
+package bencher
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/dogwoodweir/dogwoodweir/router"
+	"github.com/dogwoodweir/dogwoodweir/scheduler"
+)
+
+// Ablations returns the standard policy and versions of it with one mechanism
+// off each.
+func Ablations() []Named {
+	off := []struct {
+		name     string
+		switches scheduler.Switches
+	}{
+		{"cache estimate", scheduler.Switches{Routing: router.Options{NoCache: true}}},
+		{"burden on others", scheduler.Switches{Routing: router.Options{NoBurden: true}}},
+		{"eviction cost", scheduler.Switches{Routing: router.Options{NoMemory: true}}},
+		{"load correction", scheduler.Switches{Routing: router.Options{NoCorrection: true}}},
+		{"slowness", scheduler.Switches{Routing: router.Options{NoSlowness: true}}},
+		{"link cost", scheduler.Switches{Routing: router.Options{NoLink: true}}},
+		{"order", scheduler.Switches{NoOrder: true}},
+		{"retention", scheduler.Switches{NoRetention: true}},
+		{"release at the end", scheduler.Switches{NoRelease: true}},
+		{"adaptive shedding", scheduler.Switches{NoShedding: true}},
+		{"adaptive concurrency", scheduler.Switches{NoAdaptive: true}},
+		{"circuit breakers", scheduler.Switches{NoBreakers: true}},
+		{"hedging", scheduler.Switches{NoHedging: true}},
+	}
+	named := []Named{{Name: PolicyName, Build: scheduler.Standard()}}
+	for _, o := range off {
+		named = append(named, Named{Name: "without " + o.name, Build: scheduler.Ablated(o.name, o.switches)})
+	}
+	return named
+}
+
+// ablationSeeds is the number of seeds over which an ablation is averaged.
+const ablationSeeds = 2
+
+// ablationCases are the loads and faults at which mechanisms are compared.
+var ablationCases = []struct {
+	load  float64
+	fault Fault
+}{{0.95, Healthy}, {1.2, Healthy}, {0.8, SlowRunner}, {0.8, DomainCut}, {0.95, StaleReports}}
+
+// Ablate returns the jobs of the ablation table.
+func (s *Suite) Ablate(capacities []Capacity) []Job {
+	var jobs []Job
+	for _, d := range s.Deployments {
+		rate := Best(capacities, d.Name).Rate
+		for _, c := range ablationCases {
+			for _, p := range Ablations() {
+				for seed := range uint64(ablationSeeds) {
+					jobs = append(jobs, Job{
+						Deployment: d, Policy: p, Load: c.load, Rate: c.load * rate, Fault: c.fault, Seed: seed,
+					})
+				}
+			}
+		}
+	}
+	return jobs
+}
+
+// WriteAblations prints each mechanism's effect: ratios of the run without it to
+// the standard policy, averaged over deployments and seeds. Above 1 the mechanism
+// pays, except for goodput, where it pays below 1.
+func WriteAblations(out io.Writer, rows []Row) {
+	fmt.Fprint(out, "| mechanism off |")
+	for _, c := range ablationCases {
+		fmt.Fprintf(out, " %.2f %s: median, p95, wasted, goodput |", c.load, c.fault)
+	}
+	fmt.Fprint(out, "\n|---|")
+	for range ablationCases {
+		fmt.Fprint(out, "---|")
+	}
+	fmt.Fprintln(out)
+	for _, p := range Ablations() {
+		fmt.Fprintf(out, "| %s |", p.Name)
+		for _, c := range ablationCases {
+			mean := func(policy string, value func(Result) float64) float64 {
+				sum := 0.0
+				for _, r := range rows {
+					if r.Policy == policy && r.Load == c.load && r.Fault == c.fault {
+						sum += value(r.Result)
+					}
+				}
+				return sum
+			}
+			relative := func(value func(Result) float64) float64 {
+				return mean(p.Name, value) / mean(PolicyName, value)
+			}
+			fmt.Fprintf(out, " %.2f, %.2f, %.2f, %.3f |", relative(median), relative(p95), relative(wasted),
+				relative(func(r Result) float64 { return r.Goodput }))
+		}
+		fmt.Fprintln(out)
+	}
+}
--- a/bencher/cell.go
+++ b/bencher/cell.go
@@ -75,20 +75,21 @@
 	// Median and P95 are over completed programs, in seconds.
 	Median float64
 	P95    float64
-	// WastedPerProgram are the prefill tokens computed again, by arrived program
-	// that completed; LinkBytes those sent between regions in the window.
+	// Wasted are the tokens that an engine had cached and that were computed again
+	// in the window, LinkBytes those sent between regions, Calls the model calls
+	// that began and Prefill the tokens computed.
 	Wasted        int
 	WastedPerCall float64
 	LinkBytes     float64
-	// Calls is the number of model calls that ended in the window, of programs
-	// that completed, for each second.
-	Goodput  float64
-	Calls    int
-	Prefill  int
-	HitShare float64
-	Retries  int
-	Hedges   int
-	Pauses   float64
+	Calls         int
+	Prefill       int
+	HitShare      float64
+	// Goodput is the model calls that ended in the window, of programs that
+	// completed, for each second; Offered those of programs that arrived in it.
+	Goodput float64
+	Offered float64
+	Retries int
+	Hedges  int
 }
 
 func quantile(sorted []float64, q float64) float64 {
@@ -110,6 +111,7 @@
 	if w.prompts > 0 {
 		r.HitShare = 1 - float64(r.Prefill)/float64(w.prompts)
 	}
+	r.Offered = float64(w.offered) / (w.cell.Times.Until - w.cell.Times.Warm).Seconds()
 	r.Goodput = float64(w.good) / (w.cell.Times.Until - w.cell.Times.Warm).Seconds()
 	return r
 }
--- a/bencher/daemon.go
+++ b/bencher/daemon.go
@@ -29,7 +29,6 @@
 	final   int
 	answer  int
 	service time.Duration
-	started bool
 }
 
 // tickInterval is how often the scheduler's time passes.
--- /dev/null
+++ b/bencher/suite.go
@@ -0,0 +1,189 @@
+package bencher
+
+import (
+	"fmt"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/dogwoodweir/dogwoodweir/generator"
+	"github.com/dogwoodweir/dogwoodweir/scheduler"
+)
+
+// Named is a policy with its name in the tables.
+type Named struct {
+	Name  string
+	Build scheduler.Builder
+	// Reference policies are shown beside the baselines.
+	Reference bool
+}
+
+// PolicyName is the name of the project's policy in the tables.
+const PolicyName = "policy"
+
+// Policies returns the baselines, the reference and the project's policy. Both
+// baselines serve first come first served and retain nothing across pauses.
+func Policies() []Named {
+	return []Named{
+		{Name: "roundRobin", Build: scheduler.RoundRobin()},
+		{Name: "leastLoaded", Build: scheduler.LeastLoaded()},
+		{Name: "affinity", Build: scheduler.Affinity(), Reference: true},
+		{Name: PolicyName, Build: scheduler.Standard()},
+	}
+}
+
+// Suite is a set of runs with equal limits.
+type Suite struct {
+	Deployments []generator.Deployment
+	Shape       generator.Shape
+	Times       Times
+	Seed        uint64
+	Workers     int
+	// Steps is the number of bisections of the capacity search.
+	Steps int
+}
+
+// Limits of each daemon, the same for every policy: 9 daemons can have 54 calls
+// at an engine that runs 24 at once, and 64 calls can wait in each daemon.
+const (
+	limitConcurrency = 6
+	limitQueue       = 64
+)
+
+// NewSuite returns the published suite, or a short one for tests.
+func NewSuite(seed uint64, workers int, quick bool) *Suite {
+	s := &Suite{
+		Deployments: []generator.Deployment{generator.Lichtbeeld(), generator.Wickramasinghe()},
+		Shape:       generator.DefaultShape(), Times: FullTimes(), Seed: seed, Workers: workers, Steps: 6,
+	}
+	if quick {
+		s.Times, s.Steps = QuickTimes(), 3
+	}
+	return s
+}
+
+func (s *Suite) cell(d generator.Deployment, build scheduler.Builder, rate float64, fault Fault, seed uint64) Cell {
+	return Cell{
+		Deployment: d, Shape: s.Shape, Policy: build, Rate: rate, Seed: seed, Fault: fault, Times: s.Times,
+		MaxConcurrency: limitConcurrency, MaxQueue: limitQueue,
+	}
+}
+
+// Capacity is the highest rate that a policy sustains.
+type Capacity struct {
+	Deployment string
+	Policy     string
+	Rate       float64
+	Goodput    float64
+}
+
+// sustained reports whether a run kept up: 99 % of the programs completed and the
+// calls served in the window were at least 95 % of those offered in it.
+func sustained(r Result) bool {
+	return r.Arrived > 0 && float64(r.Completed) >= 0.99*float64(r.Arrived) && r.Goodput >= 0.95*r.Offered
+}
+
+// lowestRate and highestRate bound the search, in programs a second per runner.
+const (
+	lowestRate  = 0.02
+	highestRate = 0.42
+)
+
+// Capacities finds by bisection the highest rate that each policy sustains
+// without faults.
+func (s *Suite) Capacities(policies []Named) []Capacity {
+	results := make([]Capacity, len(s.Deployments)*len(policies))
+	workers := pool.New().WithMaxGoroutines(s.Workers)
+	for i, d := range s.Deployments {
+		for j, p := range policies {
+			workers.Go(func() { results[i*len(policies)+j] = s.capacity(d, p) })
+		}
+	}
+	workers.Wait()
+	return results
+}
+
+func (s *Suite) capacity(d generator.Deployment, p Named) Capacity {
+	c := Capacity{Deployment: d.Name, Policy: p.Name}
+	low, high := lowestRate*float64(d.Runners), highestRate*float64(d.Runners)
+	for range s.Steps {
+		rate := (low + high) / 2
+		r := Run(s.cell(d, p.Build, rate, Healthy, s.Seed))
+		if !sustained(r) {
+			high = rate
+			continue
+		}
+		low = rate
+		c.Rate, c.Goodput = rate, r.Goodput
+	}
+	return c
+}
+
+// Best returns the highest rate of a deployment over all policies.
+func Best(capacities []Capacity, deployment string) Capacity {
+	var best Capacity
+	for _, c := range capacities {
+		if c.Deployment == deployment && c.Rate > best.Rate {
+			best = c
+		}
+	}
+	return best
+}
+
+// Row is one run of a table.
+type Row struct {
+	Deployment string
+	Load       float64
+	Fault      Fault
+	Policy     string
+	Result     Result
+}
+
+// Job is one run to do. Seed is added to the suite's.
+type Job struct {
+	Deployment generator.Deployment
+	Policy     Named
+	Load       float64
+	Rate       float64
+	Fault      Fault
+	Seed       uint64
+}
+
+// RunAll runs the jobs in parallel and returns their rows in order.
+func (s *Suite) RunAll(jobs []Job) []Row {
+	rows := make([]Row, len(jobs))
+	workers := pool.New().WithMaxGoroutines(s.Workers)
+	for i, job := range jobs {
+		workers.Go(func() {
+			rows[i] = Row{
+				Deployment: job.Deployment.Name, Load: job.Load, Fault: job.Fault, Policy: job.Policy.Name,
+				Result: Run(s.cell(job.Deployment, job.Policy.Build, job.Rate, job.Fault, s.Seed+job.Seed)),
+			}
+		})
+	}
+	workers.Wait()
+	return rows
+}
+
+// Loads are the shares of capacity of the published cells.
+func Loads() []float64 { return []float64{0.5, 0.8, 0.95, 1.2} }
+
+// Cells returns the jobs of the main table.
+func (s *Suite) Cells(capacities []Capacity, policies []Named, loads []float64, faults []Fault) []Job {
+	var jobs []Job
+	for _, d := range s.Deployments {
+		best := Best(capacities, d.Name)
+		for _, load := range loads {
+			for _, fault := range faults {
+				for _, p := range policies {
+					jobs = append(jobs, Job{
+						Deployment: d, Policy: p, Load: load, Rate: load * best.Rate, Fault: fault,
+					})
+				}
+			}
+		}
+	}
+	return jobs
+}
+
+// Title names a cell.
+func (r Row) Title() string { return fmt.Sprintf("%s %.2f %s", r.Deployment, r.Load, r.Fault) }
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -65,6 +65,7 @@
 	open      int
 	good      int
 	prompts   int
+	offered   int
 	cutFrom   time.Duration
 	cutTo     time.Duration
 }
--- a/prioritizer/attained.go
+++ b/prioritizer/attained.go
@@ -34,10 +34,10 @@
 
 // Weights set how far a rank may move away from the arrival.
 type Weights struct {
-	// Attained is the delay for each doubling of a program's attained service
-	// above one second.
-	Attained time.Duration
-	// MaxAttained bounds that delay.
+	// Attained is the advance for each doubling of a program's attained service
+	// above one second, MaxAttained its bound. Programs with much attained service
+	// go first because they hold the most memory: ending them frees it.
+	Attained    time.Duration
 	MaxAttained time.Duration
 	// Fairness is the delay for each second of service that a client attained
 	// above its equal share, MaxFairness its bound.
@@ -52,9 +52,9 @@
 // DefaultWeights returns the measured weights.
 func DefaultWeights() Weights {
 	return Weights{
-		Attained: 500 * time.Millisecond, MaxAttained: 4 * time.Second,
+		Attained: 8 * time.Second, MaxAttained: 60 * time.Second,
 		Fairness: 200 * time.Millisecond, MaxFairness: 4 * time.Second,
-		UnderWay: 2 * time.Second, Slack: time.Second,
+		UnderWay: 8 * time.Second, Slack: time.Second,
 	}
 }
 
@@ -103,14 +103,14 @@
 		rank = rank.Add(-a.weights.UnderWay)
 	}
 	if attained, ok := a.programs.Peek(call.Program); ok && attained > 1 {
-		delay := time.Duration(math.Log2(attained) * float64(a.weights.Attained))
-		rank = rank.Add(min(delay, a.weights.MaxAttained))
+		advance := time.Duration(math.Log2(attained) * float64(a.weights.Attained))
+		rank = rank.Add(-min(advance, a.weights.MaxAttained))
 	}
 	excess := a.excess(now, call.Client)
 	rank = rank.Add(min(time.Duration(excess*float64(a.weights.Fairness)), a.weights.MaxFairness))
 	if !call.Deadline.IsZero() {
 		latest := call.Deadline.Add(-a.weights.Slack - time.Duration(call.Seconds*float64(time.Second)))
-		earliest := now.Add(-a.weights.UnderWay)
+		earliest := now.Add(-a.weights.UnderWay - a.weights.MaxAttained)
 		if latest.Before(earliest) {
 			latest = earliest
 		}
--- a/router/cost.go
+++ b/router/cost.go
@@ -151,6 +151,11 @@
 	}
 }
 
+// recomputeFactor is what a second of avoidable prefill costs at weight 1: besides
+// its own time it delays the batch and pushes out blocks that are needed again.
+// Factors from 1 to 64 were compared in the bench (docs/measurements.md).
+const recomputeFactor = 16
+
 // slowLimit is the ratio to the service's mean above which a target counts as
 // slow; below it the difference is noise of the prediction.
 const slowLimit = 1.7
@@ -193,7 +198,7 @@
 	choice.Seconds = choice.Wait + choice.Prefill + decode + network
 	weights := c.weightsOf(r.Service)
 	choice.Cost = (choice.Wait+choice.Prefill+decode)*c.slow(n, p) + network +
-		weights.Cache*compute + weights.Link*megabytes
+		weights.Cache*recomputeFactor*compute + weights.Link*megabytes
 	if !c.options.NoBurden {
 		// Every chunk and every token lengthens the iterations of all others.
 		choice.Cost += running * (compute + answer*profile.DecodeSlope)
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -119,7 +119,6 @@
 		cache := s.fleet.Cache()
 		cache.Answered(s.now, a.node, c.info.Program, a.choice.Cached, m.Usage)
 		cache.Stored(s.now, a.node, c.info.Program, blocks)
-		sample.Expected, sample.Cached = a.choice.Cached, m.Usage.CachedTokens
 		sample.Waited += a.waited
 	}
 	v.shedder.Observe(s.now, sample)
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -41,7 +41,6 @@
 	queued    bool
 	attempts  []attempt
 	hedgeAt   time.Time
-	hedged    bool
 	uncertain bool
 }
 
