--- a/admitter/concurrency.go
+++ b/admitter/concurrency.go
@@ -22,11 +22,14 @@
 }
 
 // DefaultConcurrency returns the options of a target with the given upper limit.
+// Only refusals by the target and very long waits lower the limit: adapting it to
+// waits of seconds cost goodput in the bench, because engines order their queues
+// by priority themselves.
 func DefaultConcurrency(limit int) ConcurrencyOptions {
 	upper := math.Max(1, float64(limit))
 	return ConcurrencyOptions{
-		Min: math.Min(2, upper), Max: upper, Initial: math.Min(16, upper),
-		Wait: 3 * time.Second, Decrease: 0.9, Pause: time.Second, SlowStart: 10 * time.Second,
+		Min: math.Min(2, upper), Max: upper, Initial: upper,
+		Wait: 30 * time.Second, Decrease: 0.9, Pause: time.Second, SlowStart: 10 * time.Second,
 	}
 }
 
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,99 @@
+package loader_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodweir/dogwoodweir/loader"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// Guards against loads above the weight store's rate, fencing numbers that do not
+// rise, two orders at once for one target, orders too soon after a takeover, and
+// models that thrash while demand changes at random.
+func TestOrders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		options := loader.DefaultOptions()
+		s := loader.New(options, 1)
+		var targets []loader.Target
+		for i := range 6 {
+			targets = append(targets, loader.Target{Name: fmt.Sprintf("t%d", i), ChecksFencing: i%2 == 0, Slots: 1})
+		}
+		now := start
+		s.Update(now, loader.TargetsChanged{Targets: targets})
+		s.Update(now, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 1}}})
+		held := map[string][]string{}
+		loadedAt := map[string]time.Time{}
+		loads, last, epoch, quiet := 0, int64(0), int64(1), start
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			model := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "model")
+			s.Update(now, loader.DemandObserved{Model: model, Seconds: rapid.Float64Range(0, 6).Draw(t, "seconds")})
+			if rapid.IntRange(0, 40).Draw(t, "takeover") == 0 {
+				epoch++
+				s.Update(now, loader.Promoted{Epoch: epoch})
+				quiet = now.Add(options.OrderExpiry)
+			}
+			for _, target := range targets {
+				s.Update(now, loader.ReportReceived{Report: provider.LoadReport{Target: target.Name, Models: held[target.Name]}})
+			}
+			ordered := map[string]bool{}
+			for _, c := range s.Update(now, loader.Tick{}) {
+				o := c.(loader.OrderTarget)
+				if o.Order.FencingNumber <= last {
+					t.Fatalf("fencing number %d after %d", o.Order.FencingNumber, last)
+				}
+				last = o.Order.FencingNumber
+				var index int
+				fmt.Sscanf(o.Target, "t%d", &index)
+				if !targets[index].ChecksFencing && now.Before(quiet) {
+					t.Fatalf("order to %s, which checks no fencing number, %v after a takeover", o.Target, now.Sub(quiet))
+				}
+				if ordered[o.Target] {
+					t.Fatalf("two orders at once for %s", o.Target)
+				}
+				ordered[o.Target] = true
+				if o.Order.Kind == "load" {
+					loads++
+					held[o.Target] = []string{o.Order.Model}
+					loadedAt[o.Target] = now
+				} else {
+					if age := now.Sub(loadedAt[o.Target]); age < options.MinResidence {
+						t.Fatalf("%s gives up %s after %v", o.Target, o.Order.Model, age)
+					}
+					held[o.Target] = nil
+				}
+				s.Update(now, loader.OrderFinished{Target: o.Target, Order: o.Order})
+			}
+			if most := options.LoadsPerSec*now.Sub(start).Seconds() + float64(options.Burst); float64(loads) > most+1e-6 {
+				t.Fatalf("%d loads in %v, at most %.1f", loads, now.Sub(start), most)
+			}
+		}
+	})
+}
+
+// Guards against a model that is wanted and never gets a runner.
+func TestMinReplicasAreReached(t *testing.T) {
+	s := loader.New(loader.DefaultOptions(), 1)
+	s.Update(start, loader.TargetsChanged{Targets: []loader.Target{{Name: "t0", ChecksFencing: true, Slots: 1}, {Name: "t1", ChecksFencing: true, Slots: 1}}})
+	s.Update(start, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 1}}})
+	s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: "t0"}})
+	s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: "t1"}})
+	loaded := map[string]bool{}
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * time.Second)
+		for _, c := range s.Update(now, loader.Tick{}) {
+			o := c.(loader.OrderTarget)
+			loaded[o.Order.Model] = true
+			s.Update(now, loader.OrderFinished{Target: o.Target, Order: o.Order})
+		}
+	}
+	if !loaded["a"] || !loaded["b"] {
+		t.Fatalf("loaded %v, want a and b", loaded)
+	}
+}
--- a/prioritizer/attained.go
+++ b/prioritizer/attained.go
@@ -53,7 +53,7 @@
 func DefaultWeights() Weights {
 	return Weights{
 		Attained: 8 * time.Second, MaxAttained: 60 * time.Second,
-		Fairness: 200 * time.Millisecond, MaxFairness: 4 * time.Second,
+		Fairness: time.Second, MaxFairness: 30 * time.Second,
 		UnderWay: 8 * time.Second, Slack: time.Second,
 	}
 }
--- /dev/null
+++ b/router/cache_test.go
@@ -0,0 +1,156 @@
+package router_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/router"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func newFleet(targets int) *router.Fleet {
+	fleet := router.NewFleet(router.Place{Domain: "a", Region: "r"}, router.DefaultProfile())
+	var list []router.Target
+	for i := range targets {
+		list = append(list, router.Target{
+			Name: fmt.Sprintf("t%d", i), Service: "m", FailureDomain: "a", Region: "r", State: router.StateReady,
+			Since: start.Add(-time.Hour),
+		})
+	}
+	fleet.SetTargets(start, list)
+	return fleet
+}
+
+func chain(salt uint64, length int) []uint64 {
+	blocks := make([]uint64, length)
+	for i := range blocks {
+		salt = salt*6364136223846793005 + 1442695040888963407
+		blocks[i] = salt
+	}
+	return blocks
+}
+
+func longest(fleet *router.Fleet, now time.Time, program string, blocks []uint64) map[string]int {
+	found := map[string]int{}
+	fleet.Cache().Lookup(now, program, "", blocks, func(n *router.Node, length int) {
+		found[n.Name()] = max(found[n.Name()], length)
+	})
+	return found
+}
+
+// Guards against an estimate that names more blocks than a target ever stored or
+// than its events left, for any mix of stores, removals, late events and gaps.
+func TestCacheNeverExceedsWhatWasStored(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := newFleet(3)
+		blocks := chain(1, 64)
+		held := map[string]int{}
+		now := start
+		sequence := int64(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Second)
+			name := fmt.Sprintf("t%d", rapid.IntRange(0, 2).Draw(t, "target"))
+			node := fleet.Node(name)
+			if rapid.Bool().Draw(t, "store") {
+				length := rapid.IntRange(1, 64).Draw(t, "length")
+				fleet.Cache().Stored(now, node, "p", blocks[:length])
+				held[name] = max(held[name], length)
+				continue
+			}
+			sequence += int64(rapid.IntRange(1, 3).Draw(t, "gap"))
+			left := rapid.IntRange(0, held[name]).Draw(t, "left")
+			fleet.Cache().Changed(now, node, provider.CacheEvent{
+				Target: name, Sequence: sequence, Removed: blocks[left:held[name]],
+			})
+			held[name] = left
+		}
+		for name, length := range longest(fleet, now, "p", blocks) {
+			if length > held[name] {
+				t.Fatalf("%s is believed to hold %d blocks, it holds %d", name, length, held[name])
+			}
+		}
+	})
+}
+
+// Guards against belief without end in entries that no answer confirms.
+func TestBeliefIsBounded(t *testing.T) {
+	fleet := newFleet(1)
+	blocks := chain(1, 32)
+	node := fleet.Node("t0")
+	fleet.Cache().Stored(start, node, "p", blocks)
+	if got := longest(fleet, start.Add(time.Second), "p", blocks)["t0"]; got != 32 {
+		t.Fatalf("a second later %d blocks are believed, want 32", got)
+	}
+	if got := longest(fleet, start.Add(time.Hour), "p", blocks); len(got) != 0 {
+		t.Fatalf("an hour later %v is believed, want nothing", got)
+	}
+	before := fleet.Cache().Belief(node)
+	fleet.Cache().Answered(start.Add(10*time.Second), node, "p", 32*64, provider.Usage{CachedTokens: 0})
+	if after := fleet.Cache().Belief(node); after >= before {
+		t.Fatalf("belief after a miss is %v, before %v", after, before)
+	}
+}
+
+// Guards against cold starts of programs that share a prefix with others, and
+// against a match beyond the shared part.
+func TestSharedPrefixIsFound(t *testing.T) {
+	fleet := newFleet(2)
+	first := append(chain(1, 48), chain(2, 50)...)
+	second := append(chain(1, 48), chain(3, 50)...)
+	fleet.Cache().Stored(start, fleet.Node("t1"), "p", first)
+	if got := longest(fleet, start, "q", second)["t1"]; got != 48 {
+		t.Fatalf("another program finds %d shared blocks, want 48", got)
+	}
+}
+
+// Guards against reports that count a daemon's calls twice or forget them.
+func TestLaggingReportIsCorrected(t *testing.T) {
+	fleet := newFleet(1)
+	node := fleet.Node("t0")
+	fleet.Sent(start, node, 1, router.Choice{Uncached: 100})
+	fleet.Sent(start.Add(2*time.Second), node, 2, router.Choice{Uncached: 200})
+	// Taken after the first call and before the second.
+	fleet.Reported(provider.LoadReport{Target: "t0", At: start.Add(time.Second), Running: 5, WaitingTokens: 100})
+	if calls, tokens := node.Calls(), node.WaitingTokens(); calls != 6 || tokens != 300 {
+		t.Fatalf("%v calls and %v tokens, want 6 and 300", calls, tokens)
+	}
+	fleet.Finished(start.Add(3*time.Second), node, 1, time.Second, 10)
+	if calls, tokens := node.Calls(), node.WaitingTokens(); calls != 5 || tokens != 200 {
+		t.Fatalf("after the first call ended: %v calls and %v tokens, want 5 and 200", calls, tokens)
+	}
+	fleet.Reported(provider.LoadReport{Target: "t0", At: start.Add(2500 * time.Millisecond), Running: 6, WaitingTokens: 300})
+	if calls := node.Calls(); calls != 5 {
+		t.Fatalf("%v calls after a report from before the first call's end, want 5", calls)
+	}
+}
+
+// Guards against a slow target that keeps its share of new programs.
+func TestSlowTargetIsAvoided(t *testing.T) {
+	fleet := newFleet(3)
+	now := start
+	for i := range uint64(60) {
+		name := fmt.Sprintf("t%d", i%3)
+		now = now.Add(100 * time.Millisecond)
+		fleet.Sent(now, fleet.Node(name), i, router.Choice{Wait: 0.1, Token: 0.02})
+		took := 2 * time.Second
+		if name == "t0" {
+			took = 10 * time.Second
+		}
+		fleet.Finished(now, fleet.Node(name), i, took, 100)
+	}
+	policy := router.NewCost(fleet, router.DefaultWeights(), 1, router.Options{})
+	for i := range 20 {
+		program := fmt.Sprint(i)
+		choice := policy.Decide(now, &router.Request{
+			Service: "m", Program: program, Blocks: chain(uint64(i), 20), PromptTokens: 1_280, MaxTokens: 100,
+		})
+		if choice.Node.Name() == "t0" {
+			t.Fatalf("program %s went to the slow target", program)
+		}
+	}
+}
--- a/router/cost.go
+++ b/router/cost.go
@@ -41,7 +41,6 @@
 	NoCorrection bool
 	NoImport     bool
 	NoBurden     bool
-	NoMemory     bool
 }
 
 // NewCost returns the policy. The seed decides the random candidates.
@@ -203,9 +202,6 @@
 		// Every chunk and every token lengthens the iterations of all others.
 		choice.Cost += running * (compute + answer*profile.DecodeSlope)
 	}
-	if !c.options.NoMemory {
-		choice.Cost += c.eviction(n, &choice, rate)
-	}
 	return choice
 }
 
@@ -217,16 +213,6 @@
 	return 1
 }
 
-// eviction returns the seconds of prefill that others lose when the call's blocks
-// push theirs out of the target's memory.
-func (c *Cost) eviction(n *Node, choice *Choice, rate float64) float64 {
-	free := n.FreeBlocks()
-	if free < 0 {
-		return 0
-	}
-	return math.Max(0, float64(choice.Uncached)-free*provider.BlockTokens) / rate
-}
-
 // consider compares recomputation of the missing prefix with the import of an
 // exported KV cache and takes the import when it is faster.
 func (c *Cost) consider(n *Node, r *Request, choice *Choice) {
--- a/router/node.go
+++ b/router/node.go
@@ -69,9 +69,6 @@
 	return n.profile.MaxBatch
 }
 
-// TotalBlocks returns the size of the target's KV cache, 0 when unknown.
-func (n *Node) TotalBlocks() int { return n.report.TotalBlocks }
-
 // Calls estimates all calls at the target now: those of the last report plus
 // this daemon's own since.
 func (n *Node) Calls() float64 {
@@ -123,21 +120,6 @@
 // Silent reports whether the target has answered nothing since the given time.
 func (n *Node) Silent(since time.Time) bool { return !n.heard.After(since) }
 
-// FreeBlocks estimates the free blocks of the KV cache, less what this daemon's
-// calls since the last report take; -1 when unknown.
-func (n *Node) FreeBlocks() float64 {
-	if n.report.TotalBlocks == 0 {
-		return -1
-	}
-	free := float64(n.report.FreeBlocks)
-	for i := range n.flights {
-		if f := &n.flights[i]; !f.counted {
-			free -= float64(f.tokens) / provider.BlockTokens
-		}
-	}
-	return math.Max(0, free)
-}
-
 func (n *Node) sent(now time.Time, ticket uint64, choice *Choice) {
 	n.flights = append(n.flights, flight{
 		ticket: ticket, sentAt: now, tokens: choice.Uncached, token: choice.Token,
--- a/scheduler/policy.go
+++ b/scheduler/policy.go
@@ -57,17 +57,18 @@
 
 // Switches turn single mechanisms of the standard policy off.
 type Switches struct {
-	Routing     router.Options
-	NoOrder     bool
-	NoRetention bool
-	NoRelease   bool
-	NoShedding  bool
-	NoAdaptive  bool
-	NoBreakers  bool
-	NoHedging   bool
+	Routing    router.Options
+	NoOrder    bool
+	NoRelease  bool
+	NoShedding bool
+	NoAdaptive bool
+	NoBreakers bool
+	NoHedging  bool
 }
 
-// Standard returns the project's policy with every mechanism that pays.
+// Standard returns the project's policy with every mechanism that pays. Holds and
+// early drops during pauses do not (docs/measurements.md): an engine that evicts
+// the least recently used blocks is as good, so that only release is ordered.
 func Standard() Builder { return Ablated("policy", Switches{}) }
 
 // Ablated returns the standard policy with some mechanisms turned off.
@@ -77,7 +78,7 @@
 			Name:      name,
 			Router:    router.NewCost(parts.Fleet, router.DefaultWeights(), parts.Seed, off.Routing),
 			Order:     prioritizer.NewAttained(prioritizer.DefaultWeights()),
-			Retention: retainer.NewExpected(parts.Pauses, retainer.DefaultLimits()),
+			Retention: retainer.None{},
 			Shedding: func(s Service) Shedder {
 				return admitter.NewShedding(admitter.DefaultShedding(s.MaxQueue))
 			},
@@ -89,9 +90,6 @@
 		if off.NoOrder {
 			p.Order = prioritizer.FirstCome{}
 		}
-		if off.NoRetention {
-			p.Retention = retainer.None{}
-		}
 		if off.NoShedding {
 			p.Shedding = staticShedding
 		}
@@ -105,6 +103,17 @@
 	}
 }
 
+// Retaining returns the standard policy with holds and drops during pauses, for
+// engines that do not evict the least recently used blocks first.
+func Retaining() Builder {
+	return func(parts Parts) Policy {
+		p := Standard()(parts)
+		p.Name = "retaining"
+		p.Retention = retainer.NewExpected(parts.Pauses, retainer.DefaultLimits())
+		return p
+	}
+}
+
 func staticShedding(s Service) Shedder { return admitter.Static{MaxQueue: s.MaxQueue} }
 
 func fixedConcurrency(s Service) admitter.ConcurrencyOptions {
