--- /dev/null
+++ b/emulator/objects.go
@@ -0,0 +1,136 @@
+package emulator
+
+import (
+	"context"
+	"strings"
+	"sync"
+
+	"github.com/tidwall/btree"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// ObjectsCounters counts what the object store did since its start.
+type ObjectsCounters struct {
+	Puts, Gets, Lists, Deletes, BytesWritten int64
+}
+
+// Objects is an object store in memory.
+type Objects struct {
+	faults   *Faults
+	mutex    sync.Mutex
+	values   btree.Map[string, []byte]
+	counters ObjectsCounters
+}
+
+// NewObjects returns an empty object store.
+func NewObjects(faults *Faults) *Objects { return &Objects{faults: faults} }
+
+// Faults returns the fault switches.
+func (o *Objects) Faults() *Faults { return o.faults }
+
+// Counters returns the current counters.
+func (o *Objects) Counters() ObjectsCounters {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.counters
+}
+
+// For returns the store as the named caller sees it.
+func (o *Objects) For(caller string) provider.Objects { return callerObjects{o, caller} }
+
+// Damage replaces the value of an object, for tests of damaged data.
+func (o *Objects) Damage(name string, value []byte) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.values.Set(name, value)
+}
+
+// Names returns the names with the prefix at once, without faults.
+func (o *Objects) Names(prefix string) []string {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.counters.Lists++
+	names := []string{}
+	o.values.Ascend(prefix, func(name string, _ []byte) bool {
+		if !strings.HasPrefix(name, prefix) {
+			return false
+		}
+		names = append(names, name)
+		return true
+	})
+	return names
+}
+
+type callerObjects struct {
+	objects *Objects
+	caller  string
+}
+
+// run executes one request under the store's lock and the faults that are
+// switched on.
+func (c callerObjects) run(ctx context.Context, operation string, lost provider.Kind, effect func()) error {
+	plan := c.objects.faults.Plan(c.caller)
+	if plan.Refuse {
+		return provider.NewError(operation, provider.KindUnavailable, errOutage)
+	}
+	locked := func() {
+		c.objects.mutex.Lock()
+		defer c.objects.mutex.Unlock()
+		effect()
+	}
+	if !plan.Run(ctx, locked) {
+		return provider.NewError(operation, lost, errNoAnswer)
+	}
+	return nil
+}
+
+// Put stores an object; an existing object of the same name is kept.
+func (c callerObjects) Put(ctx context.Context, name string, value []byte) error {
+	value = append([]byte(nil), value...)
+	return c.run(ctx, "objects.put", provider.KindUnknown, func() {
+		c.objects.counters.Puts++
+		c.objects.counters.BytesWritten += int64(len(value))
+		if _, found := c.objects.values.Get(name); !found {
+			c.objects.values.Set(name, value)
+		}
+	})
+}
+
+// Get returns an object's value.
+func (c callerObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	var value []byte
+	var found bool
+	err := c.run(ctx, "objects.get", provider.KindUnavailable, func() {
+		c.objects.counters.Gets++
+		value, found = c.objects.values.Get(name)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, provider.NewError("objects.get", provider.KindNotFound, nil)
+	}
+	return append([]byte(nil), value...), nil
+}
+
+// List returns the names with the prefix, in order.
+func (c callerObjects) List(ctx context.Context, prefix string) ([]string, error) {
+	plan := c.objects.faults.Plan(c.caller)
+	if plan.Refuse {
+		return nil, provider.NewError("objects.list", provider.KindUnavailable, errOutage)
+	}
+	var names []string
+	if !plan.Run(ctx, func() { names = c.objects.Names(prefix) }) {
+		return nil, provider.NewError("objects.list", provider.KindUnavailable, errNoAnswer)
+	}
+	return names, nil
+}
+
+// Delete removes an object; a missing one is no error.
+func (c callerObjects) Delete(ctx context.Context, name string) error {
+	return c.run(ctx, "objects.delete", provider.KindUnknown, func() {
+		c.objects.counters.Deletes++
+		c.objects.values.Delete(name)
+	})
+}
--- /dev/null
+++ b/emulator/tables.go
@@ -0,0 +1,233 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tidwall/btree"
+	"golang.org/x/time/rate"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// ScanRowsPerRead is the number of rows that a scan returns for the price of one
+// read.
+const ScanRowsPerRead = 100
+
+// maxThrottleWait is the longest wait for the store's rate; a request that would
+// wait longer is refused.
+const maxThrottleWait = time.Second
+
+// TablesOptions limits the table service. Zero means no limit.
+type TablesOptions struct {
+	// WritesPerSec limits transactions, ReadsPerSec reads and pages of scans.
+	WritesPerSec float64
+	ReadsPerSec  float64
+}
+
+// TablesCounters counts what the table service did since its start.
+type TablesCounters struct {
+	Commits, Conflicts, RowsWritten, Reads, RowsRead, Throttled int64
+}
+
+// Tables is a transactional table service in memory.
+type Tables struct {
+	faults   *Faults
+	writes   *rate.Limiter
+	reads    *rate.Limiter
+	mutex    sync.Mutex
+	rows     btree.Map[string, provider.Row]
+	versions map[string]int64
+	counters TablesCounters
+	observe  func(provider.Transaction, provider.CommitResult)
+}
+
+// NewTables returns an empty table service.
+func NewTables(options TablesOptions, faults *Faults) *Tables {
+	return &Tables{
+		faults:   faults,
+		writes:   limiter(options.WritesPerSec),
+		reads:    limiter(options.ReadsPerSec),
+		versions: map[string]int64{},
+	}
+}
+
+func limiter(perSec float64) *rate.Limiter {
+	if perSec <= 0 {
+		return rate.NewLimiter(rate.Inf, 1)
+	}
+	return rate.NewLimiter(rate.Limit(perSec), max(1, int(perSec/10)))
+}
+
+// Faults returns the fault switches.
+func (t *Tables) Faults() *Faults { return t.faults }
+
+// Counters returns the current counters.
+func (t *Tables) Counters() TablesCounters {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.counters
+}
+
+// Observe calls observe, under the store's lock, for each transaction that takes
+// effect, in the order of effect.
+func (t *Tables) Observe(observe func(provider.Transaction, provider.CommitResult)) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.observe = observe
+}
+
+// For returns the service as the named caller sees it.
+func (t *Tables) For(caller string) provider.Tables { return callerTables{t, caller} }
+
+type callerTables struct {
+	tables *Tables
+	caller string
+}
+
+func rowKey(table, key string) string { return table + "\x00" + key }
+
+// Apply applies a transaction at once, without faults and limits.
+func (t *Tables) Apply(transaction provider.Transaction) (provider.CommitResult, error) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, condition := range transaction.Conditions {
+		row, _ := t.rows.Get(rowKey(condition.Table, condition.Key))
+		if row.Version != condition.Version {
+			t.counters.Conflicts++
+			cause := fmt.Errorf("row %s/%s has version %d, expected %d",
+				condition.Table, condition.Key, row.Version, condition.Version)
+			return provider.CommitResult{}, provider.NewError("tables.commit", provider.KindConflict, cause)
+		}
+	}
+	result := provider.CommitResult{Versions: make([]int64, len(transaction.Writes))}
+	for i, write := range transaction.Writes {
+		result.Versions[i] = t.write(write)
+	}
+	t.counters.Commits++
+	t.counters.RowsWritten += int64(len(transaction.Writes))
+	if t.observe != nil {
+		t.observe(transaction, result)
+	}
+	return result, nil
+}
+
+func (t *Tables) write(write provider.Write) int64 {
+	key := rowKey(write.Table, write.Key)
+	t.versions[key]++
+	version := t.versions[key]
+	if write.Delete {
+		t.rows.Delete(key)
+		return version
+	}
+	value := append([]byte(nil), write.Value...)
+	t.rows.Set(key, provider.Row{Table: write.Table, Key: write.Key, Version: version, Value: value})
+	return version
+}
+
+// Get returns a row at once, without faults and limits.
+func (t *Tables) Get(table, key string) provider.Row {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.counters.Reads++
+	t.counters.RowsRead++
+	row, found := t.rows.Get(rowKey(table, key))
+	if !found {
+		return provider.Row{Table: table, Key: key, Version: provider.VersionAbsent}
+	}
+	return row
+}
+
+// Rows returns up to limit rows at once, without faults and limits; a limit of 0
+// means all.
+func (t *Tables) Rows(table, prefix, after string, limit int) []provider.Row {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	start := rowKey(table, max(prefix, after))
+	var rows []provider.Row
+	t.rows.Ascend(start, func(_ string, row provider.Row) bool {
+		if row.Table != table || !strings.HasPrefix(row.Key, prefix) || limit > 0 && len(rows) == limit {
+			return false
+		}
+		if after == "" || row.Key > after {
+			rows = append(rows, row)
+		}
+		return true
+	})
+	t.counters.Reads += 1 + int64(len(rows)/ScanRowsPerRead)
+	t.counters.RowsRead += int64(len(rows))
+	return rows
+}
+
+// Commit applies a transaction under the faults that are switched on.
+func (c callerTables) Commit(ctx context.Context, transaction provider.Transaction) (provider.CommitResult, error) {
+	var result provider.CommitResult
+	var err error
+	answered, refused := c.run(ctx, c.tables.writes, func() { result, err = c.tables.Apply(transaction) })
+	if refused != nil {
+		return provider.CommitResult{}, provider.NewError("tables.commit", provider.KindUnavailable, refused)
+	}
+	if !answered {
+		return provider.CommitResult{}, provider.NewError("tables.commit", provider.KindUnknown, errNoAnswer)
+	}
+	return result, err
+}
+
+// Read returns one row under the faults that are switched on.
+func (c callerTables) Read(ctx context.Context, table, key string) (provider.Row, error) {
+	var row provider.Row
+	answered, refused := c.run(ctx, c.tables.reads, func() { row = c.tables.Get(table, key) })
+	if err := readError("tables.read", answered, refused); err != nil {
+		return provider.Row{}, err
+	}
+	return row, nil
+}
+
+// Scan returns rows under the faults that are switched on.
+func (c callerTables) Scan(ctx context.Context, table, prefix, after string, limit int) ([]provider.Row, error) {
+	var rows []provider.Row
+	answered, refused := c.run(ctx, c.tables.reads, func() { rows = c.tables.Rows(table, prefix, after, limit) })
+	if err := readError("tables.scan", answered, refused); err != nil {
+		return nil, err
+	}
+	return rows, nil
+}
+
+var (
+	errNoAnswer = errors.New("no answer")
+	errOutage   = errors.New("outage")
+	errThrottle = errors.New("rate exceeded")
+)
+
+func readError(operation string, answered bool, refused error) error {
+	if refused == nil && !answered {
+		refused = errNoAnswer
+	}
+	if refused == nil {
+		return nil
+	}
+	return provider.NewError(operation, provider.KindUnavailable, refused)
+}
+
+// run throttles and executes one request.
+func (c callerTables) run(ctx context.Context, limit *rate.Limiter, effect func()) (answered bool, refused error) {
+	plan := c.tables.faults.Plan(c.caller)
+	if plan.Refuse {
+		return false, errOutage
+	}
+	reservation := limit.Reserve()
+	if wait := reservation.Delay(); wait > maxThrottleWait {
+		reservation.Cancel()
+		c.tables.mutex.Lock()
+		c.tables.counters.Throttled++
+		c.tables.mutex.Unlock()
+		return false, errThrottle
+	} else if wait > 0 && !sleep(ctx, wait) {
+		return false, ctx.Err()
+	}
+	return plan.Run(ctx, effect), nil
+}
--- /dev/null
+++ b/emulator/tables_test.go
@@ -0,0 +1,78 @@
+package emulator
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+func set(key string, version int64) provider.Transaction {
+	return provider.Transaction{
+		Conditions: []provider.Condition{{Table: "t", Key: key, Version: version}},
+		Writes:     []provider.Write{{Table: "t", Key: key, Value: []byte(`{}`)}},
+	}
+}
+
+// Guards against a store stand-in that is more lenient than the contract: a failed
+// condition must leave all rows alone, and versions must not restart after a delete.
+func TestTablesContract(t *testing.T) {
+	tables := NewTables(TablesOptions{}, NewFaults(1))
+	both := set("b", 7)
+	both.Writes = append(both.Writes, provider.Write{Table: "t", Key: "a"})
+	if _, err := tables.Apply(both); provider.KindOf(err) != provider.KindConflict {
+		t.Fatalf("got %v", err)
+	}
+	if rows := tables.Rows("t", "", "", 0); len(rows) != 0 {
+		t.Fatalf("a refused transaction wrote %v", rows)
+	}
+	for version := range int64(2) {
+		if _, err := tables.Apply(set("a", version)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := tables.Apply(provider.Transaction{Writes: []provider.Write{{Table: "t", Key: "a", Delete: true}}}); err != nil {
+		t.Fatal(err)
+	}
+	result, err := tables.Apply(set("a", provider.VersionAbsent))
+	if diff := cmp.Diff([]int64{4}, result.Versions); diff != "" || err != nil {
+		t.Errorf("versions (-want +got):\n%s%v", diff, err)
+	}
+}
+
+// Guards against a late request that disappears when its caller gives up: the
+// effect must still take place, since fencing has to hold against it.
+func TestLateRequestTakesEffect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tables := NewTables(TablesOptions{WritesPerSec: 10}, NewFaults(1))
+		tables.Faults().SetLateRequests(1, time.Minute)
+		start := time.Now()
+		done := make(chan error)
+		go func() {
+			_, err := tables.For("a").Commit(t.Context(), set("a", 0))
+			done <- err
+		}()
+		if err := <-done; err != nil || time.Since(start) != time.Minute {
+			t.Errorf("commit after %v: %v", time.Since(start), err)
+		}
+		tables.Faults().Clear()
+		throttled := 0
+		for range 30 {
+			go func() {
+				_, err := tables.For("a").Commit(t.Context(), set("b", 9))
+				done <- err
+			}()
+		}
+		for range 30 {
+			if provider.KindOf(<-done) == provider.KindUnavailable {
+				throttled++
+			}
+		}
+		if throttled != 19 {
+			t.Errorf("%d of 30 commits throttled at 10/s with a wait of 1 s, want 19", throttled)
+		}
+	})
+}
