--- /dev/null
+++ b/interpreter/validate.go
@@ -0,0 +1,108 @@
+package interpreter
+
+import (
+	"maps"
+	"slices"
+)
+
+// validate reports the first fault in a fixed order, so that the error of a
+// faulty chart is the same in every run.
+func (c *Chart) validate(events []string) error {
+	if !c.Has(c.initial) {
+		return c.fault(KindUnknownState, "", c.initial)
+	}
+	used := map[string]bool{}
+	for _, name := range c.States() {
+		if err := c.validateState(name, events, used); err != nil {
+			return err
+		}
+	}
+	for _, event := range events {
+		if !used["event "+event] {
+			return c.fault(KindUnusedEvent, "", event)
+		}
+	}
+	reached := c.reachable()
+	for _, name := range c.States() {
+		if !reached[name] {
+			return c.fault(KindUnreachable, "", name)
+		}
+	}
+	return c.unusedBinding(used)
+}
+
+func (c *Chart) validateState(name string, events []string, used map[string]bool) error {
+	s := c.states[name]
+	if s.Terminal && len(s.On) > 0 {
+		return c.fault(KindTerminalExit, name, "")
+	}
+	exit := s.Terminal
+	for _, event := range slices.Sorted(maps.Keys(s.On)) {
+		t := s.On[event]
+		if !slices.Contains(events, event) {
+			return c.fault(KindUnknownEvent, name, event)
+		}
+		if !c.Has(t.To) {
+			return c.fault(KindUnknownState, name, t.To)
+		}
+		if missing := c.missingBinding(t); missing != "" {
+			return c.fault(KindMissingHandler, name, missing)
+		}
+		exit = exit || t.To != name
+		used["event "+event] = true
+		used["guard "+t.Guard] = true
+		for _, handler := range t.Do {
+			used["handler "+handler] = true
+		}
+	}
+	if !exit {
+		return c.fault(KindNoExit, name, "")
+	}
+	return nil
+}
+
+func (c *Chart) missingBinding(t transition) string {
+	if t.Guard != "" && c.bindings.Guards[t.Guard] == nil {
+		return t.Guard
+	}
+	for _, handler := range t.Do {
+		if c.bindings.Handlers[handler] == nil {
+			return handler
+		}
+	}
+	return ""
+}
+
+func (c *Chart) unusedBinding(used map[string]bool) error {
+	for _, name := range slices.Sorted(maps.Keys(c.bindings.Guards)) {
+		if !used["guard "+name] {
+			return c.fault(KindUnusedHandler, "", name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.bindings.Handlers)) {
+		if !used["handler "+name] {
+			return c.fault(KindUnusedHandler, "", name)
+		}
+	}
+	return nil
+}
+
+func (c *Chart) reachable() map[string]bool {
+	reached := map[string]bool{c.initial: true}
+	queue := []string{c.initial}
+	for len(queue) > 0 {
+		name := queue[0]
+		queue = queue[1:]
+		for _, t := range c.states[name].On {
+			if !reached[t.To] {
+				reached[t.To] = true
+				queue = append(queue, t.To)
+			}
+		}
+	}
+	return reached
+}
+
+func (c *Chart) fault(kind Kind, state, name string) error {
+	return &Error{operation: "load", kind: kind, chart: c.name, state: state, name: name}
+}
