Add the sequencer of programs and calls

Programs and calls follow charts; every durable change is a record that the live path and replay apply with the same code. Sub-agents embed the root's id, so one shard accounts for a tree.

--- /dev/null
+++ b/sequencer/command.go
@@ -0,0 +1,84 @@
+package sequencer
+
+import (
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Command is an output of State.Update.
+type Command interface{ command() }
+
+// AppendRecords makes records durable. Tickets must be committed in order.
+type AppendRecords struct {
+	Ticket  uint64
+	Records []encoder.Record
+}
+
+// DispatchAttempt runs a call. Before it sends a call that is not repeatable the
+// executor must check once more that the lease is valid and otherwise finish the
+// attempt as not run.
+type DispatchAttempt struct {
+	Call    string
+	Attempt int
+	// Request.Messages holds the prompt after the segments.
+	Request CallRequest
+	// Segments name the objects with the older part of the history, oldest first.
+	Segments []string
+}
+
+// LookupAttempt asks a target for the result of a call that an earlier owner may
+// have run. The executor must not run the call.
+type LookupAttempt struct {
+	Call    string
+	Attempt int
+	Service string
+	Key     string
+}
+
+// CancelAttempt stops a running attempt; AttemptFinished still follows.
+type CancelAttempt struct {
+	Call    string
+	Attempt int
+}
+
+// Answer is the single answer to an arrival.
+type Answer struct {
+	Request string
+	Program string
+	Step    int
+	Outcome Outcome
+	Code    string
+	Message string
+	Result  Result
+	// Segment, if set, names the object that holds the response text as its
+	// message number Offset.
+	Segment string
+	Offset  int
+}
+
+// ReleaseMemory frees what targets hold for an ended program. Each target is
+// repeated until ReleaseConfirmed.
+type ReleaseMemory struct {
+	Program string
+	Targets []string
+}
+
+// EndProgram says that a program has ended.
+type EndProgram struct{ Program, Reason string }
+
+// StoreSegment writes a part of a history to the object store. The name follows
+// from the content, so a repeated write is harmless.
+type StoreSegment struct {
+	Program  string
+	Name     string
+	Messages []provider.ChatMessage
+}
+
+func (AppendRecords) command()   {}
+func (DispatchAttempt) command() {}
+func (LookupAttempt) command()   {}
+func (CancelAttempt) command()   {}
+func (Answer) command()          {}
+func (ReleaseMemory) command()   {}
+func (EndProgram) command()      {}
+func (StoreSegment) command()    {}
--- /dev/null
+++ b/sequencer/record.go
@@ -0,0 +1,104 @@
+package sequencer
+
+import (
+	"encoding/json"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Kinds of records. Every durable change of a program is one record, and replay
+// applies it with the same code as the live path.
+const (
+	recordCreated  = "created"
+	recordStarted  = "started"
+	recordIntent   = "intent"
+	recordFinished = "finished"
+	recordEnded    = "ended"
+	recordReleased = "released"
+	recordSegment  = "segment"
+)
+
+type createdBody struct {
+	Client     string         `json:"client"`
+	Workspace  string         `json:"workspace,omitempty"`
+	Service    string         `json:"service,omitempty"`
+	Parent     string         `json:"parent,omitempty"`
+	ParentStep int            `json:"parentStep,omitempty"`
+	Budget     encoder.Budget `json:"budget,omitzero"`
+	Limits     encoder.Limits `json:"limits,omitzero"`
+	IdleMs     int            `json:"idleMs,omitempty"`
+	AtMs       int64          `json:"atMs"`
+}
+
+// startedBody is the body of started and intent records.
+type startedBody struct {
+	Step       int    `json:"step"`
+	Key        string `json:"key,omitempty"`
+	Kind       string `json:"kind"`
+	Service    string `json:"service"`
+	Repeatable bool   `json:"repeatable,omitempty"`
+	Lookup     bool   `json:"lookup,omitempty"`
+	End        bool   `json:"end,omitempty"`
+	Digest     uint64 `json:"digest"`
+	// Base and Prompt are the history's chain before and after the new messages.
+	Base     uint64 `json:"base"`
+	Prompt   uint64 `json:"prompt"`
+	Reserved amount `json:"reserved"`
+	KeysMs   int    `json:"keysMs,omitempty"`
+	Attempt  int    `json:"attempt"`
+	AtMs     int64  `json:"atMs"`
+}
+
+type finishedBody struct {
+	Step     int                    `json:"step"`
+	Outcome  Outcome                `json:"outcome"`
+	Code     string                 `json:"code,omitempty"`
+	Result   Result                 `json:"result"`
+	Messages []provider.ChatMessage `json:"messages,omitempty"`
+	// Base is the history's chain to which the turn is added.
+	Base    uint64 `json:"base"`
+	Settled amount `json:"settled"`
+	AtMs    int64  `json:"atMs"`
+}
+
+type endedBody struct {
+	Reason string `json:"reason"`
+	AtMs   int64  `json:"atMs"`
+}
+
+type releasedBody struct {
+	Target string `json:"target"`
+}
+
+type segmentBody struct {
+	Name    string `json:"name"`
+	From    int    `json:"from"`
+	Through int    `json:"through"`
+}
+
+// record appends a record to the update's ticket and applies it.
+func (s *State) record(p *program, kind string, step int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		s.violate(InvariantHistory, p, step, "record cannot be encoded: "+err.Error())
+		return
+	}
+	r := encoder.Record{
+		Shard: p.shard.name, Program: p.ID, Sequence: p.Sequence + 1, Kind: kind, Body: string(text),
+	}
+	if err := s.apply(p, r.Kind, body); err != nil {
+		s.violate(InvariantHistory, p, step, err.Error())
+	}
+	p.Sequence = r.Sequence
+	size := len(r.Body) + len(r.Program) + len(r.Shard) + recordOverhead
+	s.records = append(s.records, r)
+	s.effects = append(s.effects, effect{program: p, kind: kind, step: step, size: size})
+	s.pendingRecords++
+	s.pendingBytes += size
+	p.pending++
+	s.touch(p)
+}
+
+// recordOverhead is the size of a record's field names and numbers in bytes.
+const recordOverhead = 96
