--- /dev/null
+++ b/publisher/document.go
@@ -0,0 +1,207 @@
+package publisher
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+)
+
+// Prefixes of section names.
+const (
+	servicePrefix   = "service/"
+	workspacePrefix = "workspace/"
+	drainPrefix     = "drain/"
+)
+
+// Kinds of changes.
+const (
+	ChangeAdded   = "added"
+	ChangeChanged = "changed"
+	ChangeRemoved = "removed"
+)
+
+// Replace returns the document in which the services given stand in place of all
+// services of the workspaces given and of the workspaces of those services.
+// Other sections stay. Versions of sections are set by Publish.
+func Replace(current encoder.Document, services []encoder.Service, workspaces []string) encoder.Document {
+	replaced := map[string]bool{}
+	for _, name := range workspaces {
+		replaced[name] = true
+	}
+	for _, service := range services {
+		replaced[service.Workspace] = true
+	}
+	var sections []encoder.Section
+	for _, section := range current.Sections {
+		if section.Service != nil && replaced[section.Service.Workspace] {
+			continue
+		}
+		if !section.Deleted {
+			sections = append(sections, section)
+		}
+	}
+	for _, service := range services {
+		sections = append(sections, encoder.Section{Name: servicePrefix + service.Name, Service: &service})
+	}
+	return sorted(sections)
+}
+
+// WithDrain returns the document in which the host gets no new work.
+func WithDrain(current encoder.Document, host, reason string) encoder.Document {
+	sections := without(current, drainPrefix+host)
+	sections = append(sections, encoder.Section{Name: drainPrefix + host, Drain: &encoder.Drain{Host: host, Reason: reason}})
+	return sorted(sections)
+}
+
+// WithoutDrain returns the document in which the host may get work again.
+func WithoutDrain(current encoder.Document, host string) encoder.Document {
+	return sorted(without(current, drainPrefix+host))
+}
+
+// Drained returns the hosts and targets that get no new work, in order.
+func Drained(document encoder.Document) []string {
+	var hosts []string
+	for _, section := range document.Sections {
+		if section.Drain != nil && !section.Deleted {
+			hosts = append(hosts, section.Drain.Host)
+		}
+	}
+	return hosts
+}
+
+// Services returns the services of the document in order of name.
+func Services(document encoder.Document) []encoder.Service {
+	var services []encoder.Service
+	for _, section := range document.Sections {
+		if section.Service != nil && !section.Deleted {
+			services = append(services, *section.Service)
+		}
+	}
+	return services
+}
+
+// Apply returns the document at the delta's version: sections of the delta
+// replace those of the same name, deleted ones go.
+func Apply(document encoder.Document, version int, changed []encoder.Section) encoder.Document {
+	names := map[string]bool{}
+	for _, section := range changed {
+		names[section.Name] = true
+	}
+	sections := slices.DeleteFunc(slices.Clone(document.Sections), func(s encoder.Section) bool { return names[s.Name] })
+	for _, section := range changed {
+		if !section.Deleted {
+			sections = append(sections, section)
+		}
+	}
+	next := sorted(sections)
+	next.Version = version
+	return next
+}
+
+// Diff lists what changes from one document to another, in order of section.
+func Diff(before, after encoder.Document) []encoder.Change {
+	old, fresh := contents(before), contents(after)
+	var changes []encoder.Change
+	for name, text := range old {
+		next, ok := fresh[name]
+		switch {
+		case !ok:
+			changes = append(changes, encoder.Change{Section: name, Kind: ChangeRemoved, Before: text})
+		case next != text:
+			changes = append(changes, encoder.Change{Section: name, Kind: ChangeChanged, Before: text, After: next})
+		}
+	}
+	for name, text := range fresh {
+		if _, ok := old[name]; !ok {
+			changes = append(changes, encoder.Change{Section: name, Kind: ChangeAdded, After: text})
+		}
+	}
+	slices.SortFunc(changes, func(a, b encoder.Change) int { return strings.Compare(a.Section, b.Section) })
+	return changes
+}
+
+// Revert undoes one change record: it returns the document before the record.
+func Revert(document encoder.Document, record encoder.AuditRecord) (encoder.Document, error) {
+	var sections []encoder.Section
+	for _, change := range record.Changes {
+		section := encoder.Section{Name: change.Section, Deleted: true}
+		if change.Before != "" {
+			if err := json.Unmarshal([]byte(change.Before), &section); err != nil {
+				return encoder.Document{}, &Error{operation: "revert", kind: KindInvalid, cause: err}
+			}
+		}
+		sections = append(sections, section)
+	}
+	return Apply(document, record.From, sections), nil
+}
+
+// Check reports a document that must not be put into force.
+func Check(document encoder.Document) error {
+	seen := map[string]bool{}
+	for _, section := range document.Sections {
+		if err := checkSection(section); err != nil {
+			return &Error{operation: "check", kind: KindInvalid, cause: err}
+		}
+		if seen[section.Name] {
+			return &Error{operation: "check", kind: KindInvalid, cause: fmt.Errorf("section %q stands twice", section.Name)}
+		}
+		seen[section.Name] = true
+	}
+	return nil
+}
+
+func checkSection(section encoder.Section) error {
+	want := ""
+	set := 0
+	if section.Service != nil {
+		want = servicePrefix + section.Service.Name
+		set++
+	}
+	if section.Workspace != nil {
+		want = workspacePrefix + section.Workspace.Name
+		set++
+	}
+	if section.Drain != nil {
+		want = drainPrefix + section.Drain.Host
+		set++
+	}
+	if set != 1 {
+		return fmt.Errorf("section %q has %d contents, expected 1", section.Name, set)
+	}
+	if section.Name != want {
+		return fmt.Errorf("section %q is named differently from its content %q", section.Name, want)
+	}
+	return nil
+}
+
+func without(document encoder.Document, name string) []encoder.Section {
+	return slices.DeleteFunc(slices.Clone(document.Sections), func(s encoder.Section) bool {
+		return s.Name == name || s.Deleted
+	})
+}
+
+func sorted(sections []encoder.Section) encoder.Document {
+	slices.SortFunc(sections, func(a, b encoder.Section) int { return strings.Compare(a.Name, b.Name) })
+	return encoder.Document{Sections: sections}
+}
+
+// contents maps section names to their JSON without the version.
+func contents(document encoder.Document) map[string]string {
+	texts := map[string]string{}
+	for _, section := range document.Sections {
+		if section.Deleted {
+			continue
+		}
+		section.Version = 0
+		text, err := json.Marshal(section)
+		if err != nil {
+			// Sections are plain data; encoding/json cannot fail on them.
+			panic(err)
+		}
+		texts[section.Name] = string(text)
+	}
+	return texts
+}
