--- /dev/null
+++ b/commander/doc.go
@@ -0,0 +1,10 @@
+// Package commander implements the operators' command-line tool.
+//
+// # Usage
+//
+//	environment := commander.NewEnvironment(os.Stdout, os.Stderr, os.Getenv)
+//	os.Exit(commander.Run(ctx, environment, os.Args))
+//
+// Every command prints a table for people, or JSON for scripts with -json, and
+// ends with one of the exit codes declared in this package.
+package commander
