--- a/publisher/document.go
+++ b/publisher/document.go
@@ -127,17 +127,28 @@
 func Revert(document encoder.Document, record encoder.AuditRecord) (encoder.Document, error) {
 	var sections []encoder.Section
 	for _, change := range record.Changes {
-		section := encoder.Section{Name: change.Section, Deleted: true}
-		if change.Before != "" {
-			if err := json.Unmarshal([]byte(change.Before), &section); err != nil {
-				return encoder.Document{}, &Error{operation: "revert", kind: KindInvalid, cause: err}
-			}
+		section, err := decodeSection(change.Section, change.Before)
+		if err != nil {
+			return encoder.Document{}, err
 		}
 		sections = append(sections, section)
 	}
 	return Apply(document, record.From, sections), nil
 }
 
+// decodeSection restores a section of a change; empty text means that there is no
+// such section on that side of the change.
+func decodeSection(name, text string) (encoder.Section, error) {
+	if text == "" {
+		return encoder.Section{Name: name, Deleted: true}, nil
+	}
+	var section encoder.Section
+	if err := json.Unmarshal([]byte(text), &section); err != nil {
+		return section, &Error{operation: "decode section", kind: KindInvalid, cause: err}
+	}
+	return section, nil
+}
+
 // Check reports a document that must not be put into force.
 func Check(document encoder.Document) error {
 	seen := map[string]bool{}
--- a/publisher/store.go
+++ b/publisher/store.go
@@ -298,15 +298,9 @@
 func auditKey(version int) string { return fmt.Sprintf("%012d", version) }
 
 func sectionOf(change encoder.Change, version int) (encoder.Section, error) {
-	section := encoder.Section{Name: change.Section, Deleted: true}
-	if change.After != "" {
-		section = encoder.Section{}
-		if err := json.Unmarshal([]byte(change.After), &section); err != nil {
-			return section, &Error{operation: "delta", kind: KindInvalid, cause: err}
-		}
-	}
+	section, err := decodeSection(change.Section, change.After)
 	section.Version = version
-	return section, nil
+	return section, err
 }
 
 func transactionOf(headVersion int64, record encoder.AuditRecord) (provider.Transaction, error) {
