--- /dev/null
+++ b/emulator/engine.go
@@ -0,0 +1,241 @@
+package emulator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// EngineOptions describes one engine; zero values have defaults.
+type EngineOptions struct {
+	Name string `json:"name"`
+	// Models are loaded at the start.
+	Models   []string `json:"models"`
+	Adapters []string `json:"adapters,omitempty"`
+	Role     string   `json:"role,omitempty"`
+	// MaxConcurrency is the size of the batch (default 16).
+	MaxConcurrency int `json:"maxConcurrency,omitempty"`
+	// TotalBlocks is the memory of the prefix cache in blocks (default 4096).
+	TotalBlocks int `json:"totalBlocks,omitempty"`
+	// TokensPerSec is the decode rate of one stream in an empty batch (default
+	// 400); a full batch halves it.
+	TokensPerSec float64 `json:"tokensPerSec,omitempty"`
+	// PrefillPerSec is the prefill rate of the engine (default 40000).
+	PrefillPerSec float64 `json:"prefillPerSec,omitempty"`
+	// ChecksFencing makes the engine refuse orders with an old number.
+	ChecksFencing bool `json:"checksFencing,omitempty"`
+	// Weights is asked before a model is loaded; nil loads at once.
+	Weights provider.Weights `json:"-"`
+	// Objects takes exported caches; nil makes export and import unsupported.
+	Objects provider.Objects `json:"-"`
+}
+
+func (o *EngineOptions) fillDefaults() {
+	if o.MaxConcurrency == 0 {
+		o.MaxConcurrency = 16
+	}
+	if o.TotalBlocks == 0 {
+		o.TotalBlocks = 4096
+	}
+	if o.TokensPerSec == 0 {
+		o.TokensPerSec = 400
+	}
+	if o.PrefillPerSec == 0 {
+		o.PrefillPerSec = 40_000
+	}
+}
+
+// EngineFaults are the switches of an engine.
+type EngineFaults struct {
+	// Slow divides the engine's rates; 0 and 1 mean no change.
+	Slow float64 `json:"slow"`
+	// Hang stops all progress while connections stay open.
+	Hang bool `json:"hang"`
+	// Dead breaks running calls and refuses connections.
+	Dead bool `json:"dead"`
+	// Refuse declines new calls before they run.
+	Refuse bool `json:"refuse"`
+	// BreakAfter breaks each new stream after that many tokens; 0 never.
+	BreakAfter int `json:"breakAfter"`
+	// Leaving is announced in reports, and new calls are declined.
+	Leaving bool `json:"leaving"`
+	// ReportLagMs is the age of reports.
+	ReportLagMs int `json:"reportLagMs"`
+	// EventDelayMs is the delay of cache events.
+	EventDelayMs int `json:"eventDelayMs"`
+	// EventGap drops every n-th cache event; 0 drops none.
+	EventGap int `json:"eventGap"`
+}
+
+// stepEvery is the period of the engine's batch step.
+const stepEvery = 4 * time.Millisecond
+
+// Engine is a stand-in for one model engine with continuous batching.
+type Engine struct {
+	options EngineOptions
+
+	mu       sync.Mutex
+	faults   EngineFaults
+	waiting  []*job
+	running  []*job
+	jobs     map[string]*job
+	cache    *prefixCache
+	models   map[string]bool
+	adapters map[string]bool
+	role     string
+	fencing  int64
+	orders   []provider.Order
+	reports  []provider.LoadReport
+	counts   EngineCounts
+	arrivals int64
+	wake     chan struct{}
+	done     chan struct{}
+	group    conc.WaitGroup
+}
+
+// EngineCounts are totals for assertions and figures.
+type EngineCounts struct {
+	Calls           int `json:"calls"`
+	PrefillTokens   int `json:"prefillTokens"`
+	CachedTokens    int `json:"cachedTokens"`
+	WastedTokens    int `json:"wastedTokens"`
+	GeneratedTokens int `json:"generatedTokens"`
+	Cancelled       int `json:"cancelled"`
+	// StaleOrders counts orders with an old fencing number that were obeyed.
+	StaleOrders int `json:"staleOrders"`
+}
+
+// NewEngine starts an engine. Close it.
+func NewEngine(options EngineOptions) *Engine {
+	options.fillDefaults()
+	e := &Engine{
+		options: options, jobs: map[string]*job{}, cache: newPrefixCache(options.TotalBlocks),
+		models: map[string]bool{}, adapters: map[string]bool{}, role: options.Role,
+		wake: make(chan struct{}, 1), done: make(chan struct{}),
+	}
+	for _, model := range options.Models {
+		e.models[model] = true
+	}
+	for _, adapter := range options.Adapters {
+		e.adapters[adapter] = true
+	}
+	e.group.Go(e.run)
+	return e
+}
+
+// Close stops the engine and breaks its calls.
+func (e *Engine) Close() {
+	e.mu.Lock()
+	select {
+	case <-e.done:
+	default:
+		close(e.done)
+	}
+	e.mu.Unlock()
+	e.group.Wait()
+}
+
+// Name returns the engine's name.
+func (e *Engine) Name() string { return e.options.Name }
+
+// Faults returns the switches.
+func (e *Engine) Faults() EngineFaults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// SetFaults sets the switches; a dead engine loses its calls and its cache.
+func (e *Engine) SetFaults(faults EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if faults.Dead && !e.faults.Dead {
+		for _, j := range e.jobs {
+			j.fail(provider.NewError("engine.generate", provider.KindUnknown, eris.New("engine died")))
+		}
+		clear(e.jobs)
+		e.waiting, e.running = nil, nil
+		e.cache.clear()
+	}
+	e.faults = faults
+	e.signal()
+}
+
+// Counts returns the totals.
+func (e *Engine) Counts() EngineCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.counts
+}
+
+func (e *Engine) signal() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Generate runs one call in the batch and streams its answer to emit.
+func (e *Engine) Generate(ctx context.Context, request provider.GenerateRequest, emit func(provider.Chunk) error) error {
+	j, err := e.enqueue(request)
+	if err != nil {
+		return err
+	}
+	return e.stream(ctx, j, emit)
+}
+
+// stream emits the tokens of a call until its end.
+func (e *Engine) stream(ctx context.Context, j *job, emit func(provider.Chunk) error) error {
+	defer e.forget(j)
+	request, sent := j.request, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return provider.NewError("engine.generate", provider.KindUnknown, ctx.Err())
+		case <-e.done:
+			return provider.NewError("engine.generate", provider.KindUnknown, eris.New("engine closed"))
+		case <-j.signal:
+		}
+		e.mu.Lock()
+		produced, finished, failure, cached := j.produced, j.finished, j.failure, j.cached
+		e.mu.Unlock()
+		for ; sent < produced; sent++ {
+			if sent < request.Skip {
+				continue
+			}
+			chunk := provider.Chunk{Call: request.Call, Sequence: sent, Text: j.token(sent)}
+			if err := emit(chunk); err != nil {
+				return provider.NewError("engine.generate", provider.KindUnknown, err)
+			}
+		}
+		if failure != nil {
+			return failure
+		}
+		if finished {
+			return emit(provider.Chunk{
+				Call: request.Call, Sequence: sent, Final: true,
+				Usage: provider.Usage{
+					PromptTokens: request.PromptTokens, CachedTokens: cached, CompletionTokens: j.length,
+				},
+			})
+		}
+	}
+}
+
+// Cancel ends a call of the engine.
+func (e *Engine) Cancel(_ context.Context, call string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	j, ok := e.jobs[call]
+	if !ok {
+		return provider.NewError("engine.cancel", provider.KindNotFound, nil)
+	}
+	e.counts.Cancelled++
+	j.fail(provider.NewError("engine.generate", provider.KindUnknown, eris.New("cancelled")))
+	return nil
+}
--- /dev/null
+++ b/emulator/engine_http.go
@@ -0,0 +1,142 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v2"
+	"github.com/sourcegraph/conc"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// keepAliveEvery is the period of empty lines on a stream without tokens.
+const keepAliveEvery = time.Second
+
+// Handler serves the engine over HTTP. Answers of POST /v1/generate are JSON
+// lines; an empty line is a sign of life.
+func (e *Engine) Handler() *fiber.App {
+	app := newApp()
+	faultRoutes(app, e.Faults, e.SetFaults)
+	app.Get("/counts", func(c *fiber.Ctx) error { return c.JSON(e.Counts()) })
+	v1 := app.Group("/v1", e.gate)
+	v1.Post("/generate", e.serveGenerate)
+	v1.Post("/cancel", func(c *fiber.Ctx) error {
+		return respond(c, e.Cancel(c.Context(), c.Query("call")))
+	})
+	v1.Get("/report", func(c *fiber.Ctx) error {
+		report, err := e.Report(c.Context())
+		return respondValue(c, report, err)
+	})
+	v1.Get("/events", func(c *fiber.Ctx) error {
+		after, _ := strconv.ParseInt(c.Query("after"), 10, 64)
+		events, err := e.Events(c.Context(), after)
+		return respondValue(c, events, err)
+	})
+	v1.Get("/held", func(c *fiber.Ctx) error {
+		held, err := e.Held(c.Context())
+		return respondValue(c, held, err)
+	})
+	v1.Post("/orders", func(c *fiber.Ctx) error {
+		var order provider.Order
+		if err := json.Unmarshal(c.Body(), &order); err != nil {
+			return writeFailure(c, provider.NewError("engine.order", provider.KindInvalid, err))
+		}
+		return respond(c, e.Order(c.Context(), order))
+	})
+	return app
+}
+
+// gate closes connections of a dead engine and silences those of a hung one.
+func (e *Engine) gate(c *fiber.Ctx) error {
+	faults := e.Faults()
+	if faults.Dead {
+		return abort(c)
+	}
+	return c.Next()
+}
+
+func respond(c *fiber.Ctx, err error) error {
+	return respondValue(c, struct{}{}, err)
+}
+
+func respondValue(c *fiber.Ctx, value any, err error) error {
+	if err != nil {
+		return writeFailure(c, err)
+	}
+	return c.JSON(value)
+}
+
+func (e *Engine) serveGenerate(c *fiber.Ctx) error {
+	var request provider.GenerateRequest
+	if err := json.Unmarshal(c.Body(), &request); err != nil {
+		return writeFailure(c, provider.NewError("engine.generate", provider.KindInvalid, err))
+	}
+	j, err := e.enqueue(request)
+	if err != nil {
+		return writeFailure(c, err)
+	}
+	c.Set(fiber.HeaderContentType, "application/jsonl")
+	ctx, cancel := context.WithCancel(context.Background())
+	conn := c.Context().Conn()
+	c.Context().SetBodyStreamWriter(func(w *bufio.Writer) {
+		defer cancel()
+		lines := &lineWriter{w: w, cancel: cancel}
+		var group conc.WaitGroup
+		group.Go(func() { lines.keepAlive(ctx, func() bool { return e.Faults().Hang }) })
+		err := e.stream(ctx, j, lines.chunk)
+		cancel()
+		group.Wait()
+		if err != nil {
+			// The connection ends without the last chunk, as after a crash.
+			_ = conn.Close()
+		}
+	})
+	return nil
+}
+
+// lineWriter serialises chunks and empty lines on one stream.
+type lineWriter struct {
+	mu     sync.Mutex
+	w      *bufio.Writer
+	cancel context.CancelFunc
+}
+
+func (l *lineWriter) chunk(chunk provider.Chunk) error {
+	data, err := json.Marshal(chunk)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = l.w.Write(append(data, '\n'))
+	return l.w.Flush()
+}
+
+// keepAlive writes empty lines, but not while the engine hangs.
+func (l *lineWriter) keepAlive(ctx context.Context, hangs func() bool) {
+	ticker := time.NewTicker(keepAliveEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if hangs() {
+			continue
+		}
+		l.mu.Lock()
+		_ = l.w.WriteByte('\n')
+		err := l.w.Flush()
+		l.mu.Unlock()
+		if err != nil {
+			l.cancel()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/emulator/service.go
@@ -0,0 +1,247 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Headers between daemons and plain services.
+const (
+	HeaderCall    = "Dogwoodweir-Call"
+	HeaderKey     = "Idempotency-Key"
+	HeaderOutcome = "Dogwoodweir-Outcome"
+)
+
+// Ledger counts the runs of non-repeatable calls by key, over all targets of a
+// service, as the payment provider behind them would see them.
+type Ledger struct {
+	mu      sync.Mutex
+	runs    map[string]int
+	results map[string]provider.InvokeResult
+	next    int
+}
+
+// NewLedger returns an empty ledger. Share it among the targets of a service.
+func NewLedger() *Ledger {
+	return &Ledger{runs: map[string]int{}, results: map[string]provider.InvokeResult{}}
+}
+
+func (l *Ledger) run(request provider.InvokeRequest) provider.InvokeResult {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	if request.Key != "" {
+		l.runs[request.Key]++
+	}
+	body, _ := json.Marshal(ServiceAnswer{
+		Number: l.next, Path: request.Path, Key: request.Key, Digest: BodyDigest(request.Body),
+	})
+	result := provider.InvokeResult{
+		Call: request.Call, Status: http.StatusOK, Header: map[string]string{"Content-Type": "application/json"}, Body: body,
+	}
+	if request.Key != "" {
+		l.results[request.Key] = result
+	}
+	return result
+}
+
+func (l *Ledger) result(key string) (provider.InvokeResult, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	result, ok := l.results[key]
+	return result, ok
+}
+
+// Runs returns the number of runs for each key.
+func (l *Ledger) Runs() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.runs)
+}
+
+// ServiceAnswer is the body of an answer of the stand-in. Number rises with each
+// run, like an invoice number.
+type ServiceAnswer struct {
+	Number int    `json:"number"`
+	Path   string `json:"path"`
+	Key    string `json:"key,omitempty"`
+	Digest string `json:"digest"`
+}
+
+// BodyDigest returns the digest of a request's body that its answer carries.
+func BodyDigest(body []byte) string {
+	return fmt.Sprintf("%016x", xxhash.Sum64(body))
+}
+
+// ServiceOptions describes one target of a plain service.
+type ServiceOptions struct {
+	Name string `json:"name"`
+	// LookupByKey makes the target return recorded results.
+	LookupByKey bool `json:"lookupByKey,omitempty"`
+	// DelayMs is the time that a call takes (default 5).
+	DelayMs int `json:"delayMs,omitempty"`
+}
+
+// ServiceFaults are the switches of a service.
+type ServiceFaults struct {
+	// Hang runs calls and never answers them, until the caller gives up.
+	Hang bool `json:"hang"`
+	// HangEvery hangs each n-th call; 0 none.
+	HangEvery int `json:"hangEvery"`
+	// Silent accepts connections and neither runs nor answers calls.
+	Silent bool `json:"silent"`
+	// DropAnswer runs calls and breaks the connection before the answer.
+	DropAnswer bool `json:"dropAnswer"`
+	// Refuse answers that the call was not accepted, and does not run it.
+	Refuse bool `json:"refuse"`
+	// Dead breaks connections before a call runs.
+	Dead bool `json:"dead"`
+	// DelayMs is added to each call.
+	DelayMs int `json:"delayMs"`
+}
+
+// Service is a stand-in for one target of a plain service or tool.
+type Service struct {
+	options ServiceOptions
+	ledger  *Ledger
+
+	mu     sync.Mutex
+	faults ServiceFaults
+	calls  int
+	done   chan struct{}
+	closed sync.Once
+}
+
+// NewService returns a service that records its runs in the ledger.
+func NewService(options ServiceOptions, ledger *Ledger) *Service {
+	if options.DelayMs == 0 {
+		options.DelayMs = 5
+	}
+	return &Service{options: options, ledger: ledger, done: make(chan struct{})}
+}
+
+// Close ends calls that hang.
+func (s *Service) Close() { s.closed.Do(func() { close(s.done) }) }
+
+// Faults returns the switches.
+func (s *Service) Faults() ServiceFaults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetFaults sets the switches.
+func (s *Service) SetFaults(faults ServiceFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+}
+
+// Invoke runs one call and records it.
+func (s *Service) Invoke(ctx context.Context, request provider.InvokeRequest) (provider.InvokeResult, error) {
+	const operation = "service.invoke"
+	s.mu.Lock()
+	s.calls++
+	faults, n := s.faults, s.calls
+	s.mu.Unlock()
+	fail := func(kind provider.Kind, text string) (provider.InvokeResult, error) {
+		return provider.InvokeResult{}, provider.NewError(operation, kind, eris.New(text))
+	}
+	switch {
+	case faults.Dead:
+		return fail(provider.KindUnavailable, "service is dead")
+	case faults.Refuse:
+		return fail(provider.KindRefused, "not accepted")
+	case faults.Silent:
+		return s.hang(ctx)
+	}
+	delay := time.Duration(s.options.DelayMs+faults.DelayMs) * time.Millisecond
+	select {
+	case <-ctx.Done():
+	case <-time.After(delay):
+	}
+	// A call that has arrived runs to its end even when its caller has gone.
+	result := s.ledger.run(request)
+	if faults.Hang || faults.HangEvery > 0 && n%faults.HangEvery == 0 {
+		return s.hang(ctx)
+	}
+	if faults.DropAnswer {
+		return fail(provider.KindUnknown, "answer dropped")
+	}
+	return result, nil
+}
+
+func (s *Service) hang(ctx context.Context) (provider.InvokeResult, error) {
+	select {
+	case <-ctx.Done():
+		return provider.InvokeResult{}, provider.NewError("service.invoke", provider.KindUnknown, ctx.Err())
+	case <-s.done:
+		return provider.InvokeResult{}, provider.NewError("service.invoke", provider.KindUnknown, eris.New("service closed"))
+	}
+}
+
+// Lookup returns the result that was recorded under a key.
+func (s *Service) Lookup(_ context.Context, key string) (provider.InvokeResult, error) {
+	if s.Faults().Dead {
+		return provider.InvokeResult{}, provider.NewError("service.lookup", provider.KindUnavailable, nil)
+	}
+	if !s.options.LookupByKey {
+		return provider.InvokeResult{}, provider.NewError("service.lookup", provider.KindUnsupported, nil)
+	}
+	result, ok := s.ledger.result(key)
+	if !ok {
+		return provider.InvokeResult{}, provider.NewError("service.lookup", provider.KindNotFound, nil)
+	}
+	return result, nil
+}
+
+// Handler serves the target over HTTP: any path under / is a call, except
+// /faults, /runs and /lookup?key=.
+func (s *Service) Handler() *fiber.App {
+	app := newApp()
+	faultRoutes(app, s.Faults, s.SetFaults)
+	app.Get("/runs", func(c *fiber.Ctx) error { return c.JSON(s.ledger.Runs()) })
+	app.Get("/lookup", func(c *fiber.Ctx) error {
+		result, err := s.Lookup(c.Context(), c.Query("key"))
+		return respondValue(c, result, err)
+	})
+	app.All("/*", s.serveCall)
+	return app
+}
+
+func (s *Service) serveCall(c *fiber.Ctx) error {
+	faults := s.Faults()
+	if faults.Silent {
+		return silence(c, s.done)
+	}
+	request := provider.InvokeRequest{
+		Call: c.Get(HeaderCall), Key: c.Get(HeaderKey), Method: c.Method(),
+		Path: strings.Clone(c.OriginalURL()), Body: append([]byte(nil), c.Body()...),
+	}
+	result, err := s.Invoke(context.Background(), request)
+	switch provider.KindOf(err) {
+	case provider.KindNone:
+	case provider.KindRefused:
+		c.Set(HeaderOutcome, "notRun")
+		return writeFailure(c, err)
+	default:
+		return abort(c)
+	}
+	c.Set(HeaderCall, result.Call)
+	for name, value := range result.Header {
+		c.Set(name, value)
+	}
+	return c.Status(result.Status).Send(result.Body)
+}
