--- /dev/null
+++ b/server/call.go
@@ -0,0 +1,80 @@
+package server
+
+import (
+	"context"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Outcomes of a call.
+const (
+	OutcomeDone    = "done"
+	OutcomeNotRun  = "notRun"
+	OutcomeUnknown = "unknown"
+)
+
+// Kinds of calls.
+const (
+	KindModel = "model"
+	KindPlain = "plain"
+)
+
+// Budget limits a program; zero means the service's default.
+type Budget struct {
+	Tokens int     `json:"tokens,omitempty"`
+	Cost   float64 `json:"cost,omitempty"`
+	Turns  int     `json:"turns,omitempty"`
+}
+
+// Call is one request of a caller after its syntax has been checked.
+type Call struct {
+	// ID identifies this arrival in logs and on every hop.
+	ID      string `json:"id"`
+	Client  string `json:"client"`
+	Service string `json:"service"`
+	Kind    string `json:"kind"`
+	// Program is empty for the first call of a new program.
+	Program string `json:"program,omitempty"`
+	Parent  string `json:"parent,omitempty"`
+	// Step is 0 when the owner assigns it.
+	Step      int                     `json:"step,omitempty"`
+	Key       string                  `json:"key,omitempty"`
+	Append    bool                    `json:"append,omitempty"`
+	Messages  []provider.ChatMessage  `json:"messages,omitempty"`
+	Model     string                  `json:"model,omitempty"`
+	Adapter   string                  `json:"adapter,omitempty"`
+	MaxTokens int                     `json:"maxTokens,omitempty"`
+	Invoke    *provider.InvokeRequest `json:"invoke,omitempty"`
+	// DeadlineMs is the time that remains, since clocks of hosts differ.
+	DeadlineMs int64  `json:"deadlineMs,omitempty"`
+	Budget     Budget `json:"budget,omitzero"`
+	End        bool   `json:"end,omitempty"`
+	Stream     bool   `json:"stream,omitempty"`
+	// BodyBytes is the size of the request's body, for the service's limit.
+	BodyBytes int `json:"bodyBytes,omitempty"`
+}
+
+// Event is one piece of a streamed answer.
+type Event struct {
+	Text string
+}
+
+// Answer is the end of a call.
+type Answer struct {
+	Outcome      string                 `json:"outcome"`
+	Code         string                 `json:"code,omitempty"`
+	Message      string                 `json:"message,omitempty"`
+	RetryAfterMs int                    `json:"retryAfterMs,omitempty"`
+	Program      string                 `json:"program,omitempty"`
+	Step         int                    `json:"step,omitempty"`
+	Text         string                 `json:"text,omitempty"`
+	Usage        provider.Usage         `json:"usage,omitzero"`
+	Result       *provider.InvokeResult `json:"result,omitempty"`
+}
+
+// Core runs calls.
+type Core interface {
+	// Call runs a call to its end. It passes pieces of the answer to emit, whose
+	// concatenation is the Text of an Answer that is done.
+	Call(ctx context.Context, call Call, emit func(Event)) Answer
+}
--- /dev/null
+++ b/server/error.go
@@ -0,0 +1,102 @@
+package server
+
+import (
+	"fmt"
+	"net/http"
+)
+
+// Kind classifies an error of this package.
+type Kind int
+
+const (
+	// KindListen means that an address could not be listened on.
+	KindListen Kind = iota + 1
+	// KindDecode means that a request could not be decoded.
+	KindDecode
+	// KindRange means that a value of a request is outside its limits.
+	KindRange
+)
+
+// Error is the error type of the package.
+type Error struct {
+	operation string
+	kind      Kind
+	field     string
+	cause     error
+}
+
+// Operation returns what failed.
+func (e *Error) Operation() string { return e.operation }
+
+// Kind returns the error's kind.
+func (e *Error) Kind() Kind { return e.kind }
+
+// Error names the operation, the field and the cause.
+func (e *Error) Error() string {
+	text := e.operation
+	if e.field != "" {
+		text += fmt.Sprintf(": field %q", e.field)
+	}
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Codes of errors in answers. Codes of package sequencer and scheduler are
+// passed on unchanged.
+const (
+	CodeInvalidRequest   = "invalidRequest"
+	CodeUnauthorized     = "unauthorized"
+	CodeForbidden        = "forbidden"
+	CodeNotFound         = "notFound"
+	CodeTooLarge         = "tooLarge"
+	CodeOverloaded       = "overloaded"
+	CodeNoTarget         = "noTarget"
+	CodeShuttingDown     = "shuttingDown"
+	CodeOwnerUnreachable = "ownerUnreachable"
+	CodeStoreUnavailable = "storeUnavailable"
+	CodeNotReady         = "notReady"
+	CodeInternal         = "internal"
+)
+
+// statuses maps codes to HTTP statuses; other codes follow the outcome.
+var statuses = map[string]int{
+	CodeInvalidRequest:   http.StatusBadRequest,
+	CodeUnauthorized:     http.StatusUnauthorized,
+	CodeForbidden:        http.StatusForbidden,
+	CodeNotFound:         http.StatusNotFound,
+	"unknownService":     http.StatusNotFound,
+	"unknownProgram":     http.StatusNotFound,
+	CodeTooLarge:         http.StatusRequestEntityTooLarge,
+	CodeOverloaded:       http.StatusTooManyRequests,
+	"rateLimited":        http.StatusTooManyRequests,
+	"queueFull":          http.StatusTooManyRequests,
+	CodeNoTarget:         http.StatusServiceUnavailable,
+	CodeShuttingDown:     http.StatusServiceUnavailable,
+	CodeOwnerUnreachable: http.StatusServiceUnavailable,
+	CodeStoreUnavailable: http.StatusServiceUnavailable,
+	CodeNotReady:         http.StatusServiceUnavailable,
+	CodeInternal:         http.StatusInternalServerError,
+	"historyMismatch":    http.StatusConflict,
+	"programEnded":       http.StatusConflict,
+	"keyConflict":        http.StatusConflict,
+	"stepConflict":       http.StatusConflict,
+	"budgetExceeded":     http.StatusPaymentRequired,
+	"deadlineExceeded":   http.StatusGatewayTimeout,
+	"timeout":            http.StatusGatewayTimeout,
+}
+
+// statusOf returns the HTTP status for an answer that carries an error.
+func statusOf(answer Answer) int {
+	if status, ok := statuses[answer.Code]; ok {
+		return status
+	}
+	if answer.Outcome == OutcomeNotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
