--- a/controller/calls.go
+++ b/controller/calls.go
@@ -14,8 +14,33 @@
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
-// Call runs one call of a caller to its end.
+// Call runs one call of a caller to its end and measures it.
 func (d *Daemon) Call(ctx context.Context, call server.Call, emit func(server.Event)) server.Answer {
+	started := d.platform.Clock.Now()
+	d.metrics.gauge("in_flight", float64(d.inFlight.Add(1)))
+	first := true
+	answer := d.run(ctx, call, func(event server.Event) {
+		if first && event.Text != "" {
+			first = false
+			d.metrics.firstToken(call.Service, d.platform.Clock.Now().Sub(started))
+		}
+		emit(event)
+	})
+	took := d.platform.Clock.Now().Sub(started)
+	d.metrics.gauge("in_flight", float64(d.inFlight.Add(-1)))
+	service := call.Service
+	if _, ok := d.snapshot.Load().Service(service); !ok {
+		// Names that callers invent must not become tags.
+		service = "unknown"
+	}
+	d.metrics.call(service, answer.Outcome, answer.Code, took)
+	d.logger.Debug("call ended", zap.String("call", call.ID), zap.String("program", answer.Program),
+		zap.Int("step", answer.Step), zap.String("service", call.Service), zap.String("outcome", answer.Outcome),
+		zap.String("code", answer.Code), zap.Duration("took", took))
+	return answer
+}
+
+func (d *Daemon) run(ctx context.Context, call server.Call, emit func(server.Event)) server.Answer {
 	snapshot := d.snapshot.Load()
 	if call.Program == "" {
 		call.Program = d.newProgramID()
@@ -32,6 +57,7 @@
 	if !ok || service.Kind != call.Kind {
 		return refuse("unknownService", "no such service of this kind")
 	}
+	emit(server.Event{Program: call.Program, Step: call.Step})
 	candidates := snapshot.Targets(service)
 	if len(candidates) == 0 {
 		return refuse(server.CodeNoTarget, "the service has no target")
--- a/controller/control.go
+++ b/controller/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/publisher"
 )
 
 // controlMessage is a message to the control loop.
@@ -16,9 +16,14 @@
 
 type controlTick struct{}
 
+// configDue asks for a poll of the configuration now.
+type configDue struct{}
+
 type configRead struct {
-	row provider.Row
-	err error
+	version  int
+	sections []encoder.Section
+	whole    bool
+	err      error
 }
 
 type hostsRead struct {
@@ -27,15 +32,10 @@
 }
 
 func (controlTick) isControlMessage() {}
+func (configDue) isControlMessage()   {}
 func (configRead) isControlMessage()  {}
 func (hostsRead) isControlMessage()   {}
 
-// Rows of the configuration.
-const (
-	configTable = "config"
-	currentKey  = "current"
-)
-
 // control is the state of the control loop: configuration and members.
 type control struct {
 	d          *Daemon
@@ -51,6 +51,10 @@
 	now := c.d.platform.Clock.Now()
 	switch m := message.(type) {
 	case controlTick:
+		c.d.lastTick.Store(now.UnixNano())
+		c.poll(now)
+	case configDue:
+		c.configDue = now
 		c.poll(now)
 	case configRead:
 		c.configBusy = false
@@ -71,10 +75,11 @@
 	timing := c.d.settings.Timing
 	if !c.configBusy && !now.Before(c.configDue) {
 		c.configBusy = true
+		from := c.document.Version
 		c.configDue = now.Add(time.Duration(timing.ConfigPollMs) * time.Millisecond)
 		c.d.effect(func(ctx context.Context) {
-			row, err := c.d.platform.Tables.Read(ctx, configTable, currentKey)
-			c.d.control.Post(configRead{row: row, err: err})
+			version, sections, whole, err := c.d.config.Delta(ctx, from)
+			c.d.control.Post(configRead{version: version, sections: sections, whole: whole, err: err})
 		})
 	}
 	if !c.hostsBusy && !now.Before(c.hostsDue) {
@@ -89,23 +94,19 @@
 
 // applyConfig moves to a higher version and never to a lower one.
 func (c *control) applyConfig(m configRead) {
+	c.d.storeReachable.Store(m.err == nil)
 	if m.err != nil {
 		c.d.logger.Warn("configuration is unavailable", zap.Error(m.err), zap.Int("version", c.document.Version))
 		return
 	}
-	if m.row.Version == provider.VersionAbsent {
+	if m.version <= c.document.Version {
 		return
 	}
-	var document encoder.Document
-	if err := json.Unmarshal(m.row.Value, &document); err != nil {
-		c.d.logger.Error("configuration row is malformed", zap.Error(err))
-		return
-	}
-	if document.Version <= c.document.Version {
-		return
+	if m.whole {
+		c.document = encoder.Document{}
 	}
-	c.document = document
-	c.d.logger.Info("configuration is in force", zap.Int("version", document.Version))
+	c.document = publisher.Apply(c.document, m.version, m.sections)
+	c.d.logger.Info("configuration is in force", zap.Int("version", c.document.Version))
 	c.publish()
 }
 
--- a/controller/daemon.go
+++ b/controller/daemon.go
@@ -10,12 +10,16 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/parser"
+	"github.com/dogwoodweir/dogwoodweir/publisher"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
 // tickEvery is the resolution of the control loop's timers.
 const tickEvery = 50 * time.Millisecond
 
+// healthyWithin is how old the last tick of a healthy daemon may be.
+const healthyWithin = 5 * time.Second
+
 // Daemon is one running daemon.
 type Daemon struct {
 	settings parser.Settings
@@ -24,8 +28,18 @@
 	control  *Loop[controlMessage]
 	programs *Loop[programMessage]
 	snapshot atomic.Pointer[Snapshot]
+	config   *publisher.Store
+	metrics  *metrics
 	server   *server.Server
-	listener *server.Listener
+	monitor  *server.Monitor
+
+	storeReachable atomic.Bool
+	leaving        atomic.Bool
+	inFlight       atomic.Int64
+	lastTick       atomic.Int64
+
+	mu        sync.Mutex
+	listeners []*server.Listener
 
 	// effects run until effectsDone is cancelled.
 	effects       conc.WaitGroup
@@ -50,6 +64,9 @@
 	}
 	d.snapshot.Store(&Snapshot{})
 	d.effectsCtx, d.cancelEffects = context.WithCancel(context.Background())
+	d.config = publisher.New(platform.Tables, platform.Clock)
+	d.metrics = newMetrics(settings.Host, settings.FailureDomain)
+	d.monitor = server.NewMonitor(d, d.metrics.handler)
 	d.server = server.New(d, server.NewKeyring(settings.Keys), d.logger)
 	return d, nil
 }
@@ -62,41 +79,80 @@
 	d.effects.Go(func() { run(d.effectsCtx) })
 }
 
+// listen opens one of the daemon's addresses; Kill closes it.
+func (d *Daemon) listen(address string) (*server.Listener, error) {
+	listener, err := server.Listen(address)
+	if err != nil {
+		return nil, &Error{operation: "daemon.listen", kind: KindListen, cause: err}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listeners = append(d.listeners, listener)
+	return listener, nil
+}
+
+func (d *Daemon) closeListeners() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, listener := range d.listeners {
+		listener.CloseAll()
+	}
+}
+
 // Run serves until the context ends or the daemon is shut down or killed. When the
 // context ends it shuts down gracefully.
 func (d *Daemon) Run(ctx context.Context) error {
 	defer close(d.stopped)
-	listener, err := server.Listen(d.settings.CallerAddress)
+	defer d.metrics.close()
+	defer d.closeListeners()
+	callers, err := d.listen(d.settings.CallerAddress)
 	if err != nil {
-		return &Error{operation: "daemon.listen", kind: KindListen, cause: err}
+		return err
+	}
+	monitor, err := d.listen(d.settings.MetricsAddress)
+	if err != nil {
+		return err
 	}
-	d.listener = listener
 	loops, stopLoops := context.WithCancel(context.Background())
 	var group conc.WaitGroup
 	group.Go(func() { d.control.Run(loops, (&control{d: d}).handle) })
 	group.Go(func() { d.programs.Run(loops, newPrograms(uint64(time.Now().UnixNano())).handle) })
 	group.Go(func() { d.tick(loops) })
-	group.Go(func() {
-		if err := d.server.Serve(listener); err != nil && !d.killed.Load() {
-			d.logger.Error("server ended", zap.Error(err))
-		}
-	})
-	d.logger.Info("daemon is running", zap.String("callerAddress", listener.Addr().String()))
+	group.Go(func() { d.serve("callers", func() error { return d.server.Serve(callers) }) })
+	group.Go(func() { d.serve("monitor", func() error { return d.monitor.Serve(monitor) }) })
+	d.logger.Info("daemon is running", zap.String("callerAddress", d.settings.CallerAddress))
 	select {
 	case <-ctx.Done():
 	case <-d.stopping:
 	}
 	if !d.killed.Load() {
-		_ = d.server.Shutdown(time.Duration(d.settings.Timing.DrainMs) * time.Millisecond)
+		d.drain()
 	}
 	d.cancelEffects()
 	stopLoops()
-	listener.CloseAll()
+	d.closeListeners()
 	d.effects.Wait()
 	group.Wait()
 	return nil
 }
 
+// drain lets requests in progress run to their end, within the bound.
+func (d *Daemon) drain() {
+	d.leaving.Store(true)
+	d.logger.Info("daemon is leaving")
+	timeout := time.Duration(d.settings.Timing.DrainMs) * time.Millisecond
+	if err := d.server.Shutdown(timeout); err != nil {
+		d.logger.Warn("requests were still in progress at the end of the drain", zap.Error(err))
+	}
+	_ = d.monitor.Shutdown()
+}
+
+func (d *Daemon) serve(name string, run func() error) {
+	if err := run(); err != nil && !d.killed.Load() {
+		d.logger.Error("listener ended", zap.String("listener", name), zap.Error(err))
+	}
+}
+
 func (d *Daemon) tick(ctx context.Context) {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -125,9 +181,7 @@
 func (d *Daemon) Kill() {
 	d.killed.Store(true)
 	d.cancelEffects()
-	if l := d.listener; l != nil {
-		l.CloseAll()
-	}
+	d.closeListeners()
 	d.stopOnce.Do(func() { close(d.stopping) })
 	<-d.stopped
 }
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/publisher"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
@@ -70,22 +71,20 @@
 	for _, s := range []*encoder.Service{&drafter, &ledgerService} {
 		parser.FillDefaults(s)
 	}
-	b.publish(1, drafter, ledgerService)
+	b.publish(drafter, ledgerService)
 	return b
 }
 
-func (b *bed) publish(version int, services ...encoder.Service) {
+func (b *bed) publish(services ...encoder.Service) {
 	b.t.Helper()
-	document := encoder.Document{Version: version}
-	for _, s := range services {
-		document.Sections = append(document.Sections, encoder.Section{Name: "service/" + s.Name, Version: version, Service: &s})
-	}
-	value, err := json.Marshal(document)
+	store := publisher.New(b.tables.For("test"), systemClock{})
+	current, err := store.Document(b.t.Context())
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	_, err = b.tables.For("test").Commit(b.t.Context(), provider.Transaction{
-		Writes: []provider.Write{{Table: configTable, Key: currentKey, Value: value}},
+	_, err = store.Publish(b.t.Context(), publisher.Proposal{
+		From: current.Version, Operator: "test", Action: publisher.ActionPublish,
+		Document: publisher.Replace(current, services, nil),
 	})
 	if err != nil {
 		b.t.Fatal(err)
--- a/server/call.go
+++ b/server/call.go
@@ -54,9 +54,12 @@
 	BodyBytes int `json:"bodyBytes,omitempty"`
 }
 
-// Event is one piece of a streamed answer.
+// Event is one piece of a streamed answer. The program and the step are set when
+// they are known.
 type Event struct {
-	Text string
+	Text    string `json:"text,omitempty"`
+	Program string `json:"program,omitempty"`
+	Step    int    `json:"step,omitempty"`
 }
 
 // Answer is the end of a call.
@@ -72,9 +75,15 @@
 	Result       *provider.InvokeResult `json:"result,omitempty"`
 }
 
-// Core runs calls.
+// Core runs calls and describes the daemon.
 type Core interface {
 	// Call runs a call to its end. It passes pieces of the answer to emit, whose
 	// concatenation is the Text of an Answer that is done.
 	Call(ctx context.Context, call Call, emit func(Event)) Answer
+	// Program describes a program of the client, of any client for "". An Answer
+	// with a code is a refusal.
+	Program(ctx context.Context, client, id string) (ProgramInfo, Answer)
+	// EndProgram cancels a program of the client, of any client for "".
+	EndProgram(ctx context.Context, client, id string) (ProgramInfo, Answer)
+	Admin
 }
--- a/server/server.go
+++ b/server/server.go
@@ -50,6 +50,9 @@
 	callers.Post("/chat/completions", s.chat)
 	callers.Get("/services/:service/*", s.invoke)
 	callers.Post("/services/:service/*", s.invoke)
+	callers.Get("/programs/:program", s.showProgram)
+	callers.Delete("/programs/:program", s.endProgram)
+	s.routeOperators()
 	return s
 }
 
@@ -73,6 +76,7 @@
 			return s.refuse(c, Answer{Code: CodeForbidden, Message: "the key has another role"})
 		}
 		c.Locals("client", client)
+		c.Locals("role", found)
 		c.Locals("call", s.newID())
 		return c.Next()
 	}
--- a/server/stream.go
+++ b/server/stream.go
@@ -22,6 +22,7 @@
 		buffer.finish(s.core.Call(ctx, call, buffer.add))
 	})
 	text, answer := buffer.next(s.heartbeat)
+	call.Program, call.Step = buffer.identity(call)
 	if text == "" && answer != nil && answer.Outcome != OutcomeDone {
 		group.Wait()
 		return s.refuse(c, *answer)
@@ -130,10 +131,12 @@
 // eventBuffer joins pieces that arrive faster than the caller reads them. Its
 // size is bounded by the answer's length, which the token limit bounds.
 type eventBuffer struct {
-	mu     sync.Mutex
-	text   []byte
-	answer *Answer
-	signal chan struct{}
+	mu      sync.Mutex
+	text    []byte
+	program string
+	step    int
+	answer  *Answer
+	signal  chan struct{}
 }
 
 func newEventBuffer() *eventBuffer {
@@ -143,6 +146,12 @@
 func (b *eventBuffer) add(e Event) {
 	b.mu.Lock()
 	b.text = append(b.text, e.Text...)
+	if e.Program != "" {
+		b.program = e.Program
+	}
+	if e.Step > 0 {
+		b.step = e.Step
+	}
 	b.mu.Unlock()
 	b.wake()
 }
@@ -161,6 +170,17 @@
 	}
 }
 
+// identity returns the program and the step as far as they are known.
+func (b *eventBuffer) identity(call Call) (program string, step int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	program, step = call.Program, call.Step
+	if b.program != "" {
+		program = b.program
+	}
+	return program, max(step, b.step)
+}
+
 // next waits up to the timeout and returns the text since the last call and the
 // answer, if it is there.
 func (b *eventBuffer) next(timeout time.Duration) (string, *Answer) {
