Add the messages and connections between daemons

Daemons need authenticated connections that count their bytes, replace silent ones and stream forwarded calls to owners.

Package messenger carries JSON-RPC over TCP, TLS or in-memory links.

--- /dev/null
+++ b/messenger/messenger_test.go
@@ -0,0 +1,340 @@
+package messenger
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"fmt"
+	"math/big"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+)
+
+// Guards against goroutines that outlive Close.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// echo streams events and then answers; hang makes it wait for cancellation.
+type echo struct {
+	events    int
+	hang      bool
+	cancelled chan struct{}
+}
+
+func (e *echo) Handle(_ context.Context, from, method string, _ json.RawMessage) (any, error) {
+	if method == MethodProbe {
+		return encoder.ProbeResult{Host: "b", State: "ready"}, nil
+	}
+	return encoder.Heartbeat{Host: "b", State: from}, nil
+}
+
+func (e *echo) HandleCall(ctx context.Context, _ string, _ encoder.ForwardedCall, emit Emit) (encoder.CallResult, error) {
+	for i := range e.events {
+		if err := emit("chunk", json.RawMessage(fmt.Sprint(i))); err != nil {
+			return encoder.CallResult{}, err
+		}
+	}
+	if e.hang {
+		<-ctx.Done()
+		close(e.cancelled)
+		return encoder.CallResult{Outcome: "unknown"}, nil
+	}
+	return encoder.CallResult{Outcome: "done", Result: json.RawMessage(`"x"`)}, nil
+}
+
+// pair returns messenger "a", a running messenger "b" and the peer name of b.
+func pair(t *testing.T, change func(a, b *Settings), handler Handler) (*Messenger, *Messenger, Peer, *Network) {
+	t.Helper()
+	network := NewNetwork()
+	fast := Settings{PingInterval: 20 * time.Millisecond, Silence: 150 * time.Millisecond, DialTimeout: 300 * time.Millisecond, Backoff: 10 * time.Millisecond}
+	a, b := fast, fast
+	a.Host, b.Host = "a", "b"
+	a.Dial, b.Dial = network.Dialer("a"), network.Dialer("b")
+	if change != nil {
+		change(&a, &b)
+	}
+	ma, mb := New(a, handler, zap.NewNop()), New(b, handler, zap.NewNop())
+	listener := network.Listen("b")
+	served := make(chan error, 1)
+	go func() { served <- mb.Serve(listener) }()
+	t.Cleanup(func() {
+		ma.Close()
+		mb.Close()
+		if err := <-served; err != nil {
+			t.Errorf("Serve() = %v", err)
+		}
+	})
+	return ma, mb, Peer{Host: "b", Address: "b"}, network
+}
+
+func heartbeat(m *Messenger, peer Peer, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, err := Call[encoder.Heartbeat](ctx, m, peer, MethodHeartbeat, encoder.Heartbeat{Host: "a"})
+	return err
+}
+
+// Guards against lost, repeated or reordered events of a streamed answer, and
+// against bytes that are not counted.
+func TestForwardStreams(t *testing.T) {
+	a, b, peer, _ := pair(t, nil, &echo{events: 1_000})
+	var got []string
+	result, err := a.Forward(context.Background(), peer, encoder.ForwardedCall{Call: "c", Request: json.RawMessage("{}")},
+		func(event encoder.CallEvent) error { got = append(got, string(event.Data)); return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want []string
+	for i := range 1_000 {
+		want = append(want, fmt.Sprint(i))
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("events differ (-want +got):\n%s", diff)
+	}
+	if result.Outcome != "done" || result.Events != 1_000 {
+		t.Errorf("result = %+v", result)
+	}
+	if sent, received := b.Counters().SentBytes, a.Counters().ReceivedBytes; sent != received || sent < 10_000 {
+		t.Errorf("owner sent %d bytes, entry received %d", sent, received)
+	}
+}
+
+// Guards against a gap or a repeat in the sequence that reaches the caller.
+func TestIncomingSequence(t *testing.T) {
+	tests := []struct {
+		name      string
+		sequences []int
+		want      int
+		failure   Kind
+	}{
+		{"in order", []int{1, 2, 3}, 3, KindNone},
+		{"repeat", []int{1, 2, 2, 1, 3}, 3, KindNone},
+		{"gap", []int{1, 3}, 1, KindGap},
+		{"after a gap", []int{2, 1}, 0, KindGap},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			in := &incoming{signal: make(chan struct{}, 1)}
+			for _, sequence := range test.sequences {
+				in.add(encoder.CallEvent{Sequence: sequence}, new(counters))
+			}
+			events, failure := in.take()
+			if len(events) != test.want || failure != test.failure {
+				t.Errorf("got %d events, failure %v; want %d, %v", len(events), failure, test.want, test.failure)
+			}
+		})
+	}
+}
+
+// Guards against a call that waits for good on a connection that went silent,
+// and against a silent connection that is used again.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	a, _, peer, network := pair(t, nil, &echo{hang: true, cancelled: make(chan struct{})})
+	if err := heartbeat(a, peer, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() {
+		_, err := a.Forward(context.Background(), peer, encoder.ForwardedCall{Call: "c", Request: json.RawMessage("{}")},
+			func(encoder.CallEvent) error { return nil })
+		done <- err
+	}()
+	time.Sleep(250 * time.Millisecond) // longer than the silence bound: pings keep a quiet call alive
+	select {
+	case err := <-done:
+		t.Fatalf("call ended on a healthy connection: %v", err)
+	default:
+	}
+	network.Silence("b", "a")
+	select {
+	case err := <-done:
+		if KindOf(err) != KindClosed {
+			t.Errorf("error = %v, want closed", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("call still waits on a silent connection")
+	}
+	if err := heartbeat(a, peer, time.Second); err != nil {
+		t.Errorf("a new connection does not work: %v", err)
+	}
+}
+
+// Guards against a call that goes on at the owner after the caller has gone.
+func TestCancelReachesOwner(t *testing.T) {
+	handler := &echo{events: 1, hang: true, cancelled: make(chan struct{})}
+	a, _, peer, _ := pair(t, nil, handler)
+	ctx, cancel := context.WithCancel(context.Background())
+	_, err := a.Forward(ctx, peer, encoder.ForwardedCall{Call: "c", Request: json.RawMessage("{}")},
+		func(encoder.CallEvent) error { cancel(); return nil })
+	if KindOf(err) != KindTimeout {
+		t.Errorf("error = %v, want timeout", err)
+	}
+	select {
+	case <-handler.cancelled:
+	case <-time.After(time.Second):
+		t.Error("owner was not told")
+	}
+}
+
+// Guards against daemons that accept a peer with a wrong token or talk to
+// another host than the one named.
+func TestUnauthenticatedPeer(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(a, b *Settings)
+		host   string
+		want   Kind
+	}{
+		{"same token", func(a, b *Settings) { a.Token, b.Token = "s", "s" }, "b", KindNone},
+		{"no token", func(_, b *Settings) { b.Token = "s" }, "b", KindUnauthenticated},
+		{"wrong token", func(a, b *Settings) { a.Token, b.Token = "t", "s" }, "b", KindUnauthenticated},
+		{"another host", nil, "c", KindUnauthenticated},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a, _, _, _ := pair(t, test.change, &echo{})
+			if err := heartbeat(a, Peer{Host: test.host, Address: "b"}, time.Second); KindOf(err) != test.want {
+				t.Errorf("heartbeat error = %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a method that is served before the peer has authenticated.
+func TestFirstMessageMustBeHello(t *testing.T) {
+	a, b, _, network := pair(t, nil, &echo{})
+	conn, err := network.dial(context.Background(), "a", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := a.newLink(conn, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = l.request(context.Background(), MethodHeartbeat, encoder.Heartbeat{}, nil)
+	if KindOf(err) != KindUnauthenticated || b.Counters().Refused != 1 {
+		t.Errorf("error = %v, refused = %d; want unauthenticated, 1", err, b.Counters().Refused)
+	}
+}
+
+// Guards against retries without a pause, and against a peer that is not reached
+// again after it returned.
+func TestReconnect(t *testing.T) {
+	a, _, peer, network := pair(t, func(a, _ *Settings) { a.Backoff = 50 * time.Millisecond }, &echo{})
+	network.Cut("a", "b", true)
+	for range 3 {
+		if err := heartbeat(a, peer, 10*time.Millisecond); KindOf(err) != KindUnreachable {
+			t.Fatalf("error = %v, want unreachable", err)
+		}
+	}
+	if dials := a.Counters().Dials; dials != 1 {
+		t.Errorf("%d dials without a pause, want 1", dials)
+	}
+	network.Cut("a", "b", false)
+	deadline := time.Now().Add(2 * time.Second)
+	for heartbeat(a, peer, time.Second) != nil {
+		if time.Now().After(deadline) {
+			t.Fatal("peer is not reached again")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against TLS that accepts a certificate of another authority or of
+// another host.
+func TestMutualTLS(t *testing.T) {
+	own, other := newAuthority(t), newAuthority(t)
+	tests := []struct {
+		name   string
+		client *tls.Config
+		want   Kind
+	}{
+		{"valid", own.config(t, "a"), KindNone},
+		{"another authority", func() *tls.Config {
+			c := other.config(t, "a")
+			c.RootCAs = own.pool
+			return c
+		}(), KindUnreachable},
+		{"another host", own.config(t, "x"), KindUnauthenticated},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			a, _, peer, _ := pair(t, func(a, b *Settings) { a.TLS, b.TLS = test.client, own.config(t, "b") }, &echo{})
+			if err := heartbeat(a, peer, time.Second); KindOf(err) != test.want {
+				t.Errorf("heartbeat error = %v, want %v", err, test.want)
+			}
+		})
+	}
+}
+
+type authority struct {
+	key         *ecdsa.PrivateKey
+	certificate *x509.Certificate
+	pool        *x509.CertPool
+}
+
+func newAuthority(t *testing.T) authority {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), IsCA: true, BasicConstraintsValid: true,
+		NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	certificate, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(certificate)
+	return authority{key: key, certificate: certificate, pool: pool}
+}
+
+func (a authority) config(t *testing.T, host string) *tls.Config {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), DNSNames: []string{host}, NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}, RootCAs: a.pool, ClientCAs: a.pool,
+	}
+}
+
+// Guards against failures that only a real socket shows.
+func TestOverTCP(t *testing.T) {
+	_, b, _, _ := pair(t, nil, &echo{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go b.Serve(listener)
+	a := New(Settings{Host: "a"}, &echo{}, zap.NewNop())
+	defer a.Close()
+	peer := Peer{Host: "b", Address: listener.Addr().String()}
+	if err := heartbeat(a, peer, time.Second); err != nil {
+		t.Error(err)
+	}
+	result, err := a.Probe(context.Background(), peer)
+	if err != nil || result.Host != "b" {
+		t.Errorf("Probe() = %+v, %v", result, err)
+	}
+}
--- /dev/null
+++ b/messenger/server.go
@@ -0,0 +1,124 @@
+package messenger
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/sourcegraph/jsonrpc2"
+	"go.uber.org/zap"
+)
+
+// refusalGrace is the time for a refusal to reach the peer before the connection
+// is closed.
+const refusalGrace = 100 * time.Millisecond
+
+// Serve accepts connections until the listener is closed or Close is called.
+func (m *Messenger) Serve(listener net.Listener) error {
+	stop := context.AfterFunc(m.ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			if m.ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			m.logger.Warn("accepting a connection failed", zap.Error(err))
+			// A short pause: the usual cause is a lack of file descriptors.
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		if !m.spawn(func() { m.acceptConn(conn) }) {
+			conn.Close()
+		}
+	}
+}
+
+// acceptConn serves one connection until it ends.
+func (m *Messenger) acceptConn(raw net.Conn) {
+	defer raw.Close()
+	if m.counters.accepting.Add(1) > int64(m.settings.MaxConnections) {
+		m.counters.accepting.Add(-1)
+		m.counters.refused.Add(1)
+		return
+	}
+	defer m.counters.accepting.Add(-1)
+	conn := net.Conn(countingConn{Conn: raw, counters: &m.counters})
+	remote := raw.RemoteAddr().String()
+	verify := m.verifyToken
+	if m.settings.TLS != nil {
+		server, err := m.handshake(conn)
+		if err != nil {
+			m.counters.refused.Add(1)
+			m.logger.Warn("refused peer", zap.String("address", remote), zap.Error(err))
+			return
+		}
+		conn = server
+		certificate := server.ConnectionState().PeerCertificates[0]
+		verify = func(hello encoder.Hello) error { return certificate.VerifyHostname(hello.Host) }
+	}
+	l, err := m.newLink(conn, verify)
+	if err != nil {
+		return
+	}
+	timer := time.AfterFunc(m.settings.DialTimeout, func() {
+		if l.peer.Load() == nil {
+			m.counters.refused.Add(1)
+			m.logger.Warn("refused peer", zap.String("address", remote), zap.String("reason", "no hello in time"))
+			l.conn.Close()
+		}
+	})
+	defer timer.Stop()
+	<-l.conn.DisconnectNotify()
+}
+
+func (m *Messenger) handshake(conn net.Conn) (*tls.Conn, error) {
+	config := m.settings.TLS.Clone()
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	server := tls.Server(conn, config)
+	ctx, cancel := context.WithTimeout(m.ctx, m.settings.DialTimeout)
+	defer cancel()
+	return server, server.HandshakeContext(ctx)
+}
+
+func (m *Messenger) verifyToken(hello encoder.Hello) error {
+	// Hashes of equal length make the comparison take the same time for any token.
+	want, got := sha256.Sum256([]byte(m.settings.Token)), sha256.Sum256([]byte(hello.Token))
+	if subtle.ConstantTimeCompare(want[:], got[:]) != 1 {
+		return errors.New("wrong token")
+	}
+	return nil
+}
+
+// handleHello authenticates the dialling side by its first message.
+func (l *link) handleHello(request *jsonrpc2.Request) {
+	m := l.messenger
+	var hello encoder.Hello
+	err := errors.New("first message is not hello")
+	if request.Method == methodHello && request.Params != nil {
+		if err = json.Unmarshal(*request.Params, &hello); err == nil {
+			err = l.accept(hello)
+		}
+		if err == nil && hello.Host == "" {
+			err = errors.New("no host name")
+		}
+	}
+	if err != nil {
+		m.counters.refused.Add(1)
+		m.logger.Warn("refused peer", zap.String("host", hello.Host), zap.Error(err))
+		l.refuse(request, codeUnauthenticated, "not authenticated")
+		time.AfterFunc(refusalGrace, func() { l.conn.Close() })
+		return
+	}
+	l.peer.Store(&hello.Host)
+	m.counters.accepted.Add(1)
+	if err := l.conn.Reply(m.ctx, request.ID, encoder.HelloResult{Host: m.settings.Host}); err != nil {
+		l.conn.Close()
+	}
+}
