--- a/sequencer/identity.go
+++ b/sequencer/identity.go
@@ -19,7 +19,7 @@
 // root and all its sub-agents live in one shard and share one budget without any
 // agreement between owners.
 func ChildID(parent string, random [16]byte) string {
-	return RootOf(parent) + "." + hex.EncodeToString(random[:])
+	return RootOf(parent) + childSeparator + hex.EncodeToString(random[:])
 }
 
 // KeyedProgramID returns the id of the implicit program of a keyed call without
@@ -40,7 +40,7 @@
 // KeyedChildID returns the id of a sub-agent that its caller creates under a key,
 // so that a repeated creation finds the first one.
 func KeyedChildID(parent, key string) string {
-	return RootOf(parent) + ".k" + digestName(parent+"\x00"+key)
+	return RootOf(parent) + childSeparator + "k" + digestName(parent+"\x00"+key)
 }
 
 func digestName(name string) string {
@@ -48,17 +48,23 @@
 	return hex.EncodeToString(sum[:16])
 }
 
+// childSeparator parts the root's id from a sub-agent's. The random part of an id
+// is hexadecimal or "k" and hexadecimal, so it never contains the separator.
+const childSeparator = "x"
+
 // RootOf returns the id of the root of a program's tree.
 func RootOf(program string) string {
-	root, _, _ := strings.Cut(program, ".")
-	return root
+	start := strings.LastIndexByte(program, '-') + 1
+	if i := strings.Index(program[start:], childSeparator); i >= 0 {
+		return program[:start+i]
+	}
+	return program
 }
 
 // DomainOf returns the failure domain in a program's id, "" if there is none.
 func DomainOf(program string) string {
-	root := RootOf(program)
-	if i := strings.LastIndexByte(root, '-'); i > 0 {
-		return root[:i]
+	if i := strings.LastIndexByte(program, '-'); i > 0 {
+		return program[:i]
 	}
 	return ""
 }
