--- a/parser/service.go
+++ b/parser/service.go
@@ -261,3 +261,14 @@
 	}
 	return path == pattern.Path
 }
+
+// CostOf returns the cost units of a call to a plain service, 0 when no pattern of
+// the service matches it.
+func CostOf(s encoder.Service, method, path string) float64 {
+	for _, pattern := range s.NonRepeatable {
+		if matches(pattern, method, path) {
+			return pattern.CostUnits
+		}
+	}
+	return 0
+}
--- a/server/admin.go
+++ b/server/admin.go
@@ -68,6 +68,7 @@
 	Step             int    `json:"step"`
 	Service          string `json:"service"`
 	Kind             string `json:"kind"`
+	State            string `json:"state,omitempty"`
 	Outcome          string `json:"outcome"`
 	Code             string `json:"code,omitempty"`
 	Target           string `json:"target,omitempty"`
--- a/server/call.go
+++ b/server/call.go
@@ -36,6 +36,8 @@
 	// Program is empty for the first call of a new program.
 	Program string `json:"program,omitempty"`
 	Parent  string `json:"parent,omitempty"`
+	// New is set by the entry daemon when it has assigned the program's id.
+	New bool `json:"new,omitempty"`
 	// Step is 0 when the owner assigns it.
 	Step      int                     `json:"step,omitempty"`
 	Key       string                  `json:"key,omitempty"`
--- a/server/decode.go
+++ b/server/decode.go
@@ -122,7 +122,8 @@
 	return nil
 }
 
-// validID accepts an empty id, or letters, digits and hyphens within the bound.
+// validID accepts an empty id, or letters, digits and hyphens within the
+// bound.
 func validID(id string) bool {
 	if len(id) > maxNameBytes {
 		return false
--- a/server/stream.go
+++ b/server/stream.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"sync"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -16,13 +15,17 @@
 // heartbeat interval of waiting the stream begins with a comment line instead.
 func (s *Server) stream(c *fiber.Ctx, call Call) error {
 	ctx := context.WithoutCancel(c.Context())
-	buffer := newEventBuffer()
+	buffer := NewBuffer()
 	var group conc.WaitGroup
 	group.Go(func() {
-		buffer.finish(s.core.Call(ctx, call, buffer.add))
+		buffer.Finish(s.core.Call(ctx, call, buffer.Add))
 	})
-	text, answer := buffer.next(s.heartbeat)
-	call.Program, call.Step = buffer.identity(call)
+	event, answer := buffer.Next(s.heartbeat)
+	text := event.Text
+	if event.Program != "" {
+		call.Program = event.Program
+	}
+	call.Step = max(call.Step, event.Step)
 	if text == "" && answer != nil && answer.Outcome != OutcomeDone {
 		group.Wait()
 		return s.refuse(c, *answer)
@@ -42,7 +45,7 @@
 
 // writeStream writes pieces until the answer. When the caller has gone it stops;
 // the call itself continues, and its result can be read by a retry.
-func (s *Server) writeStream(w *bufio.Writer, call Call, buffer *eventBuffer, text string, answer *Answer) {
+func (s *Server) writeStream(w *bufio.Writer, call Call, buffer *Buffer, text string, answer *Answer) {
 	for {
 		if text != "" {
 			writeData(w, deltaOf(call, text))
@@ -57,7 +60,8 @@
 		if w.Flush() != nil {
 			return
 		}
-		text, answer = buffer.next(s.heartbeat)
+		event, next := buffer.Next(s.heartbeat)
+		text, answer = event.Text, next
 	}
 }
 
@@ -127,77 +131,3 @@
 	_, _ = w.WriteString("data: [DONE]\n\n")
 	_ = w.Flush()
 }
-
-// eventBuffer joins pieces that arrive faster than the caller reads them. Its
-// size is bounded by the answer's length, which the token limit bounds.
-type eventBuffer struct {
-	mu      sync.Mutex
-	text    []byte
-	program string
-	step    int
-	answer  *Answer
-	signal  chan struct{}
-}
-
-func newEventBuffer() *eventBuffer {
-	return &eventBuffer{signal: make(chan struct{}, 1)}
-}
-
-func (b *eventBuffer) add(e Event) {
-	b.mu.Lock()
-	b.text = append(b.text, e.Text...)
-	if e.Program != "" {
-		b.program = e.Program
-	}
-	if e.Step > 0 {
-		b.step = e.Step
-	}
-	b.mu.Unlock()
-	b.wake()
-}
-
-func (b *eventBuffer) finish(answer Answer) {
-	b.mu.Lock()
-	b.answer = &answer
-	b.mu.Unlock()
-	b.wake()
-}
-
-func (b *eventBuffer) wake() {
-	select {
-	case b.signal <- struct{}{}:
-	default:
-	}
-}
-
-// identity returns the program and the step as far as they are known.
-func (b *eventBuffer) identity(call Call) (program string, step int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	program, step = call.Program, call.Step
-	if b.program != "" {
-		program = b.program
-	}
-	return program, max(step, b.step)
-}
-
-// next waits up to the timeout and returns the text since the last call and the
-// answer, if it is there.
-func (b *eventBuffer) next(timeout time.Duration) (string, *Answer) {
-	timer := time.NewTimer(timeout)
-	defer timer.Stop()
-	for {
-		b.mu.Lock()
-		text, answer := string(b.text), b.answer
-		b.text = b.text[:0]
-		b.mu.Unlock()
-		if text != "" || answer != nil {
-			return text, answer
-		}
-		select {
-		case <-b.signal:
-		case <-timer.C:
-			return "", nil
-		}
-	}
-}
