Add the soaker: several daemons under load and faults

Callers, operators and a schedule of faults that depends only on the seed act on daemons in one process; checks from outside cover the ten invariants. Tests break each promise in what the checks see and expect the violation.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: build test check fmt lint generate
+.PHONY: build test check fmt lint generate soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,3 +30,6 @@
 encoder/%.gen.go: encoder/%.schema.json
 	$(TOOLS) go-jsonschema -p encoder --only-models --tags json -o $@ $<
 	gofmt -w $@
+
+soak:
+	go run ./cmd/soak -seed $(SEED) -duration $(DURATION)
--- /dev/null
+++ b/soaker/bed.go
@@ -0,0 +1,207 @@
+package soaker
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/parser"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/publisher"
+)
+
+// Timing of the daemons: shorter than the defaults, so that a run has many
+// takeovers.
+const (
+	leaseTime     = 900 * time.Millisecond
+	auditInterval = time.Second
+	callTimeout   = 4 * time.Second
+)
+
+const (
+	callerKey   = "caller-key"
+	operatorKey = "operator-key"
+	drafter     = "drafter"
+	ledgerName  = "ledger"
+)
+
+var domains = []parser.Domain{
+	{Name: "nl-ams", Region: "nl"}, {Name: "nl-ehv", Region: "nl"}, {Name: "de-fra", Region: "de"},
+}
+
+// bed is the platform with its hosts.
+type bed struct {
+	base      *zap.Logger
+	tally     *tally
+	inspector *inspector
+	network   *network
+	tables    *emulator.Tables
+	objects   *emulator.Objects
+	hosts     *emulator.HostList
+	engines   []*emulator.Engine
+	services  []*emulator.Service
+	machines  []*host
+
+	mu    sync.Mutex
+	atEnd []func()
+}
+
+func newBed(options Options, t *tally) (*bed, error) {
+	ledger := emulator.NewLedger()
+	b := &bed{
+		base: options.Logger, tally: t, inspector: newInspector(t, ledger), network: newNetwork(),
+		tables:  emulator.NewTables(emulator.TablesOptions{WritesPerSec: 400, ReadsPerSec: 2000}, emulator.NewFaults(options.Seed)),
+		objects: emulator.NewObjects(emulator.NewFaults(options.Seed)),
+		hosts:   emulator.NewHostList(nil),
+	}
+	for n := range 4 {
+		name := fmt.Sprintf("drafter-%d", n)
+		b.engines = append(b.engines, emulator.NewEngine(emulator.EngineOptions{
+			Name: name, Models: []string{"quill"}, TokensPerSec: 2_000, ChecksFencing: n%2 == 0,
+		}))
+		b.putTarget(name, drafter, n)
+	}
+	for n := range 3 {
+		name := fmt.Sprintf("ledger-%d", n)
+		b.services = append(b.services, emulator.NewService(emulator.ServiceOptions{Name: name, LookupByKey: true}, ledger))
+		b.putTarget(name, ledgerName, n)
+	}
+	if err := b.publish(); err != nil {
+		return nil, err
+	}
+	for n := range options.Hosts {
+		h, err := b.newHost(n)
+		if err != nil {
+			return nil, err
+		}
+		b.machines = append(b.machines, h)
+	}
+	return b, nil
+}
+
+func (b *bed) putTarget(name, role string, n int) {
+	domain := domains[n%len(domains)]
+	b.hosts.Put(provider.Member{Host: name, Address: name, FailureDomain: domain.Name, Region: domain.Region, Role: role})
+}
+
+func (b *bed) engine(name string) *emulator.Engine {
+	for _, engine := range b.engines {
+		if engine.Name() == name {
+			return engine
+		}
+	}
+	return nil
+}
+
+func (b *bed) service(name string) *emulator.Service {
+	for n, service := range b.services {
+		if name == fmt.Sprintf("ledger-%d", n) {
+			return service
+		}
+	}
+	return nil
+}
+
+func (b *bed) publish() error {
+	model := encoder.Service{
+		Name: drafter, Workspace: "lichtbeeld", Kind: "model", Models: []encoder.Model{{Name: "quill"}},
+		Timeouts: &encoder.Timeouts{CallMs: int(callTimeout.Milliseconds()), SilenceMs: 1_000},
+	}
+	plain := encoder.Service{
+		Name: ledgerName, Workspace: "lichtbeeld", Kind: "plain", NonRepeatable: []encoder.Pattern{{Path: "/invoices"}},
+		Targets:  encoder.TargetSelector{LookupByKey: true},
+		Timeouts: &encoder.Timeouts{CallMs: int(callTimeout.Milliseconds()), SilenceMs: 1_000},
+	}
+	services := []encoder.Service{model, plain}
+	for i := range services {
+		parser.FillDefaults(&services[i])
+	}
+	_, err := publisher.New(b.tables.For("setup"), systemClock{}).Publish(context.Background(), publisher.Proposal{
+		Operator: "setup", Action: publisher.ActionPublish, Document: publisher.Replace(encoder.Document{}, services, nil),
+	})
+	return err
+}
+
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+// newHost draws addresses on loopback that its runs share.
+func (b *bed) newHost(n int) (*host, error) {
+	domain := domains[n%len(domains)]
+	h := &host{bed: b, name: fmt.Sprintf("%s-%d", domain.Name, n/len(domains)+1), domain: domain.Name}
+	settings := parser.Settings{
+		Host: h.name, FailureDomain: domain.Name, Region: domain.Region,
+		Platform: parser.Platform{Tables: "memory", Objects: "memory", HostList: "memory", Token: "platform"},
+		Domains:  domains, ShardsPerDomain: 4,
+		Keys: []parser.Key{
+			{Client: "members", Role: parser.RoleCaller, SHA256: hashKey(callerKey)},
+			{Client: "desk", Role: parser.RoleOperator, SHA256: hashKey(operatorKey)},
+		},
+		Timing: parser.Timing{
+			LeaseMs: int(leaseTime.Milliseconds()), HeartbeatMs: 200, ConfigPollMs: 500, HostListMs: 300,
+			DrainMs: 10_000, DurabilityWaitMs: 2_000, AuditMs: int(auditInterval.Milliseconds()),
+		},
+	}
+	for _, address := range []*string{&settings.CallerAddress, &settings.PeerAddress, &settings.MetricsAddress} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		*address = listener.Addr().String()
+		_ = listener.Close()
+	}
+	data, err := json.Marshal(settings)
+	if err != nil {
+		return nil, err
+	}
+	h.settings, err = parser.ParseSettings(h.name, data)
+	b.network.hosts[settings.PeerAddress] = h.name
+	return h, err
+}
+
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// heal ends all faults and starts every host.
+func (b *bed) heal() {
+	b.tables.Faults().Clear()
+	b.objects.Faults().Clear()
+	b.hosts.SetFaults(emulator.HostListFaults{})
+	for n, engine := range b.engines {
+		engine.SetFaults(emulator.EngineFaults{})
+		b.putTarget(engine.Name(), drafter, n)
+		b.inspector.setLeaving(engine.Name(), false)
+	}
+	for _, service := range b.services {
+		service.SetFaults(emulator.ServiceFaults{})
+	}
+	for _, h := range b.machines {
+		h.start()
+	}
+}
+
+// close stops everything at once.
+func (b *bed) close() {
+	for _, service := range b.services {
+		service.Close()
+	}
+	for _, h := range b.machines {
+		h.kill()
+		h.group.Wait()
+	}
+	for _, engine := range b.engines {
+		engine.Close()
+	}
+}
--- /dev/null
+++ b/soaker/client.go
@@ -0,0 +1,98 @@
+package soaker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// reply is what a caller gets. A lost reply has no outcome.
+type reply struct {
+	status  int
+	outcome string
+	code    string
+	message string
+	program string
+	step    int
+	body    []byte
+}
+
+func (r reply) lost() bool { return r.outcome == "" }
+
+// requestTimeout is how long a caller waits; a call may wait for a takeover, the
+// store and its own time-out.
+const requestTimeout = callTimeout + 5*time.Second
+
+// client sends requests to daemons, each on a new connection, so that a caller
+// never depends on one that went silent.
+type client struct {
+	http http.Client
+	key  string
+}
+
+func newClient(key string) *client {
+	return &client{key: key, http: http.Client{
+		Timeout: requestTimeout, Transport: &http.Transport{DisableKeepAlives: true},
+	}}
+}
+
+// send sends one request to a host and returns a lost reply when the connection
+// broke or no answer came in time.
+func (c *client) send(ctx context.Context, h *host, method, path string, headers map[string]string, body []byte) reply {
+	v, up := h.enter()
+	if !up {
+		return reply{outcome: "notRun", code: "connectionRefused"}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.settings.CallerAddress+path, bytes.NewReader(body))
+	if err != nil {
+		return reply{}
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := c.http.Do(request)
+	if err == nil {
+		defer func() { _ = response.Body.Close() }()
+		var data []byte
+		if data, err = io.ReadAll(response.Body); err == nil {
+			return decodeReply(response, data)
+		}
+	}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return reply{outcome: "notRun", code: "connectionRefused"}
+	}
+	h.bed.tally.count("replies lost", 1)
+	if ctx.Err() == nil && !isTimeout(err) {
+		h.bed.tally.check(checkStop, !h.interrupted(v), "%s broke off a request while it stopped: %v", h.name, err)
+	}
+	return reply{}
+}
+
+func decodeReply(response *http.Response, data []byte) reply {
+	r := reply{
+		status: response.StatusCode, body: data, outcome: response.Header.Get("Dogwoodweir-Outcome"),
+		program: response.Header.Get("Dogwoodweir-Program"),
+	}
+	r.step, _ = strconv.Atoi(response.Header.Get("Dogwoodweir-Step"))
+	if response.StatusCode == http.StatusOK && r.outcome == "" {
+		r.outcome = "done"
+	}
+	var failure struct {
+		Error struct{ Code, Message, Outcome string } `json:"error"`
+	}
+	if json.Unmarshal(data, &failure) == nil && failure.Error.Code != "" {
+		r.code, r.message = failure.Error.Code, failure.Error.Message
+		if r.outcome == "" {
+			r.outcome = failure.Error.Outcome
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/soaker/platform.go
@@ -0,0 +1,113 @@
+package soaker
+
+import (
+	"context"
+	"sync"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// gate holds the platform requests of a paused host: those not yet sent are sent,
+// and answers are seen, only after the pause. To the platform this looks like a
+// process that is stopped between its check and its request.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{}
+}
+
+func newGate() *gate {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	return g
+}
+
+func (g *gate) pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+		g.open = make(chan struct{})
+	default:
+	}
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-g.open:
+	default:
+		close(g.open)
+	}
+}
+
+// pass waits for the end of a pause. It ignores the context, as a stopped process
+// ignores its timers.
+func (g *gate) pass() {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	<-open
+}
+
+type gatedTables struct {
+	provider.Tables
+	gate *gate
+}
+
+func (t gatedTables) Commit(ctx context.Context, transaction provider.Transaction) (provider.CommitResult, error) {
+	t.gate.pass()
+	defer t.gate.pass()
+	// A request that was about to be sent goes out even when its time is over.
+	return t.Tables.Commit(context.WithoutCancel(ctx), transaction)
+}
+
+func (t gatedTables) Read(ctx context.Context, table, key string) (provider.Row, error) {
+	t.gate.pass()
+	defer t.gate.pass()
+	return t.Tables.Read(ctx, table, key)
+}
+
+func (t gatedTables) Scan(ctx context.Context, table, prefix, after string, limit int) ([]provider.Row, error) {
+	t.gate.pass()
+	defer t.gate.pass()
+	return t.Tables.Scan(ctx, table, prefix, after, limit)
+}
+
+// watchedEngine shows an engine's calls to the inspector.
+type watchedEngine struct {
+	provider.Engine
+	name      string
+	host      *host
+	gate      *gate
+	inspector *inspector
+}
+
+func (e watchedEngine) Generate(ctx context.Context, request provider.GenerateRequest, emit func(provider.Chunk) error) error {
+	e.gate.pass()
+	e.inspector.generated(e.name, e.host, request)
+	return e.Engine.Generate(ctx, request, func(chunk provider.Chunk) error {
+		e.gate.pass()
+		return emit(chunk)
+	})
+}
+
+// watchedService shows a service's calls to the inspector.
+type watchedService struct {
+	provider.Service
+	name      string
+	host      *host
+	gate      *gate
+	inspector *inspector
+}
+
+func (s watchedService) Invoke(ctx context.Context, request provider.InvokeRequest) (provider.InvokeResult, error) {
+	s.gate.pass()
+	s.inspector.invoked(s.name, s.host, request)
+	if request.Key != "" && s.host.killDuring.CompareAndSwap(true, false) {
+		go s.host.kill()
+	}
+	result, err := s.Service.Invoke(ctx, request)
+	s.gate.pass()
+	return result, err
+}
--- /dev/null
+++ b/soaker/report.go
@@ -0,0 +1,87 @@
+package soaker
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// maxViolations bounds the violations that a report lists.
+const maxViolations = 50
+
+// Report says what a run did and found.
+type Report struct {
+	Seed     uint64
+	Duration time.Duration
+	// Faults counts the faults of each kind, Counts programs, calls and checks.
+	Faults     map[string]int
+	Counts     map[string]int
+	Violations []string
+}
+
+// String formats the report with one figure a line.
+func (r *Report) String() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "seed %d, %s\n", r.Seed, r.Duration.Round(time.Millisecond))
+	for _, kind := range slices.Sorted(maps.Keys(r.Counts)) {
+		fmt.Fprintf(&text, "  %-28s %d\n", kind, r.Counts[kind])
+	}
+	for _, kind := range slices.Sorted(maps.Keys(r.Faults)) {
+		fmt.Fprintf(&text, "  fault %-22s %d\n", kind, r.Faults[kind])
+	}
+	fmt.Fprintf(&text, "violations: %d\n", len(r.Violations))
+	for _, violation := range r.Violations {
+		fmt.Fprintf(&text, "  %s\n", violation)
+	}
+	return text.String()
+}
+
+// tally collects a report from many goroutines.
+type tally struct {
+	mu     sync.Mutex
+	began  time.Time
+	report Report
+}
+
+func newTally(options Options) *tally {
+	return &tally{began: time.Now(), report: Report{
+		Seed: options.Seed, Faults: map[string]int{}, Counts: map[string]int{},
+	}}
+}
+
+func (t *tally) count(kind string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Counts[kind] += n
+}
+
+func (t *tally) fault(kind string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Faults[kind]++
+}
+
+// check counts a check and reports a violation when it does not hold.
+func (t *tally) check(invariant string, holds bool, format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Counts["checks "+invariant]++
+	if holds || len(t.report.Violations) >= maxViolations {
+		return
+	}
+	at := time.Since(t.began).Round(time.Millisecond)
+	t.report.Violations = append(t.report.Violations, fmt.Sprintf("%s at %s: %s", invariant, at, fmt.Sprintf(format, args...)))
+}
+
+func (t *tally) result() *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.report
+	r.Duration = time.Since(t.began)
+	r.Faults, r.Counts = maps.Clone(r.Faults), maps.Clone(r.Counts)
+	r.Violations = slices.Clone(r.Violations)
+	return &r
+}
--- /dev/null
+++ b/soaker/soaker.go
@@ -0,0 +1,142 @@
+package soaker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// Options describes a run; zero values have defaults.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	// Hosts is the number of daemons (default 6), Callers that of concurrent
+	// callers (default 16).
+	Hosts   int
+	Callers int
+	// Calm runs without faults.
+	Calm   bool
+	Logger *zap.Logger
+}
+
+func (o Options) withDefaults() Options {
+	if o.Duration == 0 {
+		o.Duration = 30 * time.Second
+	}
+	if o.Hosts == 0 {
+		o.Hosts = 6
+	}
+	if o.Callers == 0 {
+		o.Callers = 16
+	}
+	if o.Logger == nil {
+		o.Logger = zap.NewNop()
+	}
+	return o
+}
+
+// settleTime is how long the system may take to settle after the last fault:
+// takeovers, time-outs of calls and two audits.
+const settleTime = callTimeout + 4*leaseTime + 2*auditInterval
+
+// Run runs a soak: load and faults for the duration, then everything healed, all
+// programs ended and the final checks.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	options = options.withDefaults()
+	t := newTally(options)
+	b, err := newBed(options, t)
+	if err != nil {
+		return nil, err
+	}
+	defer b.close()
+	for _, h := range b.machines {
+		h.start()
+	}
+	if err := b.ready(ctx); err != nil {
+		return nil, err
+	}
+	callers := b.load(ctx, options)
+	b.heal()
+	b.wind(ctx, callers)
+	return t.result(), nil
+}
+
+// ready waits until every daemon answers.
+func (b *bed) ready(ctx context.Context) error {
+	c := newClient(operatorKey)
+	limit := time.Now().Add(10 * time.Second)
+	for _, h := range b.machines {
+		for c.send(ctx, h, "GET", "/admin/v1/status", nil, nil).status != 200 {
+			if time.Now().After(limit) || ctx.Err() != nil {
+				return fmt.Errorf("%s does not answer", h.name)
+			}
+			sleep(ctx, 50*time.Millisecond)
+		}
+	}
+	sleep(ctx, 2*leaseTime) // the shards find their owners
+	return nil
+}
+
+// load runs callers, operators and the schedule of faults.
+func (b *bed) load(ctx context.Context, options Options) []*caller {
+	timed, cancel := context.WithTimeout(ctx, options.Duration)
+	defer cancel()
+	var traffic, trouble conc.WaitGroup
+	v := newVersions(b)
+	callers := make([]*caller, options.Callers)
+	for n := range callers {
+		c := &caller{
+			bed: b, random: rand.New(rand.NewPCG(options.Seed, uint64(n))), client: newClient(callerKey),
+			name: fmt.Sprintf("c%d", n),
+		}
+		callers[n] = c
+		traffic.Go(func() { c.run(timed) })
+	}
+	for n := range 2 {
+		traffic.Go(func() { v.publish(timed, options.Seed+uint64(n)) })
+	}
+	traffic.Go(func() { v.watch(timed) })
+	if !options.Calm {
+		began := time.Now()
+		for _, f := range schedule(options.Seed, options.Duration) {
+			trouble.Go(func() {
+				sleep(timed, time.Until(began.Add(f.At)))
+				if timed.Err() == nil {
+					b.inflict(timed, f)
+				}
+			})
+		}
+	}
+	trouble.Wait()
+	traffic.Wait()
+	return callers
+}
+
+// wind ends all programs and makes the final checks.
+func (b *bed) wind(ctx context.Context, callers []*caller) {
+	var group conc.WaitGroup
+	limit := time.Now().Add(settleTime)
+	for _, c := range callers {
+		group.Go(func() { c.endAll(ctx, limit) })
+	}
+	group.Wait()
+	sleep(ctx, settleTime)
+	b.inspector.checkMemory(b.engines)
+	b.inspector.checkRuns()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, check := range b.atEnd {
+		check()
+	}
+}
+
+// later queues a check for the end of the run.
+func (b *bed) later(check func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.atEnd = append(b.atEnd, check)
+}
--- /dev/null
+++ b/soaker/soaker_test.go
@@ -0,0 +1,175 @@
+package soaker
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Guards against a schedule that cannot be repeated from its seed, and against
+// kinds of faults that are never drawn.
+func TestScheduleFollowsSeed(t *testing.T) {
+	kinds := map[string]bool{}
+	for seed := range uint64(30) {
+		faults := schedule(seed, time.Minute)
+		if diff := cmp.Diff(faults, schedule(seed, time.Minute)); diff != "" {
+			t.Fatalf("schedules of seed %d differ:\n%s", seed, diff)
+		}
+		for _, f := range faults {
+			kinds[f.Kind] = true
+		}
+	}
+	for _, kind := range faultKinds {
+		if !kinds[kind] {
+			t.Errorf("no schedule has fault %q", kind)
+		}
+	}
+}
+
+// Guards against checks of the soak that cannot fail: each case breaks one promise
+// in what targets see or callers are told.
+func TestInspectorNotices(t *testing.T) {
+	user := func(dialogue string, turn int) provider.ChatMessage {
+		return provider.ChatMessage{Role: "user", Content: labelOf(dialogue, turn, "")}
+	}
+	assistant := provider.ChatMessage{Role: "assistant", Content: "reply"}
+	generate := func(i *inspector, messages ...provider.ChatMessage) {
+		i.generated("drafter-0", &host{}, provider.GenerateRequest{Program: "p", Messages: messages})
+	}
+	pay := func(i *inspector, ledger *emulator.Service, key string) {
+		request := provider.InvokeRequest{Key: key, Body: []byte("body")}
+		i.invoked("ledger-0", &host{}, request)
+		_, _ = ledger.Invoke(context.Background(), request)
+	}
+	tests := []struct {
+		name   string
+		breaks func(i *inspector, service *emulator.Service)
+		want   string
+	}{
+		{"nothing", func(i *inspector, _ *emulator.Service) {
+			i.toldDone(&dialogue{program: "p"}, user("a", 1), assistant, 1)
+			generate(i, user("a", 1), assistant, user("a", 2))
+		}, ""},
+		{"a turn is missing", func(i *inspector, _ *emulator.Service) { generate(i, user("a", 2)) }, checkOrder},
+		{"another program's turn", func(i *inspector, _ *emulator.Service) { generate(i, user("a", 1), assistant, user("b", 2)) }, checkHistory},
+		{"another answer than the caller's", func(i *inspector, _ *emulator.Service) {
+			i.toldDone(&dialogue{program: "p"}, user("a", 1), provider.ChatMessage{Role: "assistant", Content: "other"}, 1)
+			generate(i, user("a", 1), assistant, user("a", 2))
+		}, checkHistory},
+		{"an overspent budget", func(i *inspector, _ *emulator.Service) {
+			d := &dialogue{program: "p", root: "p", budget: 10}
+			i.toldDone(d, user("a", 1), assistant, 6)
+			i.toldDone(d, user("a", 2), assistant, 6)
+		}, checkBudget},
+		{"a repeated payment", func(i *inspector, s *emulator.Service) {
+			pay(i, s, "k")
+			pay(i, s, "k")
+			i.checkRuns()
+		}, checkOnce},
+		{"a payment under two keys", func(i *inspector, s *emulator.Service) {
+			pay(i, s, "k")
+			pay(i, s, "l")
+		}, checkOnce},
+		{"work for a leaving target", func(i *inspector, _ *emulator.Service) {
+			i.leaving["drafter-0"] = time.Now().Add(-2 * leavingBound)
+			generate(i, user("a", 1))
+		}, checkLeaving},
+		{"memory of an ended program", func(i *inspector, _ *emulator.Service) {
+			engine := emulator.NewEngine(emulator.EngineOptions{Name: "drafter-0"})
+			defer engine.Close()
+			_ = engine.Order(context.Background(), provider.Order{Kind: "hold", Program: "p"})
+			i.programEnded("p")
+			i.checkMemory([]*emulator.Engine{engine})
+		}, checkMemory},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ledger := emulator.NewLedger()
+			service := emulator.NewService(emulator.ServiceOptions{Name: "ledger-0", DelayMs: 1}, ledger)
+			defer service.Close()
+			c := newTally(Options{})
+			test.breaks(newInspector(c, ledger), service)
+			got := ""
+			for _, violation := range c.result().Violations {
+				got = violation
+			}
+			if len(got) < len(test.want) || got[:len(test.want)] != test.want || test.want == "" && got != "" {
+				t.Errorf("last violation is %q, want one of %q", got, test.want)
+			}
+		})
+	}
+}
+
+// Guards against a daemon whose version falls or lags, or whose planned stop
+// breaks a request, without the soak noticing.
+func TestHostChecksNotice(t *testing.T) {
+	b := &bed{tally: newTally(Options{})}
+	now := time.Now()
+	v := newVersions(b)
+	h := &host{bed: b, name: "h", run: 1}
+	v.accepted[7] = now.Add(-2 * time.Second)
+	v.observed(h, 1, now.Add(-time.Hour), now, 6)
+	if r := b.tally.result(); len(r.Violations) != 0 {
+		t.Errorf("a version within its bound is reported: %v", r.Violations)
+	}
+	v.observed(h, 1, now.Add(-time.Hour), now.Add(2*time.Second), 6)
+	v.observed(h, 1, now, now, 5)
+	if r := b.tally.result(); len(r.Violations) != 2 {
+		t.Errorf("a late and a falling version give %v", r.Violations)
+	}
+	visited := visit{run: 1, started: now.Add(-time.Second)}
+	got := []bool{h.interrupted(visited)}
+	h.stopping = now
+	got = append(got, h.interrupted(visited), h.interrupted(visit{run: 1, started: now}))
+	h.killed = true
+	got = append(got, h.interrupted(visited))
+	if diff := cmp.Diff([]bool{false, true, false, false}, got); diff != "" {
+		t.Errorf("interrupted differs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a partition that lets bytes through, on a connection that was
+// open before it or on a new one.
+func TestNetworkCuts(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	n := newNetwork()
+	n.hosts[listener.Addr().String()] = "b"
+	dial := func() (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		return n.dialer("a")(ctx, listener.Addr().String())
+	}
+	conn, err := dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	peer, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = peer.Close() }()
+	n.setCut("b", "a", true)
+	if _, err := dial(); err == nil {
+		t.Error("a new connection opens during the cut")
+	}
+	n.setCut("b", "a", false)
+	_, _ = conn.Write([]byte("lost"))
+	_ = peer.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if got, _ := peer.Read(make([]byte, 8)); got != 0 {
+		t.Errorf("%d bytes pass on a connection that was open during the cut", got)
+	}
+	if _, err := dial(); err != nil {
+		t.Errorf("no new connection after the cut: %v", err)
+	}
+}
