Reserve the recorded history of appended calls at their owner

A call that appends brings only its new messages, so its bound was estimated from the usage of the last turn. That is too low, because an answer counts more tokens in the next prompt than it took to generate, and it is out of date for a call that waited for its predecessor. The sequencer now adds the history that it holds when the call starts.

--- a/sequencer/dispatch.go
+++ b/sequencer/dispatch.go
@@ -21,6 +21,9 @@
 	if !ok {
 		return refusal{code: CodeHistoryMismatch, text: "the history in the request is not the recorded one"}
 	}
+	if r.Append && r.Kind == KindModel {
+		r.PromptTokens += p.History.tokens()
+	}
 	if f := s.admitBudget(p, r); f.code != "" {
 		if f.end != "" && p.Sequence > 0 {
 			s.end(p, f.end)
--- a/sequencer/history.go
+++ b/sequencer/history.go
@@ -14,10 +14,12 @@
 	Count int    `json:"count"`
 	Chain uint64 `json:"chain"`
 	// From is the index of Tail[0].
-	From     int                    `json:"from"`
-	Tail     []provider.ChatMessage `json:"tail,omitempty"`
-	Bytes    int                    `json:"bytes"`
-	Segments []segmentBody          `json:"segments,omitempty"`
+	From  int                    `json:"from"`
+	Tail  []provider.ChatMessage `json:"tail,omitempty"`
+	Bytes int                    `json:"bytes"`
+	// Total counts the bytes of all messages, those in segments too.
+	Total    int           `json:"total"`
+	Segments []segmentBody `json:"segments,omitempty"`
 }
 
 // pendingSegment is a part of the tail that is on its way to the object store.
@@ -59,8 +61,21 @@
 	h.Count += len(messages)
 	h.Tail = append(h.Tail, messages...)
 	h.Bytes += messageBytes(messages)
+	h.Total += messageBytes(messages)
 }
 
+// tokens estimates the prompt tokens of the recorded history.
+func (h *history) tokens() int {
+	if h.Count == 0 {
+		return 0
+	}
+	return (h.Total+promptBytesPerToken*h.Count)/promptBytesPerToken + 1
+}
+
+// promptBytesPerToken is the usual ratio of English text, the same that entry
+// daemons assume for the messages of a request.
+const promptBytesPerToken = 4
+
 // drop removes the messages of a stored segment from the tail.
 func (h *history) drop(segment segmentBody) error {
 	n := segment.Through - h.From
--- a/sequencer/message.go
+++ b/sequencer/message.go
@@ -42,7 +42,8 @@
 	Messages []provider.ChatMessage
 	Model    string
 	Adapter  string
-	// MaxTokens and PromptTokens bound the call's use of tokens from above.
+	// MaxTokens and PromptTokens bound the use of tokens by the answer and by
+	// Messages from above; the owner adds the recorded history of an Append.
 	MaxTokens    int
 	PromptTokens int
 	// Cost bounds the call's cost from above.
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -242,6 +242,12 @@
 			d.send(ShardClosing{Shard: "nl-ams/0"})
 			d.call(nil)
 		}, "notRun 0 ownerChanging", 1},
+		{"an appended call reserves the recorded history", Options{}, func(d *desk) {
+			d.call(func(r *CallRequest) { r.Budget.Tokens = 300 })
+			d.finish(OutcomeDone, Result{Text: strings.Repeat("long ", 120), Usage: provider.Usage{PromptTokens: 10, CompletionTokens: 90}})
+			d.commit()
+			d.call(nil)
+		}, "notRun 0 budgetExceeded", 1},
 		{"turns are limited", Options{}, func(d *desk) {
 			d.call(func(r *CallRequest) { r.Limits.MaxTurns = 1 })
 			d.finish(OutcomeDone, Result{})
