--- a/recoverer/recoverer_test.go
+++ b/recoverer/recoverer_test.go
@@ -221,7 +221,7 @@
 					}
 				}
 				send(ShardGone{Shard: shard})
-			default:
+			case len(positions) > 0:
 				sequence++
 				send(LogGrew{Sequence: sequence, Bytes: 1})
 			}
