Add the detector of host and target states

Routing and ownership need to know which hosts and targets can be used, without state that grows with the fleet on the wire.

The detector combines the platform's list, heartbeats to four peers and the daemon's own traffic. Suspicions are confirmed on a new connection, a lost failure domain is one observation, leaving is sticky for a run, and what a failure domain observes is shared only where it holds. Digests on heartbeats repair what lost rumours missed.

--- /dev/null
+++ b/detector/message.go
@@ -0,0 +1,108 @@
+package detector
+
+import (
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Message is an input of State.Update.
+type Message interface{ isMessage() }
+
+// ListReceived is one answer of the platform's host list.
+type ListReceived struct{ Members []provider.Member }
+
+// HeartbeatReceived is a peer's heartbeat, or its answer to one of ours.
+type HeartbeatReceived struct {
+	Heartbeat encoder.Heartbeat
+	Reply     bool
+}
+
+// HeartbeatMissed says that a heartbeat got no answer in time.
+type HeartbeatMissed struct{ Host string }
+
+// ProbeFinished is the result of a probe on a new connection; one of Host and
+// Target is set.
+type ProbeFinished struct {
+	Host   string
+	Target string
+	OK     bool
+}
+
+// TrafficObserved is the result of a call to a target as evidence of its health.
+type TrafficObserved struct {
+	Target string
+	OK     bool
+}
+
+// HostObserved is the result of a forwarded call as evidence about a host.
+type HostObserved struct {
+	Host string
+	OK   bool
+}
+
+// TargetLeaving says that a target announced its shutdown.
+type TargetLeaving struct{ Target string }
+
+// DrainsChanged has the hosts and targets drained by the configuration in force.
+type DrainsChanged struct{ Hosts []string }
+
+// ConfigChanged has the configuration version in force; peers are told at once.
+type ConfigChanged struct{ Version int }
+
+// LeaveRequested starts the shutdown of this host.
+type LeaveRequested struct{}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (ListReceived) isMessage()      {}
+func (HeartbeatReceived) isMessage() {}
+func (HeartbeatMissed) isMessage()   {}
+func (ProbeFinished) isMessage()     {}
+func (TrafficObserved) isMessage()   {}
+func (HostObserved) isMessage()      {}
+func (TargetLeaving) isMessage()     {}
+func (DrainsChanged) isMessage()     {}
+func (ConfigChanged) isMessage()     {}
+func (LeaveRequested) isMessage()    {}
+func (Tick) isMessage()              {}
+
+// Command is an output of State.Update.
+type Command interface{ isCommand() }
+
+// SendHeartbeat sends a heartbeat to a peer and waits at most Settings.Heartbeat
+// for the answer.
+type SendHeartbeat struct {
+	To, Address string
+	Heartbeat   encoder.Heartbeat
+}
+
+// AnswerHeartbeat answers the heartbeat that Update has just taken.
+type AnswerHeartbeat struct{ Heartbeat encoder.Heartbeat }
+
+// ProbeHost probes a host on a new connection.
+type ProbeHost struct{ Host, Address string }
+
+// ProbeTarget probes a target on a new connection.
+type ProbeTarget struct{ Target, Address string }
+
+// PublishView replaces the view.
+type PublishView struct{ View View }
+
+func (SendHeartbeat) isCommand()   {}
+func (AnswerHeartbeat) isCommand() {}
+func (ProbeHost) isCommand()       {}
+func (ProbeTarget) isCommand()     {}
+func (PublishView) isCommand()     {}
+
+// States of hosts and targets.
+const (
+	Joining     = "joining"
+	Warming     = "warming"
+	Ready       = "ready"
+	Suspect     = "suspect"
+	Degraded    = "degraded"
+	Unreachable = "unreachable"
+	Leaving     = "leaving"
+	Gone        = "gone"
+)
--- /dev/null
+++ b/detector/view.go
@@ -0,0 +1,196 @@
+package detector
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// viewPause is the least time between two views, so that a burst of news costs
+// one.
+const viewPause = 100 * time.Millisecond
+
+// View is what the detector knows, in order of name. It is never changed.
+type View struct {
+	Version     int
+	Hosts       []HostView
+	Targets     []TargetView
+	LostDomains []string
+	LostRegions []string
+}
+
+// HostView is one host.
+type HostView struct {
+	Name, Address, FailureDomain, Region, State, Incarnation string
+	Drained                                                  bool
+}
+
+// TargetView is one target.
+type TargetView struct {
+	Name, Address, Service, FailureDomain, Region, State string
+	// Since is when the state warming began.
+	Since time.Time
+	// Hint says that the last call failed and nothing good was seen since.
+	Hint    bool
+	Drained bool
+	// Subset says that this daemon uses the target; Assigned that it probes it for
+	// its failure domain.
+	Subset, Assigned bool
+}
+
+// publish returns the view when it has changed.
+func (s *State) publish(now time.Time) []Command {
+	if !s.changed || now.Sub(s.lastView) < viewPause {
+		return nil
+	}
+	s.changed, s.lastView = false, now
+	s.viewVersion++
+	view := View{Version: s.viewVersion, LostRegions: s.lostRegions()}
+	for _, name := range slices.Sorted(maps.Keys(s.domains)) {
+		if s.domains[name].lost {
+			view.LostDomains = append(view.LostDomains, name)
+		}
+	}
+	for _, name := range s.hostNames {
+		h := s.hosts[name]
+		state := h.state
+		if s.drained[name] && state != Gone {
+			state = Leaving
+		}
+		view.Hosts = append(view.Hosts, HostView{
+			Name: name, Address: h.member.Address, FailureDomain: h.member.FailureDomain, Region: h.member.Region,
+			State: state, Incarnation: h.incarnation, Drained: s.drained[name],
+		})
+	}
+	view.Targets = make([]TargetView, 0, len(s.targets))
+	for _, name := range s.targetNames {
+		t := s.targets[name]
+		state := t.state
+		if s.drained[name] && state != Gone {
+			state = Leaving
+		}
+		view.Targets = append(view.Targets, TargetView{
+			Name: name, Address: t.member.Address, Service: t.member.Role, FailureDomain: t.member.FailureDomain,
+			Region: t.member.Region, State: state, Since: t.since, Hint: t.hint, Drained: s.drained[name],
+			Assigned: s.assigned[name],
+		})
+	}
+	s.markSubset(view.Targets)
+	return []Command{PublishView{View: view}}
+}
+
+// markSubset chooses the targets that this daemon uses, at most Settings.Subset
+// for each service: by rendezvous hashing, the own failure domain first, then the
+// own region.
+func (s *State) markSubset(targets []TargetView) {
+	type candidate struct {
+		index, distance int
+		score           uint64
+	}
+	own := xxhash.Sum64String(s.self.Host)
+	services := map[string][]candidate{}
+	for i, t := range targets {
+		if t.State == Leaving || t.State == Gone || t.State == Unreachable {
+			continue
+		}
+		distance := 2
+		if t.FailureDomain == s.self.FailureDomain {
+			distance = 0
+		} else if t.Region == s.self.Region {
+			distance = 1
+		}
+		services[t.Service] = append(services[t.Service], candidate{i, distance, score(own, s.targets[t.Name].hash)})
+	}
+	for _, candidates := range services {
+		if len(candidates) > s.settings.Subset {
+			slices.SortFunc(candidates, func(a, b candidate) int {
+				return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score), cmp.Compare(a.index, b.index))
+			})
+			candidates = candidates[:s.settings.Subset]
+		}
+		for _, c := range candidates {
+			targets[c.index].Subset = true
+		}
+	}
+}
+
+// sweep ends slow starts, forgets what has been gone for long and renews the
+// assignment of probes, once a second. Drains belong to the configuration and
+// are left as they are.
+func (s *State) sweep(now time.Time) {
+	if now.Sub(s.lastSweep) < time.Second {
+		return
+	}
+	s.lastSweep = now
+	s.hostNames = slices.DeleteFunc(s.hostNames, func(name string) bool {
+		h := s.hosts[name]
+		old := h.state == Gone && now.Sub(h.goneAt) > s.settings.Keep
+		if old {
+			delete(s.hosts, name)
+			s.changed = true
+		}
+		return old
+	})
+	s.targetNames = slices.DeleteFunc(s.targetNames, func(name string) bool {
+		t := s.targets[name]
+		if t.state == Warming && now.Sub(t.since) >= s.settings.SlowStart {
+			s.fireTarget(t, "warmed")
+		}
+		old := t.state == Gone && now.Sub(t.goneAt) > s.settings.Keep
+		if old {
+			delete(s.targets, name)
+			s.changed = true
+		}
+		return old
+	})
+	if s.assignStale {
+		s.assign()
+	}
+}
+
+// assign finds the targets that this daemon probes for its failure domain: those
+// for which it has the highest score among the domain's usable hosts. Targets of a
+// domain without hosts are probed from their region, or else from anywhere.
+func (s *State) assign() {
+	s.assignStale = false
+	pools := map[string][]uint64{}
+	own := xxhash.Sum64String(s.self.Host)
+	for _, name := range s.hostNames {
+		if h := s.hosts[name]; h.usable() && h.state != Leaving {
+			hash := xxhash.Sum64String(name)
+			for _, key := range []string{"d/" + h.member.FailureDomain, "r/" + h.member.Region, "*"} {
+				pools[key] = append(pools[key], hash)
+			}
+		}
+	}
+	assigned := map[string]bool{}
+	for _, name := range s.targetNames {
+		t := s.targets[name]
+		pool := pools["d/"+t.member.FailureDomain]
+		inside := t.member.FailureDomain == s.self.FailureDomain
+		if len(pool) == 0 {
+			pool, inside = pools["r/"+t.member.Region], t.member.Region == s.self.Region
+		}
+		if len(pool) == 0 {
+			pool, inside = pools["*"], true
+		}
+		if inside && wins(own, t.hash, pool) {
+			assigned[name] = true
+		}
+	}
+	s.assigned = assigned
+	s.changed = true
+}
+
+func wins(own, target uint64, pool []uint64) bool {
+	best := score(own, target)
+	for _, other := range pool {
+		if score(other, target) > best {
+			return false
+		}
+	}
+	return true
+}
