Do not wait for targets that fail, and measure failing and silent runners

Cause: a target with an open breaker or in slow start looks idle, so that calls waited for it; a daemon allowed 64 programs at its start, which is a tenth of its share at full scale. Change: blocked targets are no candidates, only a program whose cache is there waits for a slot, and the limit of programs starts open. The ablations have two more faults.

--- a/admitter/shedding.go
+++ b/admitter/shedding.go
@@ -80,7 +80,7 @@
 func DefaultShedding(maxQueue int) SheddingOptions {
 	return SheddingOptions{
 		MaxQueue: maxQueue, Wait: 3 * time.Second, MinPrograms: 4,
-		MaxPrograms: 4_096, Initial: 64, Decrease: 0.95, Pause: 2 * time.Second,
+		MaxPrograms: 4_096, Initial: 4_096, Decrease: 0.95, Pause: 2 * time.Second,
 	}
 }
 
@@ -118,6 +118,10 @@
 	return Decision{}
 }
 
+// minIncrease is the rise of the limit for one call that did not wait: at 23 calls
+// a second a daemon's limit rises by 43 programs a minute.
+const minIncrease = 1.0 / 32
+
 // sampleGain is the weight of one call in the smoothed queueing time.
 const sampleGain = 0.05
 
@@ -134,6 +138,6 @@
 		return
 	}
 	if float64(sample.Programs) >= 0.9*s.limit {
-		s.limit = math.Min(s.options.MaxPrograms, s.limit+2/s.limit)
+		s.limit = math.Min(s.options.MaxPrograms, s.limit+math.Max(2/s.limit, minIncrease))
 	}
 }
--- a/bencher/ablation.go
+++ b/bencher/ablation.go
@@ -42,7 +42,10 @@
 var ablationCases = []struct {
 	load  float64
 	fault Fault
-}{{0.95, Healthy}, {1.2, Healthy}, {0.8, SlowRunner}, {0.8, DomainCut}, {0.95, StaleReports}}
+}{
+	{0.95, Healthy}, {1.2, Healthy}, {0.8, SlowRunner}, {0.8, DomainCut}, {0.95, StaleReports},
+	{0.8, FailingRunner}, {0.8, SilentRunner},
+}
 
 // Ablate returns the jobs of the ablation table.
 func (s *Suite) Ablate(capacities []Capacity) []Job {
@@ -68,7 +71,7 @@
 func WriteAblations(out io.Writer, rows []Row) {
 	fmt.Fprint(out, "| mechanism off |")
 	for _, c := range ablationCases {
-		fmt.Fprintf(out, " %.2f %s: median, p95, wasted, goodput |", c.load, c.fault)
+		fmt.Fprintf(out, " %.2f %s: median, p95, wasted, link, goodput |", c.load, c.fault)
 	}
 	fmt.Fprint(out, "\n|---|")
 	for range ablationCases {
@@ -90,8 +93,8 @@
 			relative := func(value func(Result) float64) float64 {
 				return mean(p.Name, value) / mean(PolicyName, value)
 			}
-			fmt.Fprintf(out, " %.2f, %.2f, %.2f, %.3f |", relative(median), relative(p95), relative(wasted),
-				relative(func(r Result) float64 { return r.Goodput }))
+			fmt.Fprintf(out, " %.2f, %.2f, %.2f, %.2f, %.3f |", relative(median), relative(p95), relative(wasted),
+				relative(linked), relative(func(r Result) float64 { return r.Goodput }))
 		}
 		fmt.Fprintln(out)
 	}
--- a/bencher/cell.go
+++ b/bencher/cell.go
@@ -23,9 +23,13 @@
 	// LostEvents drops a third of the cache events and delays the others by two
 	// seconds.
 	LostEvents Fault = "lostEvents"
+	// FailingRunner makes one runner fail every call at once, so that it looks idle.
+	FailingRunner Fault = "failingRunner"
+	// SilentRunner makes one runner accept calls and answer nothing for a while.
+	SilentRunner Fault = "silentRunner"
 )
 
-// Faults returns all faults, the healthy case first.
+// Faults returns the faults of the main table, the healthy case first.
 func Faults() []Fault { return []Fault{Healthy, SlowRunner, DomainCut, StaleReports, LostEvents} }
 
 // Times bound a run. Programs that arrive from Warm to Until are measured;
--- a/bencher/daemon.go
+++ b/bencher/daemon.go
@@ -126,6 +126,10 @@
 	// silence the time until an answer that does not arrive is given up.
 	connectFailure = 500 * time.Millisecond
 	silence        = 5 * time.Second
+	// failure is how fast a failing runner breaks a call, idle the timeout of a
+	// connection without a byte.
+	failure = 100 * time.Millisecond
+	idle    = 15 * time.Second
 )
 
 func (d *daemon) send(c scheduler.SendCall) {
@@ -160,6 +164,14 @@
 		return
 	}
 	e := w.byName[target]
+	if e.failing {
+		w.after(failure, func() { d.finish(k, target, j, scheduler.CallFinished{Outcome: scheduler.Unknown}) })
+		return
+	}
+	if e.silent {
+		w.after(idle, func() { d.finish(k, target, j, scheduler.CallFinished{Outcome: scheduler.Unknown}) })
+		return
+	}
 	if !e.submit(j) {
 		w.after(w.travel(e.domain, d.domain, 200), func() {
 			report := w.snapshot(e)
@@ -202,7 +214,7 @@
 
 func (w *world) engineStarted(e *engine, j *job) {
 	d := j.daemon
-	if w.cut(e.domain, d.domain) {
+	if e.silent || w.cut(e.domain, d.domain) {
 		return
 	}
 	w.after(w.travel(e.domain, d.domain, 200), func() {
@@ -225,6 +237,10 @@
 	}
 	message := scheduler.CallFinished{Outcome: scheduler.Done}
 	if e := w.byName[target]; e != nil {
+		if e.silent {
+			w.after(idle, func() { d.finish(k, target, j, scheduler.CallFinished{Outcome: scheduler.Unknown}) })
+			return
+		}
 		report := w.snapshot(e)
 		message.Report = &report
 		message.Usage = provider.Usage{PromptTokens: j.prompt, CachedTokens: j.cached, CompletionTokens: j.answer}
--- a/bencher/engine.go
+++ b/bencher/engine.go
@@ -77,10 +77,13 @@
 // engine is a fake runner. Between two events it is a fluid: every iteration
 // decodes one token of each sequence and prefills one chunk of one prompt.
 type engine struct {
-	world    *world
-	name     string
-	domain   int
-	slow     float64
+	world  *world
+	name   string
+	domain int
+	slow   float64
+	// failing and silent are set by faults.
+	failing  bool
+	silent   bool
 	waiting  byPriority
 	tokens   int
 	prefill  *job
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -149,6 +149,9 @@
 
 // poll sends a report of the engine to every daemon.
 func (w *world) poll(e *engine) {
+	if e.silent {
+		return
+	}
 	report := w.snapshot(e)
 	for _, d := range w.daemons {
 		if !w.cut(e.domain, d.domain) {
@@ -226,6 +229,11 @@
 			w.engines[0].slow = 4
 			w.engines[0].step()
 		})
+	case FailingRunner:
+		w.after(times.Warm/2, func() { w.engines[0].failing = true })
+	case SilentRunner:
+		w.after(from, func() { w.engines[0].silent = true })
+		w.after(from+(times.Until-times.Warm)/3, func() { w.engines[0].silent = false })
 	case DomainCut:
 		w.cutFrom, w.cutTo = from, from+min(2*time.Minute, (times.Until-times.Warm)/3)
 		w.after(w.cutFrom+detection, func() { w.publish(true) })
--- a/router/cost.go
+++ b/router/cost.go
@@ -65,7 +65,8 @@
 		}
 		choice := c.price(k.node, k.cached, r)
 		if r.Admits != nil && !r.Admits(k.node) {
-			if choice.Cost < full.Cost {
+			// Only a program whose cache is there gains by waiting for a slot.
+			if choice.Cost < full.Cost && (r.Plain || 2*choice.Cached >= r.PromptTokens) {
 				full = choice
 			}
 			continue
@@ -82,7 +83,7 @@
 }
 
 func usable(n *Node, r *Request) bool {
-	if !n.target.State.Accepts() || !n.Serves(r.Model, r.Adapter) {
+	if !n.target.State.Accepts() || !n.Serves(r.Model, r.Adapter) || (r.Blocked != nil && r.Blocked(n)) {
 		return false
 	}
 	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, n.target.Name)
--- a/router/target.go
+++ b/router/target.go
@@ -76,6 +76,9 @@
 	Plain bool
 	// Exclude names targets that must not be chosen.
 	Exclude []string
+	// Blocked reports whether a target must not be used now, as after failures; nil
+	// means that none is.
+	Blocked func(*Node) bool
 	// Admits reports whether a target has a free slot; nil means that all have.
 	Admits func(*Node) bool
 }
--- a/scheduler/decision_test.go
+++ b/scheduler/decision_test.go
@@ -123,3 +123,40 @@
 		}
 	}
 }
+
+// Guards against calls that wait for a target whose breaker is open or that is in
+// slow start, while others are free: such a target looks idle and so the cheapest.
+// Found by the bench as 28 refused programs with one failing runner.
+func TestIdleButFailingTargetDoesNotHoldCalls(t *testing.T) {
+	state, now := loaded(12)
+	ticket := scheduler.Ticket(0)
+	next := func() scheduler.SendCall {
+		ticket++
+		program := fmt.Sprintf("new%d", ticket)
+		commands := state.Update(now, scheduler.CallQueued{Ticket: ticket, Call: scheduler.CallInfo{
+			Program: program, Client: "c", Service: "m", Blocks: chainOf(program, 50), PromptTokens: 3_200,
+			MaxTokens: 256, Repeatable: true, NewProgram: true,
+		}})
+		for _, c := range commands {
+			if send, ok := c.(scheduler.SendCall); ok {
+				return send
+			}
+		}
+		t.Fatalf("call %d was not sent: %v", ticket, commands)
+		return scheduler.SendCall{}
+	}
+	failures := 0
+	for range 200 {
+		now = now.Add(10 * time.Millisecond)
+		send := next()
+		if send.Target != "t0" {
+			state.Update(now, scheduler.CallFinished{Ticket: send.Ticket, Target: send.Target, Outcome: scheduler.Done, Latency: time.Second})
+			continue
+		}
+		failures++
+		state.Update(now, scheduler.CallFinished{Ticket: send.Ticket, Target: send.Target, Outcome: scheduler.Unknown})
+	}
+	if failures < 5 || failures > 20 {
+		t.Errorf("the failing target got %d of 200 calls, want 5 to 20", failures)
+	}
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -136,7 +136,7 @@
 		Service: c.info.Service, Program: c.info.Program, Root: c.info.Root, Model: c.info.Model,
 		Adapter: c.info.Adapter, Blocks: c.info.Blocks, PromptTokens: c.info.PromptTokens,
 		MaxTokens: c.info.MaxTokens, Plain: c.info.Kind == KindPlain, Exclude: c.info.Exclude,
-		Admits: s.admits,
+		Blocked: s.blocked, Admits: s.admits,
 	}
 	return s.policy.Router.Decide(s.now, &s.request)
 }
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -94,6 +94,7 @@
 	commands []Command
 	now      time.Time
 	admits   func(*router.Node) bool
+	blocked  func(*router.Node) bool
 	request  router.Request
 }
 
@@ -124,7 +125,7 @@
 		build = Standard()
 	}
 	s.policy = build(Parts{Fleet: s.fleet, Pauses: s.pauses, Seed: options.Seed})
-	s.admits = s.hasSlot
+	s.admits, s.blocked = s.hasSlot, s.isBlocked
 	return s
 }
 
@@ -292,10 +293,8 @@
 	return g
 }
 
-func (s *State) hasSlot(n *router.Node) bool {
-	g := s.guard(n)
-	if s.policy.Breakers && !g.breaker.Allows(s.now) {
-		return false
-	}
-	return n.InFlight() < g.limit.Limit(s.now)
+func (s *State) hasSlot(n *router.Node) bool { return n.InFlight() < s.guard(n).limit.Limit(s.now) }
+
+func (s *State) isBlocked(n *router.Node) bool {
+	return s.policy.Breakers && !s.guard(n).breaker.Allows(s.now)
 }
