Create programs that have a time budget

A program about to be created has no time of creation, so a budget with timeMs refused every new program with deadlineExceeded. A shard whose handover was given up takes new calls again (ShardKept).

--- a/sequencer/budget.go
+++ b/sequencer/budget.go
@@ -108,5 +108,6 @@
 
 func (s *State) pastDeadline(root *program) bool {
 	limit := time.Duration(root.Budget.TimeMs) * time.Millisecond
-	return limit > 0 && s.now.Sub(time.UnixMilli(root.CreatedMs)) >= limit
+	// A program that is about to be created has no time of creation yet.
+	return limit > 0 && root.CreatedMs > 0 && s.now.Sub(time.UnixMilli(root.CreatedMs)) >= limit
 }
--- a/sequencer/message.go
+++ b/sequencer/message.go
@@ -124,6 +124,9 @@
 // ShardClosing stops new calls of a shard that is about to be handed over.
 type ShardClosing struct{ Shard string }
 
+// ShardKept allows new calls of a shard again whose handover was given up.
+type ShardKept struct{ Shard string }
+
 // ShardReleased takes a shard away; its callers are answered.
 type ShardReleased struct{ Shard string }
 
@@ -177,6 +180,7 @@
 
 func (ShardAcquired) message()    {}
 func (ShardClosing) message()     {}
+func (ShardKept) message()        {}
 func (ShardReleased) message()    {}
 func (CallArrived) message()      {}
 func (CallerLeft) message()       {}
--- a/sequencer/state.go
+++ b/sequencer/state.go
@@ -143,6 +143,10 @@
 		if sh, ok := s.shards.Get(m.Shard); ok {
 			sh.closing = true
 		}
+	case ShardKept:
+		if sh, ok := s.shards.Get(m.Shard); ok {
+			sh.closing = false
+		}
 	case ShardReleased:
 		s.releaseShard(m.Shard)
 	case CancelRequested:
