--- a/controller/admin.go
+++ b/controller/admin.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
+	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/publisher"
@@ -12,14 +11,15 @@
 
 // Status describes the daemon.
 func (d *Daemon) Status() server.Status {
-	snapshot := d.snapshot.Load()
+	snapshot, figures := d.snapshot.Load(), d.owner.Figures()
 	status := server.Status{
 		Host: d.settings.Host, FailureDomain: d.settings.FailureDomain, Region: d.settings.Region,
-		State: "starting", ConfigVersion: snapshot.version, StoreReachable: d.storeReachable.Load(),
-		InFlight: int(d.inFlight.Load()), Hosts: len(snapshot.hosts),
+		Incarnation: d.incarnation, State: "starting", ConfigVersion: snapshot.version,
+		StoreReachable: d.storeReachable.Load() && figures.StoreReachable, LeaseValid: d.owner.LeaseValid(),
+		InFlight: int(d.inFlight.Load()), Hosts: len(snapshot.view.Hosts), Targets: len(snapshot.view.Targets),
 	}
-	for _, targets := range snapshot.targets {
-		status.Targets += len(targets)
+	if counts := d.counts.Load(); counts != nil {
+		status.Shards, status.Programs, status.PendingRecords = counts.Shards, counts.Live, counts.PendingRecords
 	}
 	switch {
 	case d.leaving.Load():
@@ -30,49 +30,108 @@
 	return status
 }
 
-// Hosts lists the hosts that the daemon knows.
+// queryTimeout bounds a question of an operator to a loop.
+const queryTimeout = 5 * time.Second
+
+// askControl runs a query in the control loop and waits for its result.
+func askControl[T any](ctx context.Context, d *Daemon, query func(*control) T) (T, bool) {
+	result := make(chan T, 1)
+	var zero T
+	if !d.control.Post(controlQuery{func(c *control) { result <- query(c) }}) {
+		return zero, false
+	}
+	select {
+	case value := <-result:
+		return value, true
+	case <-ctx.Done():
+		return zero, false
+	case <-d.loopsEnded:
+		return zero, false
+	}
+}
+
+// Hosts lists the hosts as the daemon sees them.
 func (d *Daemon) Hosts() []server.HostInfo {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
+	hosts, _ := askControl(ctx, d, (*control).hostInfos)
+	return hosts
+}
+
+func (c *control) hostInfos() []server.HostInfo {
+	now := c.d.platform.Clock.Now()
 	var hosts []server.HostInfo
-	for _, member := range d.snapshot.Load().hosts {
-		state := "ready"
-		if member.Leaving {
-			state = "leaving"
+	for _, h := range c.view.Hosts {
+		info := server.HostInfo{
+			Host: h.Name, FailureDomain: h.FailureDomain, Region: h.Region, Address: h.Address, State: h.State,
+			ConfigVersion: c.versions[h.Name],
+		}
+		if seen, ok := c.seen[h.Name]; ok {
+			info.LastSeenMs = now.Sub(seen).Milliseconds()
 		}
-		hosts = append(hosts, server.HostInfo{
-			Host: member.Host, FailureDomain: member.FailureDomain, Region: member.Region, Address: member.Address, State: state,
-		})
+		if h.Name == c.d.settings.Host {
+			info.ConfigVersion = c.document.Version
+		}
+		hosts = append(hosts, info)
 	}
 	return hosts
 }
 
 // Targets lists the targets of a service, of all services for "".
 func (d *Daemon) Targets(service string) []server.TargetInfo {
+	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
+	defer cancel()
 	snapshot := d.snapshot.Load()
+	type load struct{ inFlight, running int }
+	loads, _ := ask(ctx, d, func(p *programs) map[string]load {
+		loads := map[string]load{}
+		for _, t := range snapshot.view.Targets {
+			if node := p.scheduler.Fleet().Node(t.Name); node != nil {
+				loads[t.Name] = load{inFlight: node.InFlight(), running: int(node.Calls())}
+			}
+		}
+		return loads
+	})
 	var targets []server.TargetInfo
 	for _, s := range snapshot.Services() {
 		if service != "" && s.Name != service {
 			continue
 		}
-		for _, member := range snapshot.Targets(s) {
-			targets = append(targets, server.TargetInfo{
-				Target: member.Host, Service: s.Name, FailureDomain: member.FailureDomain, Region: member.Region,
-				Address: member.Address, State: "ready",
-			})
+		for _, t := range snapshot.view.Targets {
+			if t.Service != s.Targets.Role {
+				continue
+			}
+			info := server.TargetInfo{
+				Target: t.Name, Service: s.Name, FailureDomain: t.FailureDomain, Region: t.Region,
+				Address: t.Address, State: t.State, InFlight: loads[t.Name].inFlight, Running: loads[t.Name].running,
+			}
+			for _, model := range s.Models {
+				info.Models = append(info.Models, model.Name)
+			}
+			targets = append(targets, info)
 		}
 	}
 	return targets
 }
 
 // Services lists the services in force.
-func (d *Daemon) Services(context.Context) []server.ServiceInfo {
+func (d *Daemon) Services(ctx context.Context) []server.ServiceInfo {
 	snapshot := d.snapshot.Load()
-	var services []server.ServiceInfo
-	for _, s := range snapshot.Services() {
-		services = append(services, server.ServiceInfo{
-			Name: s.Name, Kind: s.Kind, Workspace: s.Workspace, ConfigVersion: snapshot.version,
-			Targets: len(snapshot.Targets(s)),
-		})
-	}
+	services, _ := ask(ctx, d, func(p *programs) []server.ServiceInfo {
+		var services []server.ServiceInfo
+		for _, s := range snapshot.Services() {
+			info := server.ServiceInfo{
+				Name: s.Name, Kind: s.Kind, Workspace: s.Workspace, ConfigVersion: snapshot.version,
+				Targets:  len(p.scheduler.Fleet().Accepting(s.Name)),
+				Programs: p.scheduler.Programs(s.Name), Queued: p.scheduler.Queued(s.Name),
+			}
+			for _, node := range p.scheduler.Fleet().Nodes(s.Name) {
+				info.InFlight += node.InFlight()
+			}
+			services = append(services, info)
+		}
+		return services
+	})
 	return services
 }
 
@@ -98,39 +157,13 @@
 	return d.config.Audit(ctx, after, limit)
 }
 
-// Services returns the services in order of name.
-func (s *Snapshot) Services() []encoder.Service {
-	services := make([]encoder.Service, 0, len(s.services))
-	for _, service := range s.services {
-		services = append(services, service)
-	}
-	slices.SortFunc(services, func(a, b encoder.Service) int { return strings.Compare(a.Name, b.Name) })
-	return services
-}
-
 // Healthy reports whether the loops make progress.
 func (d *Daemon) Healthy() bool {
-	return d.platform.Clock.Now().UnixNano()-d.lastTick.Load() < int64(healthyWithin)
+	oldest := min(d.lastTick.Load(), d.lastProgramTick.Load())
+	return d.platform.Clock.Now().UnixNano()-oldest < int64(healthyWithin)
 }
 
 // Ready reports whether the daemon should get requests.
 func (d *Daemon) Ready() bool {
 	return d.snapshot.Load().ready && !d.leaving.Load()
 }
-
-// Programs lists programs of the shards that the daemon owns.
-func (d *Daemon) Programs(context.Context, server.ProgramFilter) []server.ProgramInfo { return nil }
-
-func notFound(id string) (server.ProgramInfo, server.Answer) {
-	return server.ProgramInfo{}, server.Answer{Code: server.CodeNotFound, Message: "no such program", Program: id}
-}
-
-// Program describes a program.
-func (d *Daemon) Program(_ context.Context, _, id string) (server.ProgramInfo, server.Answer) {
-	return notFound(id)
-}
-
-// EndProgram cancels a program.
-func (d *Daemon) EndProgram(_ context.Context, _, id string) (server.ProgramInfo, server.Answer) {
-	return notFound(id)
-}
--- /dev/null
+++ b/controller/audit.go
@@ -0,0 +1,179 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/detector"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/scheduler"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
+	"github.com/dogwoodweir/dogwoodweir/server"
+)
+
+// reportsPerSec bounds the load reports and cache events that a daemon polls, so
+// that polling stays within the traffic allowed for control.
+const reportsPerSec = 4
+
+// memoryRequest tells an owner for which of its programs a target holds memory.
+type memoryRequest struct {
+	Target   string   `json:"target"`
+	Programs []string `json:"programs"`
+}
+
+// auditor polls targets: load reports and cache events in turn, and the programs
+// for which memory is held at every audit interval.
+type auditor struct {
+	d        *Daemon
+	next     int
+	pollDue  time.Time
+	auditDue time.Time
+	busy     map[string]bool
+	events   map[string]int64
+}
+
+// eventsRead says up to which cache event a target has been read.
+type eventsRead struct {
+	target string
+	after  int64
+}
+
+func (eventsRead) isControlMessage() {}
+
+func newAuditor(d *Daemon) *auditor {
+	return &auditor{d: d, busy: map[string]bool{}, events: map[string]int64{}}
+}
+
+// tick starts the polls and audits that are due.
+func (a *auditor) tick(now time.Time, view detector.View, kind func(string) string) {
+	if now.Before(a.pollDue) {
+		return
+	}
+	a.pollDue = now.Add(time.Second / reportsPerSec)
+	var used []detector.TargetView
+	audit := !now.Before(a.auditDue)
+	if audit {
+		a.auditDue = now.Add(time.Duration(a.d.settings.Timing.AuditMs) * time.Millisecond)
+	}
+	for _, t := range view.Targets {
+		reachable := t.State != detector.Unreachable && t.State != detector.Gone
+		if !reachable || kind(t.Name) != server.KindModel {
+			continue
+		}
+		if t.Subset {
+			used = append(used, t)
+		}
+		if audit && t.Assigned {
+			a.audit(t)
+		}
+	}
+	if len(used) > 0 {
+		a.next++
+		a.poll(used[a.next%len(used)])
+	}
+}
+
+// poll reads the load and the cache events of one target.
+func (a *auditor) poll(t detector.TargetView) {
+	if a.busy[t.Name] {
+		return
+	}
+	a.busy[t.Name] = true
+	d, after := a.d, a.events[t.Name]
+	d.effect(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		engine := d.platform.Engine(t.Address)
+		if report, err := engine.Report(ctx); err == nil {
+			d.reported(t.Name, report)
+		}
+		events, err := engine.Events(ctx, after)
+		if err == nil {
+			for _, event := range events {
+				event.Target = t.Name
+				after = max(after, event.Sequence)
+				d.programs.Post(schedulerMessage{scheduler.CacheChanged{Event: event}})
+			}
+		}
+		d.control.Post(eventsRead{target: t.Name, after: after})
+	})
+}
+
+// audit asks a target for which programs it holds memory and tells their owners,
+// who release what has no live program.
+func (a *auditor) audit(t detector.TargetView) {
+	d := a.d
+	d.effect(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, objectTimeout)
+		defer cancel()
+		held, err := d.platform.Engine(t.Address).Held(ctx)
+		if err != nil {
+			d.logger.Debug("audit of held memory failed", zap.String("target", t.Name), zap.Error(err))
+			return
+		}
+		byOwner := map[string][]string{}
+		for _, program := range held {
+			host, _, known := d.owner.Owner(sequencer.ShardOf(program, d.settings.ShardsPerDomain))
+			if known {
+				byOwner[host] = append(byOwner[host], program)
+			}
+		}
+		for host, programs := range byOwner {
+			d.tellHeld(ctx, host, memoryRequest{Target: t.Name, Programs: programs})
+		}
+	})
+}
+
+func (d *Daemon) tellHeld(ctx context.Context, host string, r memoryRequest) {
+	if host == d.settings.Host {
+		d.memoryHeld(r)
+		return
+	}
+	if peer, ok := d.snapshot.Load().peer(host); ok {
+		// A lost report is repeated by the next audit.
+		_, _ = messenger.Call[struct{}](ctx, d.messenger, peer, methodMemory, r)
+	}
+}
+
+func (d *Daemon) memoryHeld(r memoryRequest) {
+	for _, program := range r.Programs {
+		d.programs.Post(sequencerMessage{sequencer.MemoryReported{Program: program, Target: r.Target}})
+	}
+}
+
+func (d *Daemon) handleMemory(params json.RawMessage) (any, error) {
+	var r memoryRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, &Error{operation: "daemon.memory", kind: KindMethod, cause: err}
+	}
+	d.memoryHeld(r)
+	return struct{}{}, nil
+}
+
+// reported passes a load report to the scheduler.
+func (d *Daemon) reported(target string, report provider.LoadReport) {
+	report.Target = target
+	d.programs.Post(schedulerMessage{scheduler.ReportReceived{Report: report}})
+}
+
+// observeTarget tells the detector what a call says about a target. A target that
+// declines a call is alive.
+func (d *Daemon) observeTarget(target string, err error) {
+	kind := provider.KindOf(err)
+	ok := kind == provider.KindNone || kind == provider.KindRefused
+	d.control.Post(detectorMessage{detector.TrafficObserved{Target: target, OK: ok}})
+}
+
+// targetGone reports whether the platform does not list a target any more.
+func (d *Daemon) targetGone(target string) bool {
+	for _, t := range d.snapshot.Load().view.Targets {
+		if t.Name == target {
+			return t.State == detector.Gone
+		}
+	}
+	return true
+}
--- a/controller/calls.go
+++ b/controller/calls.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"strings"
+	"crypto/rand"
+	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/google/uuid"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
-	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/parser"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
@@ -19,7 +19,7 @@
 	started := d.platform.Clock.Now()
 	d.metrics.gauge("in_flight", float64(d.inFlight.Add(1)))
 	first := true
-	answer := d.run(ctx, call, func(event server.Event) {
+	answer := d.enter(ctx, call, func(event server.Event) {
 		if first && event.Text != "" {
 			first = false
 			d.metrics.firstToken(call.Service, d.platform.Clock.Now().Sub(started))
@@ -28,111 +28,201 @@
 	})
 	took := d.platform.Clock.Now().Sub(started)
 	d.metrics.gauge("in_flight", float64(d.inFlight.Add(-1)))
+	snapshot := d.snapshot.Load()
 	service := call.Service
-	if _, ok := d.snapshot.Load().Service(service); !ok {
+	if _, ok := snapshot.Service(service); !ok {
 		// Names that callers invent must not become tags.
 		service = "unknown"
 	}
 	d.metrics.call(service, answer.Outcome, answer.Code, took)
 	d.logger.Debug("call ended", zap.String("call", call.ID), zap.String("program", answer.Program),
 		zap.Int("step", answer.Step), zap.String("service", call.Service), zap.String("outcome", answer.Outcome),
-		zap.String("code", answer.Code), zap.Duration("took", took))
+		zap.String("code", answer.Code), zap.Duration("took", took), zap.Int("version", snapshot.version))
 	return answer
 }
 
-func (d *Daemon) run(ctx context.Context, call server.Call, emit func(server.Event)) server.Answer {
+// enter checks a call, names its program and routes it to the program's owner.
+func (d *Daemon) enter(ctx context.Context, call server.Call, emit func(server.Event)) server.Answer {
 	snapshot := d.snapshot.Load()
-	if call.Program == "" {
-		call.Program = d.newProgramID()
-	}
-	refuse := func(code, message string) server.Answer {
-		return server.Answer{
-			Outcome: server.OutcomeNotRun, Code: code, Message: message, Program: call.Program, Step: call.Step,
-		}
-	}
 	if !snapshot.ready {
-		return refuse(server.CodeNotReady, "no configuration yet")
+		return refusal(call, server.CodeNotReady, "the daemon has no configuration yet")
 	}
 	service, ok := snapshot.Service(call.Service)
-	if !ok || service.Kind != call.Kind {
-		return refuse("unknownService", "no such service of this kind")
+	if !ok || service.Kind != call.Kind || !snapshot.allows(service, call.Client) {
+		return refusal(call, "unknownService", "there is no such service of this kind for the client")
+	}
+	if code, message := checkLimits(&call, service); code != "" {
+		return refusal(call, code, message)
+	}
+	if code, message := d.identify(&call); code != "" {
+		return refusal(call, code, message)
+	}
+	if call.New && call.Parent == "" && d.leaving.Load() {
+		return refusal(call, server.CodeShuttingDown, "the host is leaving; use another one")
+	}
+	limit := time.Duration(service.Timeouts.CallMs) * time.Millisecond
+	if call.DeadlineMs > 0 {
+		limit = min(limit, time.Duration(call.DeadlineMs)*time.Millisecond)
 	}
 	emit(server.Event{Program: call.Program, Step: call.Step})
-	candidates := snapshot.Targets(service)
-	if len(candidates) == 0 {
-		return refuse(server.CodeNoTarget, "the service has no target")
-	}
-	reply := make(chan provider.Member, 1)
-	if !d.programs.Post(pickTarget{candidates: candidates, reply: reply}) {
-		return refuse(server.CodeShuttingDown, "the daemon has stopped")
-	}
-	target := <-reply
-	defer d.programs.Post(attemptEnded{target: target.Host})
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(service.Timeouts.CallMs)*time.Millisecond)
-	defer cancel()
-	if call.Kind == server.KindPlain {
-		return d.invoke(ctx, call, target)
+	r := &relay{emit: emit}
+	return r.finish(d.route(ctx, call, d.platform.Clock.Now().Add(limit), r))
+}
+
+func refusal(call server.Call, code, message string) server.Answer {
+	return server.Answer{
+		Outcome: server.OutcomeNotRun, Code: code, Message: message, Program: call.Program, Step: call.Step,
 	}
-	return d.generate(ctx, call, service, target, emit)
 }
 
-func (d *Daemon) newProgramID() string {
-	return d.settings.FailureDomain + "-" + strings.ReplaceAll(uuid.NewString(), "-", "")
+// allows reports whether a client may call a service.
+func (s *Snapshot) allows(service encoder.Service, client string) bool {
+	clients := service.Clients
+	if workspace, ok := s.workspaces[service.Workspace]; ok && len(clients) == 0 {
+		clients = workspace.Clients
+	}
+	return len(clients) == 0 || slices.Contains(clients, client)
 }
 
-func (d *Daemon) generate(ctx context.Context, call server.Call, service encoder.Service, target provider.Member, emit func(server.Event)) server.Answer {
-	request := provider.GenerateRequest{
-		Call: call.ID, Program: call.Program, Model: call.Model, Adapter: call.Adapter, Messages: call.Messages,
-		PromptTokens: promptTokens(call.Messages), MaxTokens: call.MaxTokens, Seed: int64(xxhash.Sum64String(call.ID) >> 1),
+// checkLimits applies the service's limits and fills in its defaults.
+func checkLimits(call *server.Call, service encoder.Service) (code, message string) {
+	limits := service.Limits
+	if call.BodyBytes > limits.MaxBodyBytes {
+		return server.CodeTooLarge, "the request's body is larger than the service allows"
+	}
+	if call.Kind == server.KindPlain {
+		return "", ""
+	}
+	if call.MaxTokens > limits.MaxTokensPerCall {
+		return server.CodeInvalidRequest, "max_tokens is over the service's limit"
 	}
-	if request.Model == "" {
-		request.Model = service.Models[0].Name
+	if call.MaxTokens == 0 {
+		call.MaxTokens = min(defaultMaxTokens, limits.MaxTokensPerCall)
 	}
-	var text strings.Builder
-	answer := server.Answer{Outcome: server.OutcomeDone, Program: call.Program, Step: call.Step}
-	err := d.platform.Engine(target.Address).Generate(ctx, request, func(chunk provider.Chunk) error {
-		if chunk.Final {
-			answer.Usage = chunk.Usage
-			return nil
+	if call.Model == "" {
+		call.Model = service.Models[0].Name
+	}
+	for _, model := range service.Models {
+		if model.Name != call.Model {
+			continue
 		}
-		text.WriteString(chunk.Text)
-		emit(server.Event{Text: chunk.Text})
-		return nil
-	})
-	answer.Text = text.String()
-	return d.finish(answer, err, call, target)
+		if call.Adapter != "" && !slices.Contains(model.Adapters, call.Adapter) {
+			return server.CodeInvalidRequest, "the model has no such adapter"
+		}
+		return "", ""
+	}
+	return server.CodeInvalidRequest, "the service has no such model"
+}
+
+// defaultMaxTokens bounds the answer of a call that names no bound; the bound is
+// reserved from the program's budget.
+const defaultMaxTokens = 1024
+
+// identify names the program of a call that names none. Whoever repeats the
+// request under the same key finds the same program.
+func (d *Daemon) identify(call *server.Call) (code, message string) {
+	if call.Program != "" {
+		return "", ""
+	}
+	if call.Step > 1 {
+		return server.CodeInvalidRequest, "a step needs its program"
+	}
+	var random [16]byte
+	// The error of rand.Read is always nil.
+	_, _ = rand.Read(random[:])
+	call.New = true
+	switch {
+	case call.Parent != "" && call.Key != "":
+		call.Program = sequencer.KeyedChildID(call.Parent, call.Key)
+	case call.Parent != "":
+		call.Program = sequencer.ChildID(call.Parent, random)
+	case call.Key != "":
+		call.Program = sequencer.KeyedProgramID(d.domains, call.Client, call.Service, call.Key)
+	default:
+		call.Program = sequencer.NewProgramID(d.settings.FailureDomain, random)
+	}
+	call.Step = 1
+	return "", ""
 }
 
-func (d *Daemon) invoke(ctx context.Context, call server.Call, target provider.Member) server.Answer {
-	request := *call.Invoke
-	request.Call, request.Key = call.ID, call.Key
-	answer := server.Answer{Outcome: server.OutcomeDone, Program: call.Program, Step: call.Step}
-	result, err := d.platform.Service(target.Address).Invoke(ctx, request)
-	answer.Result = &result
-	return d.finish(answer, err, call, target)
+// serve runs a call at its owner.
+func (d *Daemon) serve(ctx context.Context, call server.Call, emit func(server.Event)) server.Answer {
+	snapshot := d.snapshot.Load()
+	service, ok := snapshot.Service(call.Service)
+	if !ok {
+		return refusal(call, codeNotYetKnown, "the owner does not know the service yet")
+	}
+	buffer := server.NewBuffer()
+	request := d.callRequest(call, service)
+	if !d.programs.Post(callArrived{request: request, buffer: buffer}) {
+		return refusal(call, server.CodeShuttingDown, "the daemon has stopped")
+	}
+	for {
+		event, answer := buffer.Next(serveCheckEvery)
+		if event.Text != "" {
+			emit(event)
+		}
+		if answer != nil {
+			return *answer
+		}
+		if ctx.Err() != nil {
+			d.programs.Post(sequencerMessage{sequencer.CallerLeft{Request: call.ID}})
+			return server.Answer{Outcome: server.OutcomeUnknown, Code: codeOwnerLost, Program: call.Program, Step: call.Step}
+		}
+		if d.loopsDone.Load() {
+			return server.Answer{
+				Outcome: server.OutcomeUnknown, Code: codeOwnerLost, Message: "the owner has stopped",
+				Program: call.Program, Step: call.Step,
+			}
+		}
+	}
 }
 
-// finish turns the error of an attempt into the outcome of the call.
-func (d *Daemon) finish(answer server.Answer, err error, call server.Call, target provider.Member) server.Answer {
-	if err == nil {
-		return answer
+// serveCheckEvery is the period at which a waiting call looks whether its caller or
+// the loops have gone.
+const serveCheckEvery = 200 * time.Millisecond
+
+// codeNotYetKnown makes the entry daemon ask again: the owner's configuration lags.
+const codeNotYetKnown = "notYetKnown"
+
+// callRequest translates a call for the sequencer.
+func (d *Daemon) callRequest(call server.Call, service encoder.Service) sequencer.CallRequest {
+	r := sequencer.CallRequest{
+		ID: call.ID, Client: call.Client, Workspace: service.Workspace, Service: service.Name, Program: call.Program,
+		New: call.New, Parent: call.Parent, Step: call.Step, Key: call.Key, Kind: call.Kind, Repeatable: true,
+		Append: call.Append, Messages: call.Messages, Model: call.Model, Adapter: call.Adapter,
+		MaxTokens: call.MaxTokens, Budget: budgetOf(call, service), Limits: *service.Limits,
+		Retention: *service.Retention, End: call.End,
 	}
-	d.logger.Warn("attempt failed", zap.String("call", call.ID), zap.String("program", call.Program),
-		zap.String("target", target.Host), zap.Error(err))
-	answer.Outcome, answer.Code, answer.Message = server.OutcomeUnknown, "targetFailed", err.Error()
-	if provider.KindOf(err).NoEffect() {
-		answer.Outcome = server.OutcomeNotRun
+	if call.Kind == server.KindModel {
+		r.PromptTokens = promptTokens(call.Messages)
 	}
-	return answer
+	if call.Invoke != nil {
+		r.Invoke = *call.Invoke
+		r.Repeatable = parser.MayRepeat(service, r.Invoke.Method, pathOf(r.Invoke.Path))
+		r.Lookup = service.Targets.LookupByKey
+		r.Cost = parser.CostOf(service, r.Invoke.Method, pathOf(r.Invoke.Path))
+	}
+	limit := time.Duration(service.Timeouts.CallMs) * time.Millisecond
+	if call.DeadlineMs > 0 {
+		limit = min(limit, time.Duration(call.DeadlineMs)*time.Millisecond)
+	}
+	r.Deadline = d.platform.Clock.Now().Add(limit)
+	return r
 }
 
-// bytesPerToken is the usual ratio of English text, for estimates of prompts.
-const bytesPerToken = 4
+// budgetOf is the budget of a new program: what the caller asks for within what
+// the service allows.
+func budgetOf(call server.Call, service encoder.Service) encoder.Budget {
+	budget := *service.Budget
+	lower(&budget.Tokens, call.Budget.Tokens)
+	lower(&budget.Turns, call.Budget.Turns)
+	lower(&budget.Cost, call.Budget.Cost)
+	return budget
+}
 
-func promptTokens(messages []provider.ChatMessage) int {
-	bytes := 0
-	for _, message := range messages {
-		bytes += len(message.Role) + len(message.Content) + bytesPerToken
+func lower[T int | float64](limit *T, wanted T) {
+	if wanted > 0 && (*limit == 0 || wanted < *limit) {
+		*limit = wanted
 	}
-	return bytes/bytesPerToken + 1
 }
--- a/controller/control.go
+++ b/controller/control.go
@@ -6,9 +6,12 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/publisher"
+	"github.com/dogwoodweir/dogwoodweir/router"
+	"github.com/dogwoodweir/dogwoodweir/scheduler"
 )
 
 // controlMessage is a message to the control loop.
@@ -31,20 +34,64 @@
 	err     error
 }
 
-func (controlTick) isControlMessage() {}
-func (configDue) isControlMessage()   {}
-func (configRead) isControlMessage()  {}
-func (hostsRead) isControlMessage()   {}
+// detectorMessage is for the detector as it is.
+type detectorMessage struct{ message detector.Message }
 
-// control is the state of the control loop: configuration and members.
+// heartbeatReceived is a peer's heartbeat; the answer goes to reply.
+type heartbeatReceived struct {
+	heartbeat encoder.Heartbeat
+	reply     chan<- encoder.Heartbeat
+}
+
+// hostObserved is what a forwarded call says about a host.
+type hostObserved struct {
+	host string
+	ok   bool
+}
+
+// controlQuery runs a function in the loop.
+type controlQuery struct{ query func(*control) }
+
+func (controlQuery) isControlMessage()      {}
+func (controlTick) isControlMessage()       {}
+func (configDue) isControlMessage()         {}
+func (configRead) isControlMessage()        {}
+func (hostsRead) isControlMessage()         {}
+func (detectorMessage) isControlMessage()   {}
+func (heartbeatReceived) isControlMessage() {}
+func (hostObserved) isControlMessage()      {}
+
+// control is the state of the control loop: configuration and membership.
 type control struct {
 	d          *Daemon
+	detector   *detector.State
 	document   encoder.Document
-	members    []provider.Member
+	view       detector.View
+	seen       map[string]time.Time
+	versions   map[string]int
 	configDue  time.Time
 	configBusy bool
 	hostsDue   time.Time
 	hostsBusy  bool
+	reply      chan<- encoder.Heartbeat
+	auditor    *auditor
+	// listed is set once the host list has been read.
+	listed  bool
+	started time.Time
+}
+
+func newControl(d *Daemon) *control {
+	timing := d.settings.Timing
+	return &control{
+		d: d, auditor: newAuditor(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
+		detector: detector.New(detector.Self{
+			Host: d.settings.Host, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain,
+			Region: d.settings.Region, Incarnation: d.incarnation, Generation: d.generation,
+		}, detector.Settings{
+			Heartbeat:    time.Duration(timing.HeartbeatMs) * time.Millisecond,
+			SuspectAfter: time.Duration(3*timing.HeartbeatMs) * time.Millisecond,
+		}, d.seed, d.platform.Clock.Now()),
+	}
 }
 
 func (c *control) handle(message controlMessage) {
@@ -53,6 +100,8 @@
 	case controlTick:
 		c.d.lastTick.Store(now.UnixNano())
 		c.poll(now)
+		c.detect(detector.Tick{})
+		c.auditor.tick(now, c.view, c.targetKind)
 	case configDue:
 		c.configDue = now
 		c.poll(now)
@@ -65,8 +114,22 @@
 			c.d.logger.Warn("host list is unavailable", zap.Error(m.err))
 			return
 		}
-		c.members = m.members
-		c.publish()
+		c.listed = true
+		c.detect(detector.ListReceived{Members: m.members})
+	case detectorMessage:
+		c.detect(m.message)
+	case heartbeatReceived:
+		c.heartbeat(now, m)
+	case heartbeatAnswered:
+		c.noteHeartbeat(now, m.heartbeat)
+		c.detect(detector.HeartbeatReceived{Heartbeat: m.heartbeat, Reply: true})
+	case eventsRead:
+		c.auditor.busy[m.target] = false
+		c.auditor.events[m.target] = m.after
+	case controlQuery:
+		m.query(c)
+	case hostObserved:
+		c.detect(detector.HostObserved{Host: m.host, OK: m.ok})
 	}
 }
 
@@ -107,9 +170,34 @@
 	}
 	c.document = publisher.Apply(c.document, m.version, m.sections)
 	c.d.logger.Info("configuration is in force", zap.Int("version", c.document.Version))
+	c.d.metrics.gauge("config_version", float64(c.document.Version))
+	c.detect(detector.ConfigChanged{Version: c.document.Version})
+	c.detect(detector.DrainsChanged{Hosts: publisher.Drained(c.document)})
 	c.publish()
 }
 
+// publish makes a new snapshot and tells the scheduler what it concerns.
 func (c *control) publish() {
-	c.d.snapshot.Store(newSnapshot(c.document, c.members))
+	snapshot := newSnapshot(c.document, c.view)
+	c.d.snapshot.Store(snapshot)
+	services := make([]scheduler.Service, 0, len(snapshot.services))
+	byRole := map[string][]string{}
+	for _, service := range snapshot.Services() {
+		services = append(services, scheduler.ServiceOf(service))
+		byRole[service.Targets.Role] = append(byRole[service.Targets.Role], service.Name)
+	}
+	var targets []scheduler.Target
+	for _, t := range c.view.Targets {
+		if !t.Subset && t.State != detector.Leaving {
+			continue
+		}
+		for _, service := range byRole[t.Service] {
+			targets = append(targets, scheduler.Target{
+				Name: t.Name, Address: t.Address, Service: service, FailureDomain: t.FailureDomain, Region: t.Region,
+				State: router.ParseState(t.State), Since: t.Since,
+			})
+		}
+	}
+	c.d.programs.Post(schedulerMessage{scheduler.ServicesChanged{Services: services}})
+	c.d.programs.Post(schedulerMessage{scheduler.TargetsChanged{Targets: targets}})
 }
--- a/controller/daemon.go
+++ b/controller/daemon.go
@@ -2,54 +2,71 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/publisher"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
-// tickEvery is the resolution of the control loop's timers.
-const tickEvery = 50 * time.Millisecond
+// controlTickEvery is the resolution of the control loop's timers.
+const controlTickEvery = 50 * time.Millisecond
 
 // healthyWithin is how old the last tick of a healthy daemon may be.
 const healthyWithin = 5 * time.Second
 
 // Daemon is one running daemon.
 type Daemon struct {
-	settings parser.Settings
-	platform Platform
-	logger   *zap.Logger
-	control  *Loop[controlMessage]
-	programs *Loop[programMessage]
-	snapshot atomic.Pointer[Snapshot]
-	config   *publisher.Store
-	metrics  *metrics
-	server   *server.Server
-	monitor  *server.Monitor
-
-	storeReachable atomic.Bool
-	leaving        atomic.Bool
-	inFlight       atomic.Int64
-	lastTick       atomic.Int64
+	settings    parser.Settings
+	platform    Platform
+	logger      *zap.Logger
+	incarnation string
+	generation  int
+	seed        uint64
+	domains     []string
+
+	control   *Loop[controlMessage]
+	programs  *Loop[programMessage]
+	snapshot  atomic.Pointer[Snapshot]
+	owner     Owner
+	config    *publisher.Store
+	metrics   *metrics
+	server    *server.Server
+	monitor   *server.Monitor
+	messenger *messenger.Messenger
+
+	storeReachable  atomic.Bool
+	leaving         atomic.Bool
+	loopsDone       atomic.Bool
+	inFlight        atomic.Int64
+	forwards        atomic.Int64
+	violations      atomic.Int64
+	lastTick        atomic.Int64
+	lastProgramTick atomic.Int64
+	counts          atomic.Pointer[sequencer.Counts]
 
 	mu        sync.Mutex
 	listeners []*server.Listener
 
-	// effects run until effectsDone is cancelled.
-	effects       conc.WaitGroup
+	// effects run until effectsCtx ends.
+	effects       *tasks
 	effectsCtx    context.Context
 	cancelEffects context.CancelFunc
 
-	stopOnce sync.Once
-	stopping chan struct{}
-	stopped  chan struct{}
-	killed   atomic.Bool
+	stopOnce   sync.Once
+	stopping   chan struct{}
+	stopped    chan struct{}
+	loopsEnded chan struct{}
+	killed     atomic.Bool
 }
 
 // New assembles a daemon; it opens no connection and starts no goroutine.
@@ -57,13 +74,30 @@
 	if platform.Clock == nil {
 		platform.Clock = systemClock{}
 	}
+	now := platform.Clock.Now()
 	d := &Daemon{
-		settings: settings, platform: platform, logger: logger.With(zap.String("host", settings.Host)),
+		settings: settings, platform: platform, incarnation: uuid.NewString(), generation: int(now.UnixMilli()),
+		seed:    maphash.String(maphash.MakeSeed(), settings.Host),
 		control: NewLoop[controlMessage](), programs: NewLoop[programMessage](),
-		stopping: make(chan struct{}), stopped: make(chan struct{}),
+		effects:  &tasks{},
+		stopping: make(chan struct{}), stopped: make(chan struct{}), loopsEnded: make(chan struct{}),
+	}
+	d.logger = logger.With(zap.String("host", settings.Host))
+	for _, domain := range settings.Domains {
+		d.domains = append(d.domains, domain.Name)
 	}
 	d.snapshot.Store(&Snapshot{})
 	d.effectsCtx, d.cancelEffects = context.WithCancel(context.Background())
+	d.lastTick.Store(now.UnixNano())
+	d.lastProgramTick.Store(now.UnixNano())
+	security, err := peerTLS(settings)
+	if err != nil {
+		return nil, err
+	}
+	d.messenger = messenger.New(messenger.Settings{
+		Host: settings.Host, Token: settings.Platform.Token, TLS: security, Dial: platform.Dial,
+	}, d, d.logger)
+	d.owner = newOwner(d)
 	d.config = publisher.New(platform.Tables, platform.Clock)
 	d.metrics = newMetrics(settings.Host, settings.FailureDomain)
 	d.monitor = server.NewMonitor(d, d.metrics.handler)
@@ -71,12 +105,27 @@
 	return d, nil
 }
 
-// effect runs I/O outside the loops; it reports by posting a message.
-func (d *Daemon) effect(run func(ctx context.Context)) {
-	if d.effectsCtx.Err() != nil {
-		return
-	}
-	d.effects.Go(func() { run(d.effectsCtx) })
+func (d *Daemon) newID() string { return uuid.NewString() }
+
+// Deliver passes a message to the sequencer.
+func (d *Daemon) Deliver(message sequencer.Message) { d.programs.Post(sequencerMessage{message}) }
+
+// Query runs a function in the program loop.
+func (d *Daemon) Query(query func(*sequencer.State)) bool {
+	return d.programs.Post(programQuery{func(p *programs) { query(p.sequencer) }})
+}
+
+// TakeShard takes an idle shard away from the program loop.
+func (d *Daemon) TakeShard(shard string, taken func(snapshot []byte)) bool {
+	return d.programs.Post(programQuery{func(p *programs) {
+		if !p.sequencer.ShardIdle(shard) {
+			taken(nil)
+			return
+		}
+		snapshot := p.sequencer.Snapshot(shard)
+		p.sequence(sequencer.ShardReleased{Shard: shard})
+		taken(snapshot)
+	}})
 }
 
 // listen opens one of the daemon's addresses; Kill closes it.
@@ -88,6 +137,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.listeners = append(d.listeners, listener)
+	if d.killed.Load() {
+		listener.CloseAll()
+	}
 	return listener, nil
 }
 
@@ -105,59 +157,59 @@
 	defer close(d.stopped)
 	defer d.metrics.close()
 	defer d.closeListeners()
-	callers, err := d.listen(d.settings.CallerAddress)
-	if err != nil {
-		return err
-	}
-	monitor, err := d.listen(d.settings.MetricsAddress)
-	if err != nil {
-		return err
+	var listeners [3]*server.Listener
+	addresses := []string{d.settings.CallerAddress, d.settings.PeerAddress, d.settings.MetricsAddress}
+	for i, address := range addresses {
+		listener, err := d.listen(address)
+		if err != nil {
+			return err
+		}
+		listeners[i] = listener
 	}
 	loops, stopLoops := context.WithCancel(context.Background())
-	var group conc.WaitGroup
-	group.Go(func() { d.control.Run(loops, (&control{d: d}).handle) })
-	group.Go(func() { d.programs.Run(loops, newPrograms(uint64(time.Now().UnixNano())).handle) })
-	group.Go(func() { d.tick(loops) })
-	group.Go(func() { d.serve("callers", func() error { return d.server.Serve(callers) }) })
-	group.Go(func() { d.serve("monitor", func() error { return d.monitor.Serve(monitor) }) })
-	d.logger.Info("daemon is running", zap.String("callerAddress", d.settings.CallerAddress))
+	ownerCtx, stopOwner := context.WithCancel(context.Background())
+	var group, owning conc.WaitGroup
+	group.Go(func() { d.control.Run(loops, newControl(d).handle) })
+	group.Go(func() { d.programs.Run(loops, newPrograms(d).handle) })
+	group.Go(func() { d.tick(loops, controlTickEvery, func() { d.control.Post(controlTick{}) }) })
+	group.Go(func() { d.tick(loops, programTickEvery, func() { d.programs.Post(programTick{}) }) })
+	group.Go(func() { d.serveListener("callers", func() error { return d.server.Serve(listeners[0]) }) })
+	group.Go(func() { d.serveListener("peers", func() error { return d.messenger.Serve(listeners[1]) }) })
+	group.Go(func() { d.serveListener("monitor", func() error { return d.monitor.Serve(listeners[2]) }) })
+	owning.Go(func() { d.owner.Run(ownerCtx) })
+	d.logger.Info("daemon is running", zap.String("callerAddress", d.settings.CallerAddress),
+		zap.String("incarnation", d.incarnation))
 	select {
 	case <-ctx.Done():
 	case <-d.stopping:
 	}
 	if !d.killed.Load() {
-		d.drain()
+		d.drain(&owning)
 	}
-	d.cancelEffects()
+	stopOwner()
+	owning.Wait()
+	d.loopsDone.Store(true)
 	stopLoops()
+	d.cancelEffects()
+	close(d.loopsEnded)
 	d.closeListeners()
-	d.effects.Wait()
+	d.messenger.Close()
+	d.effects.wait()
 	group.Wait()
 	return nil
 }
 
-// drain lets requests in progress run to their end, within the bound.
-func (d *Daemon) drain() {
-	d.leaving.Store(true)
-	d.logger.Info("daemon is leaving")
-	timeout := time.Duration(d.settings.Timing.DrainMs) * time.Millisecond
-	if err := d.server.Shutdown(timeout); err != nil {
-		d.logger.Warn("requests were still in progress at the end of the drain", zap.Error(err))
-	}
-	_ = d.monitor.Shutdown()
-}
-
-func (d *Daemon) serve(name string, run func() error) {
-	if err := run(); err != nil && !d.killed.Load() {
+func (d *Daemon) serveListener(name string, run func() error) {
+	if err := run(); err != nil && !d.killed.Load() && !d.leaving.Load() {
 		d.logger.Error("listener ended", zap.String("listener", name), zap.Error(err))
 	}
 }
 
-func (d *Daemon) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
+func (d *Daemon) tick(ctx context.Context, every time.Duration, post func()) {
+	ticker := time.NewTicker(every)
 	defer ticker.Stop()
 	for {
-		d.control.Post(controlTick{})
+		post()
 		select {
 		case <-ctx.Done():
 			return
@@ -165,23 +217,3 @@
 		}
 	}
 }
-
-// Shutdown stops the daemon gracefully and waits until Run has returned.
-func (d *Daemon) Shutdown(ctx context.Context) error {
-	d.stopOnce.Do(func() { close(d.stopping) })
-	select {
-	case <-d.stopped:
-		return nil
-	case <-ctx.Done():
-		return &Error{operation: "daemon.shutdown", kind: KindTimeout, cause: ctx.Err()}
-	}
-}
-
-// Kill stops the daemon at once: connections break and nothing more is written.
-func (d *Daemon) Kill() {
-	d.killed.Store(true)
-	d.cancelEffects()
-	d.closeListeners()
-	d.stopOnce.Do(func() { close(d.stopping) })
-	<-d.stopped
-}
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -135,7 +135,7 @@
 	deadline := time.Now().Add(5 * time.Second)
 	for {
 		s := d.snapshot.Load()
-		if s.ready && len(s.targets) == 2 {
+		if s.ready && len(s.view.Targets) == 2 {
 			return d, "http://" + settings.CallerAddress
 		}
 		if time.Now().After(deadline) {
--- a/controller/error.go
+++ b/controller/error.go
@@ -12,6 +12,8 @@
 	KindStopped
 	// KindTimeout means that a graceful shutdown did not finish in time.
 	KindTimeout
+	// KindMethod means that a request of another daemon is not known or malformed.
+	KindMethod
 )
 
 // Error is the error type of the package.
--- /dev/null
+++ b/controller/lookup.go
@@ -0,0 +1,184 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
+	"github.com/dogwoodweir/dogwoodweir/server"
+)
+
+// Methods between daemons besides those of package messenger.
+const (
+	methodProgram = "program"
+	methodMemory  = "memory"
+)
+
+// programRequest asks an owner about a program, or to end it.
+type programRequest struct {
+	Program string `json:"program"`
+	// Client is empty for operators, who see all programs.
+	Client string `json:"client,omitempty"`
+	End    bool   `json:"end,omitempty"`
+}
+
+type programResult struct {
+	Info   server.ProgramInfo `json:"info"`
+	Answer server.Answer      `json:"answer"`
+}
+
+// Program describes a program of the client, of any client for "".
+func (d *Daemon) Program(ctx context.Context, client, id string) (server.ProgramInfo, server.Answer) {
+	return d.askOwner(ctx, programRequest{Program: id, Client: client})
+}
+
+// EndProgram cancels a program of the client, of any client for "".
+func (d *Daemon) EndProgram(ctx context.Context, client, id string) (server.ProgramInfo, server.Answer) {
+	return d.askOwner(ctx, programRequest{Program: id, Client: client, End: true})
+}
+
+// askOwner asks the owner of a program. Both requests may be repeated.
+func (d *Daemon) askOwner(ctx context.Context, r programRequest) (server.ProgramInfo, server.Answer) {
+	unreachable := server.Answer{
+		Outcome: server.OutcomeNotRun, Code: server.CodeOwnerUnreachable, Program: r.Program,
+		Message: "the owner of the program cannot be reached", RetryAfterMs: d.settings.Timing.LeaseMs,
+	}
+	host, _, known := d.owner.Owner(sequencer.ShardOf(r.Program, d.settings.ShardsPerDomain))
+	if !known {
+		return server.ProgramInfo{}, unreachable
+	}
+	if host == d.settings.Host {
+		result := d.localProgram(ctx, r)
+		return result.Info, result.Answer
+	}
+	peer, ok := d.snapshot.Load().peer(host)
+	if !ok {
+		return server.ProgramInfo{}, unreachable
+	}
+	result, err := messenger.Call[programResult](ctx, d.messenger, peer, methodProgram, r)
+	if err != nil {
+		unreachable.Message += ": " + err.Error()
+		return server.ProgramInfo{}, unreachable
+	}
+	return result.Info, result.Answer
+}
+
+func (d *Daemon) handleProgram(ctx context.Context, params json.RawMessage) (any, error) {
+	var r programRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, &Error{operation: "daemon.program", kind: KindMethod, cause: err}
+	}
+	return d.localProgram(ctx, r), nil
+}
+
+// localProgram answers from the program loop; an end is answered when it is
+// durable.
+func (d *Daemon) localProgram(ctx context.Context, r programRequest) programResult {
+	var ended *server.Answer
+	if r.End {
+		answer := d.endLocal(ctx, r)
+		if answer.Outcome != server.OutcomeDone {
+			return programResult{Answer: answer}
+		}
+		ended = &answer
+	}
+	result, ok := ask(ctx, d, func(p *programs) programResult { return p.describe(r) })
+	if !ok {
+		return programResult{Answer: server.Answer{Outcome: server.OutcomeNotRun, Code: server.CodeShuttingDown, Message: "the owner is stopping", Program: r.Program}}
+	}
+	if ended != nil && result.Answer.Code != "" {
+		// The program has left this owner since its end was recorded.
+		return programResult{Info: server.ProgramInfo{Program: r.Program, State: "ended", Reason: sequencer.ReasonCancelled}}
+	}
+	return result
+}
+
+func (d *Daemon) endLocal(ctx context.Context, r programRequest) server.Answer {
+	buffer := server.NewBuffer()
+	id := d.newID()
+	d.programs.Post(programQuery{func(p *programs) {
+		p.sessions[id] = &session{buffer: buffer, program: r.Program}
+		p.sequence(sequencer.CancelRequested{Program: r.Program, Client: r.Client, Request: id})
+	}})
+	for {
+		if _, answer := buffer.Next(serveCheckEvery); answer != nil {
+			return *answer
+		}
+		if ctx.Err() != nil || d.loopsDone.Load() {
+			return server.Answer{
+				Outcome: server.OutcomeUnknown, Code: sequencer.CodeNotDurable, Program: r.Program,
+				Message: "the end is not recorded yet",
+			}
+		}
+	}
+}
+
+// ask runs a query in the program loop and waits for its result.
+func ask[T any](ctx context.Context, d *Daemon, query func(*programs) T) (T, bool) {
+	result := make(chan T, 1)
+	var zero T
+	if !d.programs.Post(programQuery{func(p *programs) { result <- query(p) }}) {
+		return zero, false
+	}
+	select {
+	case value := <-result:
+		return value, true
+	case <-ctx.Done():
+		return zero, false
+	case <-d.loopsEnded:
+		return zero, false
+	}
+}
+
+// describe returns a program as its client or an operator may see it.
+func (p *programs) describe(r programRequest) programResult {
+	view, ok := p.sequencer.Program(r.Program)
+	if !ok || r.Client != "" && view.Client != r.Client {
+		// Whether a program of another client exists is not told.
+		code, message := server.CodeNotFound, "there is no such program"
+		if _, owned := p.sequencer.Live(r.Program); !owned {
+			code, message = server.CodeOwnerUnreachable, "the program is moving to another host"
+		}
+		return programResult{Answer: server.Answer{Outcome: server.OutcomeNotRun, Code: code, Message: message, Program: r.Program}}
+	}
+	return programResult{Info: p.info(view)}
+}
+
+func (p *programs) info(view sequencer.View) server.ProgramInfo {
+	info := server.ProgramInfo{
+		Program: view.ID, Client: view.Client, Workspace: view.Workspace, Parent: view.Parent, State: view.State,
+		Reason: view.Reason, Turns: view.Turns, Tokens: view.Tokens, Cost: view.UsedCost, Owner: p.d.settings.Host,
+		StartedAt: view.CreatedAt.UTC().Format(time.RFC3339Nano), LastCallAt: view.LastUsedAt.UTC().Format(time.RFC3339Nano),
+	}
+	for _, c := range view.Calls {
+		info.Calls = append(info.Calls, server.CallInfo{
+			Step: c.Step, Service: c.Service, Outcome: string(c.Outcome), Code: c.Code, State: c.State,
+		})
+	}
+	return info
+}
+
+// Programs lists programs of the shards that the daemon owns.
+func (d *Daemon) Programs(ctx context.Context, filter server.ProgramFilter) []server.ProgramInfo {
+	list, _ := ask(ctx, d, func(p *programs) []server.ProgramInfo {
+		var list []server.ProgramInfo
+		for _, id := range p.sequencer.Programs(maxListed) {
+			view, ok := p.sequencer.Program(id)
+			if !ok || filter.Client != "" && view.Client != filter.Client || filter.State != "" && view.State != filter.State {
+				continue
+			}
+			info := p.info(view)
+			info.Calls = nil
+			if list = append(list, info); filter.Limit > 0 && len(list) >= filter.Limit {
+				break
+			}
+		}
+		return list
+	})
+	return list
+}
+
+// maxListed bounds a list of programs.
+const maxListed = 10_000
--- a/controller/metrics.go
+++ b/controller/metrics.go
@@ -45,6 +45,13 @@
 	m.scope.Tagged(map[string]string{"service": service}).Histogram("first_token_seconds", latencyBuckets).RecordDuration(took)
 }
 
+// link counts bytes that crossed from one region to another for a service.
+func (m *metrics) link(service string, bytes int) {
+	m.scope.Tagged(map[string]string{"service": service}).Counter("link_bytes").Inc(int64(bytes))
+}
+
+func (m *metrics) count(name string, n int) { m.scope.Counter(name).Inc(int64(n)) }
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
 
 func (m *metrics) close() { _ = m.closer.Close() }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -17,7 +17,8 @@
 //   - All other methods may be called from any goroutine and never wait for I/O.
 type Owner interface {
 	Run(ctx context.Context)
-	// Append makes the records of a ticket durable, in order of tickets.
+	// Append makes the records of a ticket durable, in order of tickets. Only the
+	// program loop calls it.
 	Append(ticket uint64, records []encoder.Record)
 	// LeaseValid reports whether the lease is valid now, by the clock.
 	LeaseValid() bool
@@ -43,8 +44,9 @@
 
 // OwnerFigures are figures of the owner.
 type OwnerFigures struct {
-	Shards         int
-	PendingRecords int
+	Shards int
+	// Backlog is the share of the bounds on uncommitted records that is in use.
+	Backlog        float64
 	StoreReachable bool
 }
 
@@ -57,6 +59,10 @@
 	// were delivered before; it never blocks. It reports false when the loop has
 	// ended.
 	Query(query func(state *sequencer.State)) bool
+	// TakeShard takes an idle shard away from the program loop and passes on its
+	// snapshot in the same step, so that no record can follow it; nil means that the
+	// shard is not idle and stays.
+	TakeShard(shard string, taken func(snapshot []byte)) bool
 	// Handover tells another daemon that it owns a shard now; it may be lost.
 	Handover(host, shard string, epoch int)
 }
--- /dev/null
+++ b/controller/ownership_shards.go
@@ -0,0 +1,315 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/committer"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/lessor"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/recoverer"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
+)
+
+// lease updates the lessor and executes its commands.
+func (o *ownership) lease(message lessor.Message) {
+	o.mu.Lock()
+	commands := o.lessor.Update(o.d.platform.Clock.Now(), message)
+	o.shards.Store(int64(len(o.lessor.Owned())))
+	o.mu.Unlock()
+	for _, command := range commands {
+		o.execute(command)
+	}
+}
+
+func (o *ownership) execute(command lessor.Command) {
+	switch c := command.(type) {
+	case lessor.FenceHost:
+		o.fence(c)
+	case lessor.ClaimShards:
+		o.claim(c)
+	case lessor.LoadShard:
+		o.load(c)
+	case lessor.DrainShard:
+		o.draining[c.Shard] = true
+		o.recover(recoverer.ShardPaused{Shard: c.Shard})
+		o.port.Deliver(sequencer.ShardClosing{Shard: c.Shard})
+	case lessor.KeepShard:
+		delete(o.draining, c.Shard)
+		o.port.Deliver(sequencer.ShardKept{Shard: c.Shard})
+		o.recover(recoverer.ShardLoaded{Shard: c.Shard})
+	case lessor.HandOverShard:
+		o.handOver(c)
+	case lessor.DropShard:
+		delete(o.draining, c.Shard)
+		o.port.Deliver(sequencer.ShardReleased{Shard: c.Shard})
+	case lessor.ScanLeases:
+		o.scan(committer.TableLeases, c.Hosts, func(rows []provider.Row, failed []string) lessor.Message {
+			return lessor.LeaseRowsRead{Rows: rows, Failed: failed}
+		})
+	case lessor.ScanShards:
+		o.scan(committer.TableShards, c.Shards, func(rows []provider.Row, failed []string) lessor.Message {
+			return lessor.ShardRowsRead{Rows: rows, Failed: failed}
+		})
+	case lessor.LeaseChanged:
+		o.port.Deliver(sequencer.LeaseChanged{Valid: c.Valid})
+	case lessor.Drained:
+		o.d.logger.Info("all shards are handed over")
+		o.runner.Send(committer.ReleaseRequested{})
+	case lessor.RowDamaged:
+		o.d.logger.Error("row is damaged", zap.String("table", c.Table), zap.String("key", c.Key))
+	}
+}
+
+// scan reads rows one by one. After a failure the others are not tried.
+func (o *ownership) scan(table string, keys []string, result func([]provider.Row, []string) lessor.Message) {
+	o.d.effect(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		var rows []provider.Row
+		for i, key := range keys {
+			row, err := o.d.platform.Tables.Read(ctx, table, key)
+			if err != nil {
+				o.loop.Post(lessorMessage{result(rows, keys[i:])})
+				return
+			}
+			row.Table, row.Key = table, key
+			rows = append(rows, row)
+		}
+		o.loop.Post(lessorMessage{result(rows, nil)})
+	})
+}
+
+func (o *ownership) fence(c lessor.FenceHost) {
+	value, err := json.Marshal(c.Row)
+	if err != nil {
+		return
+	}
+	o.d.logger.Info("fencing an expired lease", zap.String("holder", c.Host))
+	transaction := provider.Transaction{
+		ID:         o.d.newID(),
+		Conditions: []provider.Condition{{Table: committer.TableLeases, Key: c.Host, Version: c.Version}},
+		Writes:     []provider.Write{{Table: committer.TableLeases, Key: c.Host, Value: value}},
+	}
+	o.d.effect(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, readTimeout)
+		defer cancel()
+		_, err := o.d.platform.Tables.Commit(ctx, transaction)
+		o.loop.Post(lessorMessage{lessor.FenceFinished{Host: c.Host, Kind: provider.KindOf(err)}})
+	})
+}
+
+func (o *ownership) claim(c lessor.ClaimShards) {
+	var r committer.AppendRequested
+	var names []string
+	for _, claim := range c.Claims {
+		names = append(names, claim.Row.Shard)
+		r.Shards = append(r.Shards, committer.ShardWrite{Row: claim.Row, Version: claim.Version, OpenRange: true})
+	}
+	o.request(r, func(kind provider.Kind, sequence int) {
+		if kind == provider.KindFenced {
+			return
+		}
+		if kind == provider.KindNone {
+			for _, claim := range c.Claims {
+				o.recover(recoverer.ShardClaimed{Row: claim.Row, Position: sequence})
+			}
+		}
+		o.lease(lessor.ClaimFinished{Shards: names, Kind: kind})
+	})
+}
+
+// load restores a claimed shard and gives it to the program loop.
+func (o *ownership) load(c lessor.LoadShard) {
+	incarnation := o.incarnation
+	o.d.effect(func(ctx context.Context) {
+		loaded, err := o.loader.Load(ctx, c.Row)
+		if err != nil {
+			if ctx.Err() == nil {
+				o.d.logger.Error("shard cannot be loaded", zap.String("shard", c.Shard), zap.Error(err))
+			}
+			o.loop.Post(lessorMessage{lessor.ShardLoaded{Shard: c.Shard}})
+			return
+		}
+		o.loop.Post(shardRead{shard: c.Shard, epoch: c.Row.Epoch, loaded: loaded, incarnation: incarnation})
+	})
+}
+
+// shardRead has the content of a shard.
+type shardRead struct {
+	shard       string
+	epoch       int
+	incarnation string
+	loaded      recoverer.Loaded
+}
+
+func (shardRead) isOwnerMessage() {}
+
+// acquire gives a loaded shard to the program loop, unless the lease has been lost
+// while it was read.
+func (o *ownership) acquire(m shardRead) {
+	if m.incarnation != o.incarnation {
+		return
+	}
+	o.port.Deliver(sequencer.ShardAcquired{
+		Shard: m.shard, Epoch: m.epoch, Snapshot: m.loaded.Snapshot, Records: m.loaded.Records,
+	})
+	o.recover(recoverer.ShardLoaded{Shard: m.shard})
+	o.lease(lessor.ShardLoaded{Shard: m.shard, OK: true})
+}
+
+// checkIdle asks the program loop which draining shards can be handed over.
+func (o *ownership) checkIdle() {
+	if len(o.draining) == 0 {
+		return
+	}
+	names := make([]string, 0, len(o.draining))
+	for name := range o.draining {
+		names = append(names, name)
+	}
+	o.port.Query(func(s *sequencer.State) {
+		for _, name := range names {
+			if s.ShardIdle(name) {
+				o.loop.Post(lessorMessage{lessor.ShardIdle{Shard: name}})
+			}
+		}
+	})
+}
+
+// handOver takes a shard from the program loop, stores its snapshot and writes its
+// row.
+func (o *ownership) handOver(c lessor.HandOverShard) {
+	fail := func() {
+		o.loop.Post(lessorMessage{lessor.HandoverFinished{Shard: c.Shard, Kind: provider.KindUnavailable}})
+	}
+	delete(o.draining, c.Shard)
+	incarnation := o.incarnation
+	name := recoverer.SnapshotName(c.Shard, o.incarnation, c.Row.Epoch, int(o.ticket.Load()))
+	taken := func(snapshot []byte) {
+		if snapshot == nil {
+			fail()
+			return
+		}
+		o.d.effect(func(ctx context.Context) {
+			if err := o.loader.PutSnapshot(ctx, name, snapshot); err != nil {
+				fail()
+				return
+			}
+			row := c.Row
+			row.Snapshot = name
+			o.loop.Post(handOverReady{row: row, to: c.To, incarnation: incarnation})
+		})
+	}
+	if !o.port.TakeShard(c.Shard, taken) {
+		fail()
+	}
+}
+
+// handOverReady has the row of a shard whose snapshot is stored.
+type handOverReady struct {
+	row         encoder.ShardRow
+	to          string
+	incarnation string
+}
+
+func (handOverReady) isOwnerMessage() {}
+
+func (o *ownership) writeHandOver(m handOverReady) {
+	if m.incarnation != o.incarnation {
+		return
+	}
+	r := committer.AppendRequested{Shards: []committer.ShardWrite{{Row: m.row, Version: committer.AnyVersion}}}
+	o.request(r, func(kind provider.Kind, _ int) {
+		if kind == provider.KindFenced {
+			return
+		}
+		if kind == provider.KindNone {
+			o.recover(recoverer.ShardGone{Shard: m.row.Shard})
+			if m.to != "" {
+				o.port.Handover(m.to, m.row.Shard, m.row.Epoch)
+			}
+		}
+		o.lease(lessor.HandoverFinished{Shard: m.row.Shard, Kind: kind})
+	})
+}
+
+// recover updates the recoverer and executes its commands.
+func (o *ownership) recover(message recoverer.Message) {
+	for _, command := range o.recoverer.Update(o.d.platform.Clock.Now(), message) {
+		switch c := command.(type) {
+		case recoverer.StoreSnapshot:
+			o.snapshot(c.Shard)
+		case recoverer.WriteCheckpoint:
+			o.checkpoint(c)
+		case recoverer.DeleteSnapshot:
+			o.d.effect(func(ctx context.Context) { _ = o.d.platform.Objects.Delete(ctx, c.Name) })
+		case recoverer.TrimLog:
+			o.request(committer.AppendRequested{TrimThrough: c.Through}, func(provider.Kind, int) {})
+		}
+	}
+}
+
+// snapshotTaken has a snapshot; the marker with the ticket follows the records that
+// it covers.
+type snapshotTaken struct {
+	shard    string
+	snapshot []byte
+	position int
+	ok       bool
+}
+
+// snapshot takes a snapshot and appends a marker in one step of the program loop.
+// The marker's position is that of the snapshot in the log.
+func (o *ownership) snapshot(shard string) {
+	ticket := committer.Ticket(o.ticket.Add(-1))
+	var snapshot []byte
+	o.waiting[ticket] = func(kind provider.Kind, sequence int) {
+		o.storeSnapshot(snapshotTaken{shard: shard, snapshot: snapshot, position: sequence, ok: kind == provider.KindNone && snapshot != nil})
+	}
+	asked := o.port.Query(func(s *sequencer.State) {
+		snapshot = s.Snapshot(shard)
+		// The report of the marker follows in the loop after this step.
+		if err := o.runner.Append(committer.AppendRequested{Ticket: ticket}); err != nil {
+			o.loop.Post(committed{committer.TicketDropped{Ticket: ticket}})
+		}
+	})
+	if !asked {
+		o.finish(ticket, provider.KindUnavailable, 0)
+	}
+}
+
+func (o *ownership) storeSnapshot(m snapshotTaken) {
+	if !m.ok {
+		o.recover(recoverer.SnapshotStored{Shard: m.shard})
+		return
+	}
+	o.mu.Lock()
+	_, epoch, _ := o.lessor.Owner(m.shard)
+	o.mu.Unlock()
+	incarnation := o.incarnation
+	name := recoverer.SnapshotName(m.shard, incarnation, epoch, m.position)
+	o.d.effect(func(ctx context.Context) {
+		err := o.loader.PutSnapshot(ctx, name, m.snapshot)
+		o.loop.Post(snapshotStored{incarnation, recoverer.SnapshotStored{Shard: m.shard, Name: name, Position: m.position, OK: err == nil}})
+	})
+}
+
+// snapshotStored says that a snapshot of an incarnation's shard is stored.
+type snapshotStored struct {
+	incarnation string
+	message     recoverer.SnapshotStored
+}
+
+func (snapshotStored) isOwnerMessage() {}
+
+func (o *ownership) checkpoint(c recoverer.WriteCheckpoint) {
+	row := c.Row
+	row.Logs = []encoder.LogRange{{Host: o.d.settings.Host, Incarnation: o.incarnation, After: c.Position}}
+	r := committer.AppendRequested{Shards: []committer.ShardWrite{{Row: row, Version: committer.AnyVersion}}}
+	o.request(r, func(kind provider.Kind, _ int) {
+		o.recover(recoverer.CheckpointFinished{Shard: row.Shard, OK: kind == provider.KindNone})
+	})
+}
--- a/controller/platform.go
+++ b/controller/platform.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/connector"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -17,6 +18,8 @@
 	Engine  func(address string) provider.Engine
 	Service func(address string) provider.Service
 	Clock   provider.Clock
+	// Dial opens connections to other daemons; nil means TCP.
+	Dial messenger.Dialer
 }
 
 type systemClock struct{}
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -1,28 +1,32 @@
 package controller
 
 import (
+	"slices"
+	"strings"
+
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/parser"
-	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
 // Snapshot is what traffic needs to know of the configuration and the hosts. It
 // is immutable; the control loop publishes a new one after each change.
 type Snapshot struct {
-	version  int
-	services map[string]encoder.Service
-	targets  map[string][]provider.Member
-	hosts    []provider.Member
-	ready    bool
+	version    int
+	services   map[string]encoder.Service
+	workspaces map[string]encoder.Workspace
+	view       detector.View
+	peers      map[string]messenger.Peer
+	ready      bool
 }
 
-// newSnapshot derives a snapshot from a document and the list of members.
-func newSnapshot(document encoder.Document, members []provider.Member) *Snapshot {
+// newSnapshot derives a snapshot from a document and the view of the detector.
+func newSnapshot(document encoder.Document, view detector.View) *Snapshot {
 	s := &Snapshot{
-		version: document.Version, services: map[string]encoder.Service{},
-		targets: map[string][]provider.Member{}, ready: document.Version > 0,
+		version: document.Version, services: map[string]encoder.Service{}, workspaces: map[string]encoder.Workspace{},
+		view: view, peers: map[string]messenger.Peer{}, ready: document.Version > 0,
 	}
-	drained := map[string]bool{}
 	for _, section := range document.Sections {
 		switch {
 		case section.Deleted:
@@ -30,23 +34,40 @@
 			service := *section.Service
 			parser.FillDefaults(&service)
 			s.services[service.Name] = service
-		case section.Drain != nil:
-			drained[section.Drain.Host] = true
+		case section.Workspace != nil:
+			s.workspaces[section.Workspace.Name] = *section.Workspace
 		}
 	}
-	for _, member := range members {
-		member.Leaving = member.Leaving || drained[member.Host]
-		if member.Role == roleDaemon {
-			s.hosts = append(s.hosts, member)
-			continue
+	for name, service := range s.services {
+		if workspace, ok := s.workspaces[service.Workspace]; ok && workspace.Budget != nil {
+			service.Budget = mergeBudget(*service.Budget, *workspace.Budget)
+			s.services[name] = service
 		}
-		if !member.Leaving {
-			s.targets[member.Role] = append(s.targets[member.Role], member)
+	}
+	for _, host := range view.Hosts {
+		if host.Address != "" && host.State != detector.Gone {
+			s.peers[host.Name] = messenger.Peer{Host: host.Name, Address: host.Address}
 		}
 	}
 	return s
 }
 
+// mergeBudget fills the budget of a service with the defaults of its workspace.
+func mergeBudget(budget, defaults encoder.Budget) *encoder.Budget {
+	fill := func(value *int, fallback int) {
+		if *value == 0 {
+			*value = fallback
+		}
+	}
+	fill(&budget.Tokens, defaults.Tokens)
+	fill(&budget.Turns, defaults.Turns)
+	fill(&budget.TimeMs, defaults.TimeMs)
+	if budget.Cost == 0 {
+		budget.Cost = defaults.Cost
+	}
+	return &budget
+}
+
 // roleDaemon is the role of the system's own hosts in the platform's list.
 const roleDaemon = "daemon"
 
@@ -56,8 +77,27 @@
 	return service, ok
 }
 
-// Targets returns the targets of a service that may get new work. The caller must
-// not change the slice.
-func (s *Snapshot) Targets(service encoder.Service) []provider.Member {
-	return s.targets[service.Targets.Role]
+// Services returns the services in order of name.
+func (s *Snapshot) Services() []encoder.Service {
+	services := make([]encoder.Service, 0, len(s.services))
+	for _, service := range s.services {
+		services = append(services, service)
+	}
+	slices.SortFunc(services, func(a, b encoder.Service) int { return strings.Compare(a.Name, b.Name) })
+	return services
+}
+
+func (s *Snapshot) peer(host string) (messenger.Peer, bool) {
+	peer, ok := s.peers[host]
+	return peer, ok
+}
+
+// region returns the region of a host, "" if the host is not known.
+func (s *Snapshot) region(host string) string {
+	for _, h := range s.view.Hosts {
+		if h.Name == host {
+			return h.Region
+		}
+	}
+	return ""
 }
