Add the demonstration of the main workflow

make demo starts three daemons and the stand-ins as processes, runs 200 programs of both users, kills one daemon and drains another.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: build test check fmt lint generate soak
+.PHONY: build test check fmt lint generate demo soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -31,5 +31,9 @@
 	$(TOOLS) go-jsonschema -p encoder --only-models --tags json -o $@ $<
 	gofmt -w $@
 
+# Main workflow on loopback: three daemons, stand-ins of the platform, incidents.
+demo: build
+	bin/demo -bin bin -examples examples
+
 soak:
 	go run ./cmd/soak -seed $(SEED) -duration $(DURATION)
