Find owners that the entry daemon does not care for

The ownership of a daemon reads only the shards that it may own, so the owner of another one was taken to be unknown or dead. The entry daemon now forwards to the host that should own a shard, asks another host when that one does not answer, and keeps the owners that others name.

--- a/controller/daemon.go
+++ b/controller/daemon.go
@@ -56,6 +56,7 @@
 
 	mu        sync.Mutex
 	listeners []*server.Listener
+	hints     map[string]hint
 
 	// effects run until effectsCtx ends.
 	effects       *tasks
--- a/controller/forward.go
+++ b/controller/forward.go
@@ -54,8 +54,8 @@
 	if err != nil {
 		return d.forwardFailed(call, host, err)
 	}
-	if result.Owner != "" {
-		d.owner.OwnerLearned(shard, result.Owner, result.Epoch)
+	if result.Owner != host {
+		d.learn(shard, result.Owner, result.Epoch)
 	}
 	var answer forwardedAnswer
 	if err := json.Unmarshal(result.Result, &answer); err != nil {
@@ -118,7 +118,7 @@
 	}
 	result := encoder.CallResult{Outcome: answer.Outcome, Code: answer.Code, Message: answer.Message, Result: data}
 	if answer.Code == sequencer.CodeNotOwner {
-		result.Owner, result.Epoch, _ = d.owner.Owner(forwarded.Shard)
+		result.Owner, result.Epoch, _ = d.ownerOf(forwarded.Shard)
 	}
 	return result, nil
 }
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -22,7 +22,7 @@
 	Append(ticket uint64, records []encoder.Record)
 	// LeaseValid reports whether the lease is valid now, by the clock.
 	LeaseValid() bool
-	// Owner returns the owner of a shard as far as it is known.
+	// Owner returns the owner of a shard, or the host that most probably knows it.
 	Owner(shard string) (host string, epoch int, known bool)
 	// HostsChanged gives the daemons that are live.
 	HostsChanged(hosts []OwnerHost)
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -152,12 +152,13 @@
 // LeaseValid reports whether the lease is held now.
 func (o *ownership) LeaseValid() bool { return o.runner.LeaseValid() }
 
-// Owner returns the owner of a shard as far as it is known.
+// Owner returns the owner of a shard, or the host that should own it: that host
+// answers with the owner that it knows.
 func (o *ownership) Owner(shard string) (string, int, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	host, epoch, known := o.lessor.Owner(shard)
-	return host, epoch, known && host != ""
+	host, epoch, _ := o.lessor.Owner(shard)
+	return host, epoch, host != ""
 }
 
 // HostsChanged gives the daemons that are live.
--- a/controller/route.go
+++ b/controller/route.go
@@ -43,10 +43,17 @@
 	giveUp := d.platform.Clock.Now().Add(wait)
 	last := refusal(call, server.CodeOwnerUnreachable, "the owner of the program is not known")
 	pause := firstRoutePause
-	for {
+	avoid := ""
+	for try := 0; ; try++ {
 		now := d.platform.Clock.Now()
 		call.DeadlineMs = max(deadline.Sub(now).Milliseconds(), 1)
-		host, epoch, known := d.owner.Owner(shard)
+		host, epoch, known := d.ownerOf(shard)
+		if !known || host == avoid || !d.snapshot.Load().reachable(host) && host != d.settings.Host {
+			// Another host of the shard's failure domain may know a newer owner.
+			if other := d.snapshot.Load().fallback(shard, avoid, d.settings.Host, try); other != "" {
+				host, known = other, true
+			}
+		}
 		if known {
 			r.restart()
 			if host == d.settings.Host {
@@ -59,10 +66,18 @@
 			if !again {
 				return last
 			}
+			avoid = ""
+			if last.Code == server.CodeOwnerUnreachable || last.Code == codeOwnerLost {
+				avoid = host
+			}
 			d.logger.Debug("routing again", zap.String("call", call.ID), zap.String("program", call.Program),
 				zap.String("owner", host), zap.String("code", last.Code))
 		}
 		now = d.platform.Clock.Now()
+		if !now.Before(giveUp) {
+			d.logger.Warn("no owner was found", zap.String("call", call.ID), zap.String("program", call.Program),
+				zap.String("shard", shard), zap.String("owner", host), zap.Int("epoch", epoch), zap.String("code", last.Code))
+		}
 		if !now.Before(giveUp) || !now.Before(deadline) || ctx.Err() != nil || d.loopsDone.Load() {
 			return d.unreachable(last)
 		}
@@ -71,6 +86,44 @@
 	}
 }
 
+// hint is an owner that another daemon has named.
+type hint struct {
+	host  string
+	epoch int
+}
+
+// maxHints bounds the hints; when there are more, all are dropped, since each is
+// learned again by one forwarded call.
+const maxHints = 8_192
+
+// ownerOf returns the owner of a shard: the newer one of what the ownership knows
+// and what other daemons have named.
+func (d *Daemon) ownerOf(shard string) (host string, epoch int, known bool) {
+	host, epoch, known = d.owner.Owner(shard)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h, ok := d.hints[shard]; ok && (h.epoch > epoch || !known) {
+		return h.host, h.epoch, true
+	}
+	return host, epoch, known
+}
+
+// learn takes the owner that another daemon has named.
+func (d *Daemon) learn(shard, host string, epoch int) {
+	if host == "" {
+		return
+	}
+	d.owner.OwnerLearned(shard, host, epoch)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.hints == nil || len(d.hints) >= maxHints {
+		d.hints = map[string]hint{}
+	}
+	if epoch >= d.hints[shard].epoch {
+		d.hints[shard] = hint{host: host, epoch: epoch}
+	}
+}
+
 // unreachable is the last answer as the caller should see it.
 func (d *Daemon) unreachable(last server.Answer) server.Answer {
 	if last.Outcome == server.OutcomeNotRun {
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -101,3 +101,35 @@
 	}
 	return ""
 }
+
+// reachable reports whether a host is expected to answer.
+func (s *Snapshot) reachable(host string) bool {
+	for _, h := range s.view.Hosts {
+		if h.Name == host {
+			return h.State != detector.Unreachable && h.State != detector.Gone
+		}
+	}
+	return false
+}
+
+// fallback returns a host that may know the owner of a shard: one of the shard's
+// failure domain before others, another one with each try.
+func (s *Snapshot) fallback(shard, avoid, self string, try int) string {
+	domain, _, _ := strings.Cut(shard, "/")
+	var near, far []string
+	for _, h := range s.view.Hosts {
+		usable := h.State == detector.Ready || h.State == detector.Joining || h.State == detector.Suspect
+		switch {
+		case !usable || h.Name == avoid || h.Name == self:
+		case h.FailureDomain == domain:
+			near = append(near, h.Name)
+		default:
+			far = append(far, h.Name)
+		}
+	}
+	hosts := append(near, far...)
+	if len(hosts) == 0 {
+		return ""
+	}
+	return hosts[try%len(hosts)]
+}
