--- a/lessor/handover.go
+++ b/lessor/handover.go
@@ -12,19 +12,19 @@
 // rebalance starts handovers of shards that another host should own.
 func (s *State) rebalance(now time.Time) {
 	for _, shard := range s.cared {
-		if shard.status == statusDraining && shard.to != "" && !s.usable(shard.to) {
+		if shard.state == stateDraining && shard.to != "" && !s.usable(shard.to) {
 			s.keep(shard)
 		}
 	}
-	if s.draining {
-		s.drain()
+	if now.Before(s.handoverAt) {
 		return
 	}
-	if now.Before(s.handoverAt) {
+	if s.draining {
+		s.drain()
 		return
 	}
 	for _, shard := range s.cared {
-		if shard.status != statusOwned {
+		if shard.state != stateOwned {
 			continue
 		}
 		_, first := rank(s.settled.candidates(shard.domain), shard.hash, "", 0, "")
@@ -36,7 +36,7 @@
 		if !s.holdsLease(now, first) {
 			continue
 		}
-		shard.status = statusDraining
+		shard.fire(eventDrain)
 		s.handoverAt = now.Add(s.options.HandoverEvery)
 		s.emit(DrainShard{Shard: shard.name, To: first})
 		return
@@ -47,9 +47,9 @@
 // without an owner.
 func (s *State) drain() {
 	for _, shard := range s.cared {
-		if shard.status == statusOwned {
+		if shard.state == stateOwned {
 			_, shard.to = rank(s.places.candidates(shard.domain), shard.hash, "", 0, "")
-			shard.status = statusDraining
+			shard.fire(eventDrain)
 			s.emit(DrainShard{Shard: shard.name, To: shard.to})
 		}
 	}
@@ -69,17 +69,18 @@
 }
 
 func (s *State) keep(shard *shardView) {
-	shard.status, shard.to = statusOwned, ""
+	shard.fire(eventKeep)
+	shard.to = ""
 	s.emit(KeepShard{Shard: shard.name})
 }
 
 // shardIdle hands a shard over.
 func (s *State) shardIdle(name string) {
 	shard := s.shards[name]
-	if shard == nil || shard.status != statusDraining || !s.valid {
+	if shard == nil || shard.state != stateDraining || !s.valid {
 		return
 	}
-	shard.status = statusHandingOver
+	shard.fire(eventIdle)
 	row := encoder.ShardRow{Shard: name, Owner: shard.to, Epoch: shard.row.Epoch + 1}
 	if view := s.hosts[shard.to]; view != nil && view.known && view.row.State == committer.RowActive {
 		row.Incarnation = view.row.Incarnation
@@ -87,17 +88,19 @@
 	s.emit(HandOverShard{Shard: name, To: shard.to, Row: row})
 }
 
-// handoverFinished loads the shard again when the handover failed.
+// handoverFinished keeps the shard when the handover failed.
 func (s *State) handoverFinished(now time.Time, m HandoverFinished) {
 	shard := s.shards[m.Shard]
-	if shard == nil || shard.status != statusHandingOver {
+	if shard == nil || shard.state != stateHandingOver {
 		return
 	}
 	if m.Kind != provider.KindNone {
-		shard.status, shard.loadAt = statusLoading, now
+		s.keep(shard)
+		s.handoverAt = now.Add(s.options.HandoverEvery)
 		return
 	}
-	shard.status, shard.known = statusOther, false
+	shard.fire(eventHandedOver)
+	shard.known = false
 	shard.learned, shard.learnedEpoch = shard.to, shard.row.Epoch+1
 	shard.to = ""
 	// The new owner gets time to add its log range before this daemon looks.
@@ -107,7 +110,7 @@
 // handoverReceived reads the row of a shard that was handed to this daemon.
 func (s *State) handoverReceived(now time.Time, name string) {
 	shard := s.shards[name]
-	if shard == nil || shard.status != statusOther {
+	if shard == nil || shard.state != stateOther {
 		return
 	}
 	shard.readAt = now
@@ -121,7 +124,7 @@
 // only; a claim needs a row that was read.
 func (s *State) ownerLearned(now time.Time, m OwnerLearned) {
 	shard := s.shards[m.Shard]
-	if shard == nil || shard.status != statusOther || m.Epoch <= max(shard.row.Epoch, shard.learnedEpoch) {
+	if shard == nil || shard.state != stateOther || m.Epoch <= max(shard.row.Epoch, shard.learnedEpoch) {
 		return
 	}
 	if m.Owner == s.options.Self.Name {
@@ -137,7 +140,7 @@
 		return
 	}
 	for _, shard := range s.cared {
-		if shard.status != statusOther {
+		if shard.state != stateOther {
 			return
 		}
 	}
--- a/lessor/hosts.go
+++ b/lessor/hosts.go
@@ -84,7 +84,7 @@
 			shard.readAt = now
 		}
 		mine := shard.known && shard.row.Owner == self
-		if shard.rank < claimRanks || shard.status != statusOther || shard.invited || mine {
+		if shard.rank < claimRanks || shard.state != stateOther || shard.invited || mine {
 			s.cared = append(s.cared, shard)
 		}
 	}
@@ -228,10 +228,10 @@
 	}
 	for _, shard := range s.cared {
 		owner := shard.row.Owner
-		if shard.to != "" && (shard.status == statusOwned || shard.status == statusDraining) {
+		if shard.to != "" && (shard.state == stateOwned || shard.state == stateDraining) {
 			s.hostView(shard.to).wanted = true
 		}
-		if shard.status != statusOther || !shard.known || owner == "" || owner == s.options.Self.Name {
+		if shard.state != stateOther || !shard.known || owner == "" || owner == s.options.Self.Name {
 			continue
 		}
 		view := s.hostView(owner)
@@ -286,7 +286,7 @@
 // checkShardsOf reads the rows of the shards of a host soon.
 func (s *State) checkShardsOf(now time.Time, host string) {
 	for _, shard := range s.cared {
-		if shard.status == statusOther && shard.row.Owner == host {
+		if shard.state == stateOther && shard.row.Owner == host {
 			shard.readAt = now
 		}
 	}
--- a/lessor/message.go
+++ b/lessor/message.go
@@ -138,11 +138,14 @@
 // DrainShard asks for ShardIdle; new calls are to be delayed or redirected to To.
 type DrainShard struct{ Shard, To string }
 
-// KeepShard ends a DrainShard without a handover.
+// KeepShard ends a DrainShard or HandOverShard without a handover: serve the shard
+// again.
 type KeepShard struct{ Shard string }
 
 // HandOverShard stores a snapshot, drops the shard and writes Row with the
-// snapshot's name; answer with HandoverFinished.
+// snapshot's name; answer with HandoverFinished. Keep the snapshot until then: when
+// the handover failed, KeepShard follows and the shard is served again from it, since
+// the shard's row does not name it.
 type HandOverShard struct {
 	Shard, To string
 	Row       encoder.ShardRow
--- a/lessor/ownership_test.go
+++ b/lessor/ownership_test.go
@@ -45,10 +45,14 @@
 			d.draining[c.Shard] = true
 		case lessor.KeepShard:
 			delete(d.draining, c.Shard)
+			if kept, ok := d.kept[c.Shard]; ok {
+				d.shards[c.Shard] = kept
+			}
 		case lessor.HandOverShard:
 			d.handOver(c)
 		case lessor.DropShard:
 			delete(d.shards, c.Shard)
+			delete(d.kept, c.Shard)
 			delete(d.draining, c.Shard)
 		}
 	}
@@ -121,8 +125,15 @@
 
 func (d *daemon) handOver(c lessor.HandOverShard) {
 	snapshot, _ := json.Marshal(d.shards[c.Shard])
+	d.kept[c.Shard] = d.shards[c.Shard]
 	delete(d.shards, c.Shard)
 	delete(d.draining, c.Shard)
+	if d.world.random.IntN(4) == 0 {
+		d.later(time.Second, func() {
+			d.toLessor(lessor.HandoverFinished{Shard: c.Shard, Kind: provider.KindUnavailable})
+		})
+		return
+	}
 	row := c.Row
 	row.Snapshot = recoverer.SnapshotName(c.Shard, d.run(), row.Epoch, d.committer.Sequence())
 	if err := d.loader().PutSnapshot(context.Background(), row.Snapshot, snapshot); err != nil {
@@ -131,6 +142,7 @@
 	request := committer.AppendRequested{Shards: []committer.ShardWrite{{Row: row, Version: committer.AnyVersion}}}
 	d.append(request, func(kind provider.Kind, _ int) {
 		if kind != provider.KindFenced {
+			delete(d.kept, c.Shard)
 			d.toLessor(lessor.HandoverFinished{Shard: c.Shard, Kind: kind})
 		}
 	})
--- a/lessor/shards.go
+++ b/lessor/shards.go
@@ -17,7 +17,7 @@
 func (s *State) readShards(now time.Time) {
 	var due []string
 	for _, shard := range s.cared {
-		if shard.status != statusOther || shard.reading || now.Before(shard.readAt) {
+		if shard.state != stateOther || shard.reading || now.Before(shard.readAt) {
 			continue
 		}
 		if !s.allow(now) {
@@ -48,7 +48,7 @@
 			continue
 		}
 		shard.reading = false
-		if shard.status != statusOther || read.Version < shard.version {
+		if shard.state != stateOther || read.Version < shard.version {
 			continue
 		}
 		row := encoder.ShardRow{Shard: shard.name}
@@ -72,7 +72,7 @@
 	}
 	var claims []Claim
 	for _, shard := range s.cared {
-		if shard.status != statusOther || !shard.known || shard.reading {
+		if shard.state != stateOther || !shard.known || shard.reading {
 			continue
 		}
 		mine := shard.row.Owner == s.options.Self.Name
@@ -90,7 +90,7 @@
 		if now.Before(shard.freeSince.Add(turn)) || len(claims) == maxClaim {
 			continue
 		}
-		shard.status = statusClaiming
+		shard.fire(eventClaim)
 		shard.claimed = s.claimRow(shard)
 		claims = append(claims, Claim{Row: shard.claimed, Version: shard.version})
 	}
@@ -151,17 +151,17 @@
 	s.claiming = false
 	for _, name := range m.Shards {
 		shard := s.shards[name]
-		if shard == nil || shard.status != statusClaiming {
+		if shard == nil || shard.state != stateClaiming {
 			continue
 		}
 		if m.Kind != provider.KindNone {
-			shard.status = statusOther
+			shard.fire(eventRefused)
 			shard.known, shard.readAt = false, now
 			continue
 		}
 		shard.row = shard.claimed
 		shard.version++
-		shard.status = statusLoading
+		shard.fire(eventClaimed)
 		shard.loadAt, shard.freeSince = now, time.Time{}
 	}
 }
@@ -169,7 +169,7 @@
 // load asks for the loading of claimed shards.
 func (s *State) load(now time.Time) {
 	for _, shard := range s.cared {
-		if shard.status == statusLoading && !shard.loadAt.IsZero() && !now.Before(shard.loadAt) {
+		if shard.state == stateLoading && !shard.loadAt.IsZero() && !now.Before(shard.loadAt) {
 			shard.loadAt = time.Time{}
 			s.emit(LoadShard{Shard: shard.name, Row: shard.row})
 		}
@@ -178,11 +178,12 @@
 
 func (s *State) shardLoaded(now time.Time, m ShardLoaded) {
 	shard := s.shards[m.Shard]
-	if shard == nil || shard.status != statusLoading {
+	if shard == nil || shard.state != stateLoading {
 		return
 	}
 	if m.OK {
-		shard.status = statusOwned
+		shard.fire(eventLoaded)
+		shard.loadAt = time.Time{}
 		return
 	}
 	shard.loadAt = now.Add(s.jitter(loadRetry))
--- a/lessor/state.go
+++ b/lessor/state.go
@@ -11,24 +11,12 @@
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 )
 
-type status int
-
-const (
-	// statusOther is a shard that this daemon does not own.
-	statusOther status = iota
-	statusClaiming
-	statusLoading
-	statusOwned
-	statusDraining
-	statusHandingOver
-)
-
 // shardView is what the state knows of one shard.
 type shardView struct {
 	name    string
 	hash    uint64
 	domain  Domain
-	status  status
+	state   string
 	row     encoder.ShardRow
 	version int64
 	known   bool
@@ -122,7 +110,7 @@
 	for _, domain := range options.Domains {
 		for number := range options.ShardsPerDomain {
 			name := ShardName(domain.Name, number)
-			shard := &shardView{name: name, hash: xxhash.Sum64String(name), domain: domain, rank: claimRanks}
+			shard := &shardView{name: name, hash: xxhash.Sum64String(name), domain: domain, rank: claimRanks, state: shardChart.Initial()}
 			s.shards[name] = shard
 			s.order = append(s.order, shard)
 		}
@@ -221,10 +209,10 @@
 	s.checkLease(time.Time{})
 	s.claiming = false
 	for _, shard := range s.cared {
-		if shard.status != statusOther && shard.status != statusClaiming {
+		if shard.state != stateOther && shard.state != stateClaiming {
 			s.emit(DropShard{Shard: shard.name})
 		}
-		shard.status = statusOther
+		shard.fire(eventLost)
 		shard.known, shard.readAt = false, time.Time{}
 	}
 }
@@ -236,10 +224,8 @@
 	if shard == nil {
 		return "", 0, false
 	}
-	switch shard.status {
-	case statusOwned, statusDraining:
+	if shard.state == stateOwned || shard.state == stateDraining {
 		return s.options.Self.Name, shard.row.Epoch, true
-	case statusClaiming, statusLoading, statusHandingOver, statusOther:
 	}
 	if shard.learnedEpoch > shard.row.Epoch {
 		return shard.learned, shard.learnedEpoch, true
@@ -255,13 +241,20 @@
 func (s *State) Owned() []string {
 	var names []string
 	for _, shard := range s.cared {
-		if shard.status == statusOwned || shard.status == statusDraining {
+		if shard.state == stateOwned || shard.state == stateDraining {
 			names = append(names, shard.name)
 		}
 	}
 	return names
 }
 
+// Preferred reports whether this daemon ranks first among all live ones for a key. Use
+// it for work that one daemon should do and several may.
+func (s *State) Preferred(key string) bool {
+	position, _ := rank(s.places.all, xxhash.Sum64String(key), s.options.Self.Name, 1, "")
+	return position == 0
+}
+
 // LeaseValid reports whether the own lease is valid at the time.
 func (s *State) LeaseValid(now time.Time) bool { return now.Before(s.leaseUntil) }
 
--- a/lessor/world_test.go
+++ b/lessor/world_test.go
@@ -89,6 +89,8 @@
 	ticket               committer.Ticket
 	nextTick             time.Duration
 	draining             map[string]bool
+	// kept has shards whose handover is not finished.
+	kept map[string][]string
 }
 
 func newWorld(seed uint64, count int, mutation mutation) *world {
@@ -184,6 +186,7 @@
 	d.nextTick = 0
 	d.down, d.pausedUntil, d.delayed = false, 0, nil
 	d.shards, d.draining = map[string][]string{}, map[string]bool{}
+	d.kept = map[string][]string{}
 	d.waiting = map[committer.Ticket]func(provider.Kind, int){}
 	seed := uint64(d.incarnation)
 	// A third of the messages are large, so that objects are part of the log.
--- a/recoverer/checkpoint.go
+++ b/recoverer/checkpoint.go
@@ -163,9 +163,7 @@
 	case ShardPaused:
 		s.setLoaded(m.Shard, false)
 	case ShardGone:
-		s.setLoaded(m.Shard, false)
-		delete(s.shards, m.Shard)
-		commands = s.trim(s.options.MaxLogRows / trimShare)
+		commands = s.gone(m.Shard)
 	case LogGrew:
 		s.sequence = m.Sequence
 		s.bytes += m.Bytes
@@ -193,6 +191,17 @@
 	}
 }
 
+// gone removes a shard that was handed over with a snapshot of its own.
+func (s *State) gone(name string) []Command {
+	s.setLoaded(name, false)
+	var commands []Command
+	if old := s.Snapshot(name); old != "" {
+		commands = append(commands, DeleteSnapshot{Name: old})
+	}
+	delete(s.shards, name)
+	return append(commands, s.trim(s.options.MaxLogRows/trimShare)...)
+}
+
 // next starts the most urgent checkpoint; one is in progress at a time.
 func (s *State) next(now time.Time) []Command {
 	if s.busy != "" || now.Before(s.nextAt) {
