Measure the times of news and the control traffic of fleets

The targets of 3 s for news and 5 KB/s for control traffic need figures from the real protocol at several sizes.

Package measurer runs the control logic of fleets in one process over in-memory links with counted bytes. The detector publishes views less often for news that do not stop work, and looks at targets and domains less often.

--- /dev/null
+++ b/cmd/capacity/main.go
@@ -0,0 +1,81 @@
+// Command capacity measures how the costs of a daemon grow with the deployment.
+//
+// # Usage
+//
+//	capacity -news -hosts 9          # times of news; fails when one is over 3 s
+//	capacity -control 9,50,150,350   # control traffic of idle fleets
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/measurer"
+)
+
+func main() {
+	news := flag.Bool("news", false, "measure the times of news")
+	hosts := flag.Int("hosts", 9, "daemons of -news")
+	control := flag.String("control", "", "sizes of idle fleets, such as 9,50,150,350")
+	warmUp := flag.Duration("warmUp", 10500*time.Millisecond, "time before the measurement of a fleet")
+	window := flag.Duration("window", 3*time.Second, "time of the measurement of a fleet")
+	flag.Parse()
+	ctx := context.Background()
+	var err error
+	if *news {
+		err = printNews(ctx, *hosts)
+	}
+	if err == nil && *control != "" {
+		err = printControl(ctx, *control, *warmUp, *window)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func printNews(ctx context.Context, hosts int) error {
+	timings, err := measurer.NewsTimes(ctx, hosts)
+	if err != nil {
+		return err
+	}
+	late := 0
+	for _, timing := range timings {
+		fmt.Println(timing)
+		if timing.Error != "" || timing.Took > measurer.NewsLimit {
+			late++
+		}
+	}
+	if late > 0 {
+		return fmt.Errorf("%d of %d times are over %v", late, len(timings), measurer.NewsLimit)
+	}
+	return nil
+}
+
+func printControl(ctx context.Context, list string, warmUp, window time.Duration) error {
+	var sizes []int
+	for _, text := range strings.Split(list, ",") {
+		size, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil {
+			return err
+		}
+		sizes = append(sizes, size)
+	}
+	samples, err := measurer.ControlSlope(ctx, sizes, warmUp, window)
+	if err != nil {
+		return err
+	}
+	fmt.Println("| hosts | targets | sent B/s | received B/s | sum B/s | largest sum B/s | messages/s | core % | heap MB | store reads/s | target probes/s |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, s := range samples {
+		fmt.Printf("| %d | %d | %.0f | %.0f | %.0f | %.0f | %.1f | %.2f | %.2f | %.2f | %.2f |\n", s.Hosts, s.Targets,
+			s.SentPerSec, s.ReceivedPerSec, s.SentPerSec+s.ReceivedPerSec, s.MaxPerSec, s.MessagesPerSec,
+			100*s.ProcessShare, s.HeapBytes/1e6, s.StoreReads, s.TargetProbes)
+	}
+	return nil
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -27,11 +27,11 @@
 type Settings struct {
 	// Heartbeat is the interval of heartbeats.
 	Heartbeat time.Duration
-	// SuspectAfter is the silence after which a host is suspected. Three
-	// heartbeats: with 1 % of answers late, one miss happens every second at 350
-	// hosts and three in a row about twice a minute in the whole fleet; the probe
-	// on a new connection then leaves about one false alarm a day. Suspicion and
-	// probe together stay below the lease of 6 s.
+	// SuspectAfter is the silence after which a host is suspected: three heartbeats.
+	// If 1 % of answers are late, 350 hosts with four heartbeats a second each see
+	// three late ones in a row every 12 minutes, and the probe on a new connection
+	// leaves about one false alarm a day; with two heartbeats it would be 120.
+	// Suspicion and probe together stay below the lease of 6 s.
 	SuspectAfter time.Duration
 	// RecoverAfter is the number of successive answers after which a suspected or
 	// unreachable subject is used again.
@@ -130,23 +130,28 @@
 	rumours rumours
 	// hostNames and targetNames are sorted.
 	hostNames, targetNames []string
+	// targetList has the targets in order of name; nil when it must be built again.
+	targetList []*target
 
-	lists        int
-	round        int
-	nextRound    time.Time
-	urgent       bool
-	lastUrgent   time.Time
-	lastProbes   time.Time
-	lastSweep    time.Time
-	probeCredit  float64
-	changed      bool
-	lastView     time.Time
-	viewVersion  int
-	digests      [2]string
-	digestStale  bool
-	repairCursor int
-	assigned     map[string]bool
-	assignStale  bool
+	lists       int
+	round       int
+	nextRound   time.Time
+	urgent      bool
+	lastUrgent  time.Time
+	lastProbes  time.Time
+	lastSweep   time.Time
+	lastDomains time.Time
+	probeCredit float64
+	// changed says that the view is old, targetsChanged that its targets are, and
+	// pressing that the change is decisive for new work.
+	changed, targetsChanged, pressing bool
+	targetViews                       []TargetView
+	lastView                          time.Time
+	viewVersion                       int
+	digests                           [2]string
+	digestStale                       bool
+	repairCursor                      int
+	assignStale                       bool
 }
 
 // New returns the state of a daemon that knows only itself. The first heartbeat
@@ -191,7 +196,7 @@
 		for _, name := range m.Hosts {
 			s.drained[name] = true
 		}
-		s.changed = true
+		s.changed, s.targetsChanged, s.pressing = true, true, true
 	case ConfigChanged:
 		if m.Version > s.configVersion {
 			s.configVersion, s.urgent = m.Version, true
@@ -259,7 +264,7 @@
 
 // placeFor is the time after the start for which heartbeats carry the address and
 // the place of the sender, for peers whose list does not have it yet.
-const placeFor = 30 * time.Second
+const placeFor = 10 * time.Second
 
 func (s *State) heartbeat(now time.Time, to *host, repair bool) encoder.Heartbeat {
 	h := encoder.Heartbeat{
--- a/detector/domain.go
+++ b/detector/domain.go
@@ -14,6 +14,9 @@
 // in one of five million cases.
 const maxSample = 8
 
+// domainPause is the interval of checks of whole failure domains.
+const domainPause = 250 * time.Millisecond
+
 type domain struct {
 	name, region string
 	lost         bool
@@ -91,6 +94,10 @@
 // and none of it answers. The sample is taken when one host is suspected or when
 // more than half of the domain is silent.
 func (s *State) checkDomains(now time.Time) []Command {
+	if now.Sub(s.lastDomains) < domainPause {
+		return nil
+	}
+	s.lastDomains = now
 	var commands []Command
 	for _, name := range slices.Sorted(maps.Keys(s.domains)) {
 		d := s.domains[name]
@@ -124,7 +131,7 @@
 		return
 	}
 	d.lost, d.targetSuccesses = lost, 0
-	s.changed, s.assignStale, s.digestStale = true, true, true
+	s.changed, s.pressing, s.assignStale, s.digestStale = true, true, true, true
 	event := "recovered"
 	if lost {
 		event = "lost"
--- a/detector/host.go
+++ b/detector/host.go
@@ -86,8 +86,17 @@
 	if !ok || next == h.state {
 		return
 	}
-	h.state = next
-	s.changed, s.assignStale, s.digestStale = true, true, true
+	pressing := decisive(h.state) || decisive(next)
+	h.state, s.changed = next, true
+	if pressing {
+		s.pressing, s.assignStale, s.digestStale = true, true, true
+	}
+}
+
+// decisive reports whether a subject in this state gets no work, so that news of
+// it is published without delay.
+func decisive(state string) bool {
+	return state == Leaving || state == Unreachable || state == Gone
 }
 
 // listHost takes the list's entry of a host.
@@ -236,6 +245,7 @@
 		s.fireHost(h, "left")
 		return true
 	case newer:
+		s.digestStale = s.digestStale || h.home.state == Unreachable || h.own.state == Unreachable
 		h.home.state, h.own.state = Ready, Ready
 		if h.incarnation != "" || h.state == Gone {
 			s.fireHost(h, "restarted")
--- a/detector/target.go
+++ b/detector/target.go
@@ -26,6 +26,7 @@
 	lastProbe        time.Time
 	own, home        observation
 	byDomain         bool
+	assigned         bool
 }
 
 // fireTarget moves a target along the chart.
@@ -34,8 +35,10 @@
 	if !ok || next == t.state {
 		return
 	}
-	t.state = next
-	s.changed, s.digestStale = true, true
+	if decisive(t.state) || decisive(next) {
+		s.pressing, s.digestStale = true, true
+	}
+	t.state, s.changed, s.targetsChanged = next, true, true
 }
 
 func (s *State) addTarget(now time.Time, member provider.Member) *target {
@@ -43,7 +46,8 @@
 	s.targets[member.Host] = t
 	i, _ := slices.BinarySearch(s.targetNames, member.Host)
 	s.targetNames = slices.Insert(s.targetNames, i, member.Host)
-	s.changed, s.assignStale = true, true
+	s.targetList = nil
+	s.changed, s.targetsChanged, s.assignStale = true, true, true
 	return t
 }
 
@@ -102,7 +106,7 @@
 	member.Leaving = false
 	if t.member != member {
 		t.member = member
-		s.changed, s.assignStale = true, true
+		s.changed, s.targetsChanged, s.assignStale = true, true, true
 	}
 	switch {
 	case leaving:
@@ -152,7 +156,7 @@
 	t.successes = 0
 	t.fails++
 	if !t.hint {
-		t.hint, s.changed = true, true
+		t.hint, s.changed, s.targetsChanged = true, true, true
 	}
 	s.fireTarget(t, "failed")
 	if t.fails >= s.settings.RecoverAfter && t.state == Degraded {
@@ -169,7 +173,7 @@
 	t.lastOK, t.fails = now, 0
 	t.successes++
 	if t.hint {
-		t.hint, s.changed = false, true
+		t.hint, s.changed, s.targetsChanged = false, true, true
 	}
 	if t.state == Joining {
 		s.fireTarget(t, "heard")
@@ -250,9 +254,16 @@
 	rate := float64(s.settings.ProbesPerSec)
 	s.probeCredit = min(rate, s.probeCredit+rate*now.Sub(s.lastProbes).Seconds())
 	s.lastProbes = now
+	if s.probeCredit < 1 {
+		return nil
+	}
 	var due []*target
-	for _, name := range s.targetNames {
-		t := s.targets[name]
+	if s.targetList == nil {
+		for _, name := range s.targetNames {
+			s.targetList = append(s.targetList, s.targets[name])
+		}
+	}
+	for _, t := range s.targetList {
 		if t.state == Leaving || t.state == Gone || t.member.Address == "" || t.byDomain {
 			continue
 		}
@@ -261,7 +272,7 @@
 		wait := s.settings.AssignedProbe
 		if failing {
 			wait = s.settings.FailedProbe
-		} else if !disputed && t.state != Unreachable && (!s.assigned[name] || now.Sub(t.lastOK) < wait) {
+		} else if !disputed && t.state != Unreachable && (!t.assigned || now.Sub(t.lastOK) < wait) {
 			continue
 		}
 		if now.Sub(t.lastProbe) >= wait {
--- a/detector/view.go
+++ b/detector/view.go
@@ -10,8 +10,11 @@
 )
 
 // viewPause is the least time between two views, so that a burst of news costs
-// one.
-const viewPause = 100 * time.Millisecond
+// one; pressingPause is that after news that stop work.
+const (
+	viewPause     = 500 * time.Millisecond
+	pressingPause = 100 * time.Millisecond
+)
 
 // View is what the detector knows, in order of name. It is never changed.
 type View struct {
@@ -43,10 +46,14 @@
 
 // publish returns the view when it has changed.
 func (s *State) publish(now time.Time) []Command {
-	if !s.changed || now.Sub(s.lastView) < viewPause {
+	pause := viewPause
+	if s.pressing {
+		pause = pressingPause
+	}
+	if !s.changed || now.Sub(s.lastView) < pause {
 		return nil
 	}
-	s.changed, s.lastView = false, now
+	s.changed, s.pressing, s.lastView = false, false, now
 	s.viewVersion++
 	view := View{Version: s.viewVersion, LostRegions: s.lostRegions()}
 	for _, name := range slices.Sorted(maps.Keys(s.domains)) {
@@ -65,21 +72,29 @@
 			State: state, Incarnation: h.incarnation, Drained: s.drained[name],
 		})
 	}
-	view.Targets = make([]TargetView, 0, len(s.targets))
+	if s.targetsChanged || s.targetViews == nil {
+		s.targetsChanged, s.targetViews = false, s.viewTargets()
+	}
+	view.Targets = s.targetViews
+	return []Command{PublishView{View: view}}
+}
+
+func (s *State) viewTargets() []TargetView {
+	views := make([]TargetView, 0, len(s.targets))
 	for _, name := range s.targetNames {
 		t := s.targets[name]
 		state := t.state
 		if s.drained[name] && state != Gone {
 			state = Leaving
 		}
-		view.Targets = append(view.Targets, TargetView{
+		views = append(views, TargetView{
 			Name: name, Address: t.member.Address, Service: t.member.Role, FailureDomain: t.member.FailureDomain,
 			Region: t.member.Region, State: state, Since: t.since, Hint: t.hint, Drained: s.drained[name],
-			Assigned: s.assigned[name],
+			Assigned: t.assigned,
 		})
 	}
-	s.markSubset(view.Targets)
-	return []Command{PublishView{View: view}}
+	s.markSubset(views)
+	return views
 }
 
 // markSubset chooses the targets that this daemon uses, at most Settings.Subset
@@ -142,7 +157,7 @@
 		old := t.state == Gone && now.Sub(t.goneAt) > s.settings.Keep
 		if old {
 			delete(s.targets, name)
-			s.changed = true
+			s.targetList, s.changed, s.targetsChanged = nil, true, true
 		}
 		return old
 	})
@@ -166,7 +181,6 @@
 			}
 		}
 	}
-	assigned := map[string]bool{}
 	for _, name := range s.targetNames {
 		t := s.targets[name]
 		pool := pools["d/"+t.member.FailureDomain]
@@ -177,12 +191,10 @@
 		if len(pool) == 0 {
 			pool, inside = pools["*"], true
 		}
-		if inside && wins(own, t.hash, pool) {
-			assigned[name] = true
+		if assigned := inside && wins(own, t.hash, pool); assigned != t.assigned {
+			t.assigned, s.changed, s.targetsChanged = assigned, true, true
 		}
 	}
-	s.assigned = assigned
-	s.changed = true
 }
 
 func wins(own, target uint64, pool []uint64) bool {
--- /dev/null
+++ b/measurer/control.go
@@ -0,0 +1,121 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"runtime/metrics"
+	"syscall"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+)
+
+// ControlSample is the cost of the control logic at one size, for each daemon.
+type ControlSample struct {
+	Hosts   int `json:"hosts"`
+	Targets int `json:"targets"`
+	// Bytes and messages between daemons, without headers of TCP and IP.
+	SentPerSec     float64 `json:"sentBytesPerSec"`
+	ReceivedPerSec float64 `json:"receivedBytesPerSec"`
+	MaxPerSec      float64 `json:"maxBytesPerSec"`
+	MessagesPerSec float64 `json:"messagesPerSec"`
+	// LoopShare is the share of a core spent in the control loop, ProcessShare of
+	// the whole process with connections and JSON.
+	LoopShare    float64 `json:"loopCoreShare"`
+	ProcessShare float64 `json:"processCoreShare"`
+	HeapBytes    float64 `json:"heapBytes"`
+	StoreReads   float64 `json:"storeReadsPerSec"`
+	TargetProbes float64 `json:"targetProbesPerSec"`
+	Connections  float64 `json:"dialsPerSec"`
+}
+
+// ControlSlope measures idle fleets of the given sizes, 16 targets for each host
+// and five failure domains, one after the other.
+func ControlSlope(ctx context.Context, sizes []int, warmUp, window time.Duration) ([]ControlSample, error) {
+	var out []ControlSample
+	for _, size := range sizes {
+		sample, err := controlSample(ctx, size, warmUp, window)
+		if err != nil {
+			return nil, fmt.Errorf("%d hosts: %w", size, err)
+		}
+		out = append(out, sample)
+	}
+	return out, nil
+}
+
+type totals struct {
+	at       time.Time
+	counters []messenger.Counters
+	busy     int64
+	probes   int64
+	reads    int64
+	cpu      float64
+}
+
+func (f *Fleet) totals() totals {
+	t := totals{at: time.Now(), reads: f.tables.Counters().Reads, cpu: cpuSeconds()}
+	for _, m := range f.members {
+		t.counters = append(t.counters, m.messenger.Counters())
+		t.busy += m.busy.Load()
+		t.probes += m.probes.Load()
+	}
+	return t
+}
+
+func controlSample(ctx context.Context, size int, warmUp, window time.Duration) (ControlSample, error) {
+	runtime.GC()
+	before := heapBytes()
+	f, err := NewFleet(ctx, Options{Domains: 5, Hosts: size, Targets: 16 * size, ListEvery: 5 * time.Second})
+	if err != nil {
+		return ControlSample{}, err
+	}
+	defer f.Close()
+	time.Sleep(warmUp)
+	if _, err := f.wait(ctx, 20*time.Second, f.settled); err != nil {
+		return ControlSample{}, err
+	}
+	first := f.totals()
+	time.Sleep(window)
+	last := f.totals()
+	runtime.GC()
+	sample := difference(first, last, size)
+	sample.Hosts, sample.Targets = size, f.options.Targets
+	sample.HeapBytes = (heapBytes() - before) / float64(size)
+	return sample, nil
+}
+
+func difference(first, last totals, size int) ControlSample {
+	seconds := last.at.Sub(first.at).Seconds()
+	n := float64(size) * seconds
+	var sample ControlSample
+	for i := range last.counters {
+		a, b := first.counters[i], last.counters[i]
+		sent, received := float64(b.SentBytes-a.SentBytes), float64(b.ReceivedBytes-a.ReceivedBytes)
+		sample.SentPerSec += sent / n
+		sample.ReceivedPerSec += received / n
+		sample.MaxPerSec = max(sample.MaxPerSec, (sent+received)/seconds)
+		sample.MessagesPerSec += float64(b.SentMessages-a.SentMessages+b.ReceivedMessages-a.ReceivedMessages) / n
+		sample.Connections += float64(b.Dials-a.Dials) / n
+	}
+	sample.LoopShare = float64(last.busy-first.busy) / 1e9 / n
+	sample.ProcessShare = (last.cpu - first.cpu) / n
+	sample.StoreReads = float64(last.reads-first.reads) / n
+	sample.TargetProbes = float64(last.probes-first.probes) / n
+	return sample
+}
+
+// cpuSeconds returns the processor time of the process.
+func cpuSeconds() float64 {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return float64(usage.Utime.Nano()+usage.Stime.Nano()) / 1e9
+}
+
+func heapBytes() float64 {
+	samples := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}, {Name: "/memory/classes/heap/stacks:bytes"}}
+	metrics.Read(samples)
+	return float64(samples[0].Value.Uint64() + samples[1].Value.Uint64())
+}
