--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: build test check fmt lint generate demo soak
+.PHONY: build test check fmt lint generate demo soak bench capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -37,3 +37,6 @@
 
 soak:
 	go run ./cmd/soak -seed $(SEED) -duration $(DURATION)
+
+bench:
+	go run ./cmd/bench -seed $(SEED) -plot docs
