Hedge model calls later and measure rare load reports

Cause: a daemon that polls its targets seldom took busy runners for silent ones. Change: a model call is hedged after six seconds without any answer of its target; one more fault leaves reports out of the answers.

--- a/bencher/cell.go
+++ b/bencher/cell.go
@@ -23,6 +23,9 @@
 	// LostEvents drops a third of the cache events and delays the others by two
 	// seconds.
 	LostEvents Fault = "lostEvents"
+	// RareReports leaves load reports out of the answers; each target is polled every
+	// twelve seconds only.
+	RareReports Fault = "rareReports"
 	// FailingRunner makes one runner fail every call at once, so that it looks idle.
 	FailingRunner Fault = "failingRunner"
 	// SilentRunner makes one runner accept calls and answer nothing for a while.
--- a/bencher/daemon.go
+++ b/bencher/daemon.go
@@ -241,8 +241,10 @@
 			w.after(idle, func() { d.finish(k, target, j, scheduler.CallFinished{Outcome: scheduler.Unknown}) })
 			return
 		}
-		report := w.snapshot(e)
-		message.Report = &report
+		if w.cell.Fault != RareReports {
+			report := w.snapshot(e)
+			message.Report = &report
+		}
 		message.Usage = provider.Usage{PromptTokens: j.prompt, CachedTokens: j.cached, CompletionTokens: j.answer}
 		message.Blocks = k.program.spec.Chain[:k.final/provider.BlockTokens]
 	}
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -124,8 +124,12 @@
 	for i := range d.Daemons {
 		w.daemons = append(w.daemons, newDaemon(w, i, i%domains))
 	}
+	interval := time.Second
+	if w.cell.Fault == RareReports {
+		interval = rarePoll
+	}
 	for _, e := range w.engines {
-		w.every(time.Second, func() { w.poll(e) })
+		w.every(interval, func() { w.poll(e) })
 	}
 }
 
@@ -137,6 +141,9 @@
 	})
 }
 
+// rarePoll is the interval of polls with RareReports.
+const rarePoll = 12 * time.Second
+
 // reportLag is the age of a polled report in the healthy case.
 const reportLag = 100 * time.Millisecond
 
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -148,7 +148,7 @@
 	c.attempts = append(c.attempts, attempt{node: n, sentAt: s.now, choice: choice})
 	c.service.inFlight++
 	if !hedge && s.policy.HedgeRatio > 0 && c.info.Repeatable {
-		c.hedgeAt = s.now.Add(hedgeDelay(choice))
+		c.hedgeAt = s.now.Add(hedgeDelay(c, choice))
 		s.hedges.Set(c)
 	}
 	s.emit(SendCall{
@@ -158,13 +158,13 @@
 }
 
 // hedgeDelay is the time without a first token after which a call is taken to be
-// stuck: four times what was expected, at least two seconds.
-func hedgeDelay(choice router.Choice) time.Duration {
-	expected := choice.Wait + choice.Prefill
-	if choice.Prefill == 0 {
-		expected = choice.Seconds
+// stuck: four times what was expected, at least two seconds for a plain call and
+// six for a model call, whose prompt costs more to repeat.
+func hedgeDelay(c *call, choice router.Choice) time.Duration {
+	if c.info.Kind == KindPlain {
+		return max(2*time.Second, seconds(4*choice.Seconds))
 	}
-	return max(2*time.Second, time.Duration(4*expected*float64(time.Second)))
+	return max(6*time.Second, seconds(4*(choice.Wait+choice.Prefill)))
 }
 
 func (s *State) hedge(c *call) {
