Let one target serve several services

Cause: a target that was listed for two services was a candidate of the first only, so that the second one found no target. Change: nodes keep the set of their services. Result: the new test finds the target for both, and for none once it leaves.

--- a/router/baseline.go
+++ b/router/baseline.go
@@ -108,7 +108,7 @@
 	if n == nil {
 		return Choice{}
 	}
-	return Choice{Node: n, Uncached: r.PromptTokens, Full: full}
+	return Choice{Node: n, Service: r.Service, Uncached: r.PromptTokens, Full: full}
 }
 
 // mix is the finaliser of a 64-bit hash.
--- a/router/cache_test.go
+++ b/router/cache_test.go
@@ -136,7 +136,7 @@
 	for i := range uint64(60) {
 		name := fmt.Sprintf("t%d", i%3)
 		now = now.Add(100 * time.Millisecond)
-		fleet.Sent(now, fleet.Node(name), i, router.Choice{Wait: 0.1, Token: 0.02})
+		fleet.Sent(now, fleet.Node(name), i, router.Choice{Service: "m", Wait: 0.1, Token: 0.02})
 		took := 2 * time.Second
 		if name == "t0" {
 			took = 10 * time.Second
@@ -154,3 +154,25 @@
 		}
 	}
 }
+
+// Guards against targets that only the first of several services can use.
+func TestTargetServesSeveralServices(t *testing.T) {
+	fleet := router.NewFleet(router.Place{Domain: "a", Region: "r"}, router.DefaultProfile())
+	target := router.Target{Name: "t", Service: "m", Region: "r", State: router.StateReady}
+	other := target
+	other.Service = "n"
+	fleet.SetTargets(start, []router.Target{target, other})
+	fleet.SetTargets(start, []router.Target{target, other})
+	policy := router.NewCost(fleet, router.DefaultWeights(), 1, router.Options{})
+	for _, service := range []string{"m", "n"} {
+		if choice := policy.Decide(start, &router.Request{Service: service, Program: "p"}); choice.Node == nil {
+			t.Errorf("service %s finds no target", service)
+		}
+	}
+	fleet.MarkLeaving(fleet.Node("t"))
+	for _, service := range []string{"m", "n"} {
+		if choice := policy.Decide(start, &router.Request{Service: service, Program: "p"}); choice.Node != nil {
+			t.Errorf("service %s still uses a leaving target", service)
+		}
+	}
+}
--- a/router/cost.go
+++ b/router/cost.go
@@ -104,7 +104,7 @@
 				return
 			}
 		}
-		if n.target.Service == r.Service {
+		if n.services[r.Service] {
 			list = append(list, candidate{node: n, cached: length})
 		}
 	}
@@ -175,7 +175,7 @@
 		return c.pricePlain(n, r)
 	}
 	f, profile, p := c.fleet, &c.fleet.profile, c.fleet.pools[r.Service]
-	choice := Choice{Node: n}
+	choice := Choice{Node: n, Service: r.Service}
 	choice.Cached = min(cachedBlocks*provider.BlockTokens, r.PromptTokens)
 	choice.Uncached = r.PromptTokens - choice.Cached
 	calls, waiting := n.Calls(), n.WaitingTokens()
@@ -262,5 +262,5 @@
 	}
 	wait := float64(n.InFlight()) * n.service
 	seconds := wait + n.service + 2*latency.Seconds()
-	return Choice{Node: n, Seconds: seconds, Wait: wait, Cost: seconds}
+	return Choice{Node: n, Service: r.Service, Seconds: seconds, Wait: wait, Cost: seconds}
 }
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -70,7 +70,8 @@
 	return nil
 }
 
-// SetTargets replaces the list of targets. Targets that stay keep their load and
+// SetTargets replaces the list of targets. A target that serves several services
+// is listed once for each of them. Targets that stay keep their load and
 // cache; the cache estimate of a target that was gone or unreachable is dropped,
 // because it may have restarted.
 func (f *Fleet) SetTargets(now time.Time, targets []Target) {
@@ -78,33 +79,42 @@
 	f.nodes = make(map[string]*Node, len(targets))
 	f.pools = map[string]*pool{}
 	for _, t := range targets {
-		if f.nodes[t.Name] != nil {
-			continue
-		}
-		if t.Since.IsZero() {
-			t.Since = now
-		}
-		n := old[t.Name]
+		n := f.nodes[t.Name]
 		if n == nil {
-			n = newNode(t, &f.profile)
+			n = f.renew(now, old[t.Name], t)
 		}
-		if t.State == StateGone || (n.target.State == StateUnreachable && t.State != StateUnreachable) {
-			f.cache.Forget(n)
-		}
-		n.target = t
-		f.nodes[t.Name] = n
-		f.add(n, pools[t.Service])
+		f.add(n, t.Service, pools[t.Service])
 	}
 }
 
-func (f *Fleet) add(n *Node, before *pool) {
-	p := f.pools[n.target.Service]
+func (f *Fleet) renew(now time.Time, n *Node, t Target) *Node {
+	if t.Since.IsZero() {
+		t.Since = now
+	}
+	if n == nil {
+		n = newNode(t, &f.profile)
+	}
+	if t.State == StateGone || (n.target.State == StateUnreachable && t.State != StateUnreachable) {
+		f.cache.Forget(n)
+	}
+	n.target = t
+	clear(n.services)
+	f.nodes[t.Name] = n
+	return n
+}
+
+func (f *Fleet) add(n *Node, service string, before *pool) {
+	if n.services[service] {
+		return
+	}
+	n.services[service] = true
+	p := f.pools[service]
 	if p == nil {
 		p = &pool{slowness: 1, answer: f.profile.AnswerTokens}
 		if before != nil {
 			p.slowness, p.answer = before.slowness, before.answer
 		}
-		f.pools[n.target.Service] = p
+		f.pools[service] = p
 	}
 	n.index = len(p.nodes)
 	p.nodes = append(p.nodes, n)
@@ -124,9 +134,11 @@
 		return
 	}
 	n.target.State = StateLeaving
-	p := f.pools[n.target.Service]
-	p.accepting = remove(p.accepting, n)
-	p.local = remove(p.local, n)
+	for service := range n.services {
+		p := f.pools[service]
+		p.accepting = remove(p.accepting, n)
+		p.local = remove(p.local, n)
+	}
 }
 
 func remove(nodes []*Node, n *Node) []*Node {
@@ -165,7 +177,7 @@
 func (f *Fleet) Finished(now time.Time, n *Node, ticket uint64, observed time.Duration, tokens int) {
 	flight, ok := n.finished(now, ticket)
 	n.heard = now
-	p := f.pools[n.target.Service]
+	p := f.pools[flight.service]
 	if !ok || p == nil || observed <= 0 {
 		return
 	}
--- a/router/node.go
+++ b/router/node.go
@@ -9,10 +9,11 @@
 
 // flight is one call of this daemon at a target.
 type flight struct {
-	ticket uint64
-	sentAt time.Time
-	doneAt time.Time
-	tokens int
+	ticket  uint64
+	service string
+	sentAt  time.Time
+	doneAt  time.Time
+	tokens  int
 	// first and token are the predicted seconds before and of each token.
 	first   float64
 	token   float64
@@ -41,12 +42,14 @@
 	slowness float64
 	service  float64
 	index    int
+	// services are those that the target is listed for.
+	services map[string]bool
 	// heard is when the target last answered anything.
 	heard time.Time
 }
 
 func newNode(target Target, profile *Profile) *Node {
-	return &Node{target: target, profile: profile, slowness: 1, service: profile.PlainSeconds}
+	return &Node{target: target, profile: profile, slowness: 1, service: profile.PlainSeconds, services: map[string]bool{}}
 }
 
 // Target returns the node's target.
@@ -122,7 +125,7 @@
 
 func (n *Node) sent(now time.Time, ticket uint64, choice *Choice) {
 	n.flights = append(n.flights, flight{
-		ticket: ticket, sentAt: now, tokens: choice.Uncached, token: choice.Token,
+		ticket: ticket, service: choice.Service, sentAt: now, tokens: choice.Uncached, token: choice.Token,
 		first: choice.Wait + choice.Prefill,
 	})
 }
--- a/router/target.go
+++ b/router/target.go
@@ -87,6 +87,8 @@
 type Choice struct {
 	// Node is nil when no target may be used now.
 	Node *Node
+	// Service is the call's service.
+	Service string
 	// Seconds is the estimated time to completion at this target.
 	Seconds float64
 	// Wait and Prefill are the parts of Seconds before the first token.
