Hedge plain calls only and block the target that lost to a hedge

Cause: hedges of model calls cost as much prefill as they saved waiting, and a cancelled call made its stuck target look idle, which attracted further calls. Change: only repeatable plain calls are hedged, and a target that was slower than a hedge has its breaker opened.

--- a/admitter/breaker.go
+++ b/admitter/breaker.go
@@ -66,11 +66,15 @@
 		return
 	}
 	b.failures++
-	b.successes = 0
-	if !b.open && b.failures < b.options.Failures {
-		return
+	if b.open || b.failures >= b.options.Failures {
+		b.Trip(now, random)
 	}
-	b.open = true
+	b.successes = 0
+}
+
+// Trip opens the breaker at once, as for a target that was slower than a hedge.
+func (b *Breaker) Trip(now time.Time, random *rand.Rand) {
+	b.open, b.probing, b.successes = true, false, 0
 	b.openFor = min(max(2*b.openFor, b.options.Open), b.options.MaxOpen)
 	b.until = now.Add(b.openFor/2 + time.Duration(random.Int64N(int64(b.openFor/2)+1)))
 }
--- a/bencher/cell.go
+++ b/bencher/cell.go
@@ -28,7 +28,8 @@
 	RareReports Fault = "rareReports"
 	// FailingRunner makes one runner fail every call at once, so that it looks idle.
 	FailingRunner Fault = "failingRunner"
-	// SilentRunner makes one runner accept calls and answer nothing for a while.
+	// SilentRunner makes one runner and one instance of the plain service accept
+	// calls and answer nothing for a while.
 	SilentRunner Fault = "silentRunner"
 )
 
--- a/bencher/daemon.go
+++ b/bencher/daemon.go
@@ -160,6 +160,10 @@
 		return
 	}
 	if p := w.plainName[target]; p != nil {
+		if p.silent {
+			w.after(idle, func() { d.finish(k, target, j, scheduler.CallFinished{Outcome: scheduler.Unknown}) })
+			return
+		}
 		p.submit(k.service, func() { w.answer(p.domain, d, k, target, j, 500) })
 		return
 	}
--- a/bencher/plain.go
+++ b/bencher/plain.go
@@ -11,6 +11,7 @@
 	name    string
 	domain  int
 	running int
+	silent  bool
 	queue   []func()
 }
 
--- a/bencher/world.go
+++ b/bencher/world.go
@@ -239,8 +239,9 @@
 	case FailingRunner:
 		w.after(times.Warm/2, func() { w.engines[0].failing = true })
 	case SilentRunner:
-		w.after(from, func() { w.engines[0].silent = true })
-		w.after(from+(times.Until-times.Warm)/3, func() { w.engines[0].silent = false })
+		set := func(silent bool) { w.engines[0].silent, w.plains[0].silent = silent, silent }
+		w.after(from, func() { set(true) })
+		w.after(from+(times.Until-times.Warm)/3, func() { set(false) })
 	case DomainCut:
 		w.cutFrom, w.cutTo = from, from+min(2*time.Minute, (times.Until-times.Warm)/3)
 		w.after(w.cutFrom+detection, func() { w.publish(true) })
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -157,10 +157,7 @@
 }
 
 // Started notes the first token of a call.
-func (f *Fleet) Started(now time.Time, n *Node, ticket uint64) {
-	n.heard = now
-	n.started(ticket)
-}
+func (f *Fleet) Started(n *Node, ticket uint64) { n.started(ticket) }
 
 // Cancelled notes the end of a call that says nothing about its target.
 func (f *Fleet) Cancelled(now time.Time, n *Node, ticket uint64) { n.finished(now, ticket) }
@@ -176,7 +173,6 @@
 // Finished notes the end of a call with the tokens that it generated.
 func (f *Fleet) Finished(now time.Time, n *Node, ticket uint64, observed time.Duration, tokens int) {
 	flight, ok := n.finished(now, ticket)
-	n.heard = now
 	p := f.pools[flight.service]
 	if !ok || p == nil || observed <= 0 {
 		return
--- a/router/node.go
+++ b/router/node.go
@@ -44,8 +44,6 @@
 	index    int
 	// services are those that the target is listed for.
 	services map[string]bool
-	// heard is when the target last answered anything.
-	heard time.Time
 }
 
 func newNode(target Target, profile *Profile) *Node {
@@ -120,9 +118,6 @@
 	return n.profile.PrefillPerSec
 }
 
-// Silent reports whether the target has answered nothing since the given time.
-func (n *Node) Silent(since time.Time) bool { return !n.heard.After(since) }
-
 func (n *Node) sent(now time.Time, ticket uint64, choice *Choice) {
 	n.flights = append(n.flights, flight{
 		ticket: ticket, service: choice.Service, sentAt: now, tokens: choice.Uncached, token: choice.Token,
@@ -181,9 +176,6 @@
 		return
 	}
 	n.report, n.reported = report, true
-	if report.At.After(n.heard) {
-		n.heard = report.At
-	}
 	n.total = float64(report.Running + report.Waiting)
 	n.tokens = float64(report.WaitingTokens)
 	for i := range n.flights {
--- a/scheduler/decision_test.go
+++ b/scheduler/decision_test.go
@@ -160,3 +160,40 @@
 		t.Errorf("the failing target got %d of 200 calls, want 5 to 20", failures)
 	}
 }
+
+// Guards against a hedge that makes its stuck target look idle: the next calls
+// must go elsewhere. Found by the bench as more programs with an unknown outcome.
+func TestStuckTargetIsAvoidedAfterHedge(t *testing.T) {
+	state := scheduler.New(scheduler.Options{Place: router.Place{Region: "r"}, Profile: router.DefaultProfile(), Seed: 1})
+	now := start
+	state.Update(now, scheduler.ServicesChanged{Services: []scheduler.Service{
+		{Name: "p", Plain: true, MaxConcurrency: 8, MaxQueue: 16, RetryRatio: 0.1, CallTimeout: time.Minute},
+	}})
+	var targets []scheduler.Target
+	for i := range 3 {
+		targets = append(targets, scheduler.Target{
+			Name: fmt.Sprintf("t%d", i), Service: "p", Region: "r", State: router.StateReady, Since: now.Add(-time.Hour),
+		})
+	}
+	state.Update(now, scheduler.TargetsChanged{Targets: targets})
+	call := scheduler.CallInfo{Program: "a", Client: "c", Service: "p", Kind: scheduler.KindPlain, Repeatable: true}
+	stuck := state.Update(now, scheduler.CallQueued{Ticket: 1, Call: call})[0].(scheduler.SendCall).Target
+	now = now.Add(5 * time.Second)
+	commands := state.Update(now, scheduler.Tick{})
+	if len(commands) != 1 {
+		t.Fatalf("a stuck call yields %v, want one hedge", commands)
+	}
+	hedge := commands[0].(scheduler.SendCall)
+	if !hedge.Hedge || hedge.Target == stuck {
+		t.Fatalf("got %+v, want a hedge at another target than %s", hedge, stuck)
+	}
+	commands = state.Update(now, scheduler.CallFinished{Ticket: 1, Target: hedge.Target, Latency: time.Second})
+	if len(commands) != 1 || commands[0] != (scheduler.CancelSend{Ticket: 1, Target: stuck}) {
+		t.Fatalf("the end of the hedge yields %v, want the stuck attempt cancelled", commands)
+	}
+	for ticket := scheduler.Ticket(2); ticket < 12; ticket++ {
+		if target := state.Update(now, scheduler.CallQueued{Ticket: ticket, Call: call})[0].(scheduler.SendCall).Target; target == stuck {
+			t.Fatalf("call %d went to the stuck target", ticket)
+		}
+	}
+}
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -29,7 +29,7 @@
 	}
 	a := &c.attempts[i]
 	a.started = true
-	s.fleet.Started(s.now, a.node, uint64(c.ticket))
+	s.fleet.Started(a.node, uint64(c.ticket))
 	s.hedges.Delete(c)
 	a.waited = max(0, s.now.Sub(a.sentAt)-seconds(a.choice.Prefill))
 	s.guard(a.node).limit.Observe(s.now, a.waited, a.node.InFlight())
@@ -49,7 +49,12 @@
 		}
 		a := &c.attempts[i]
 		s.endAttempt(c, a)
-		s.guard(a.node).breaker.Cancelled()
+		if a.sentAt.Before(kept.sentAt) {
+			// The hedge won: its target was stuck, and looks idle from now on.
+			s.guard(a.node).breaker.Trip(s.now, s.random)
+		} else {
+			s.guard(a.node).breaker.Cancelled()
+		}
 		s.emit(CancelSend{Ticket: c.ticket, Target: a.node.Name()})
 	}
 	c.attempts = append(c.attempts[:0], kept)
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -147,8 +147,9 @@
 	s.fleet.Sent(s.now, n, uint64(c.ticket), choice)
 	c.attempts = append(c.attempts, attempt{node: n, sentAt: s.now, choice: choice})
 	c.service.inFlight++
-	if !hedge && s.policy.HedgeRatio > 0 && c.info.Repeatable {
-		c.hedgeAt = s.now.Add(hedgeDelay(c, choice))
+	// A second prefill of a model call cost more than it saved in the bench.
+	if !hedge && s.policy.HedgeRatio > 0 && c.info.Repeatable && c.info.Kind == KindPlain {
+		c.hedgeAt = s.now.Add(hedgeDelay(choice))
 		s.hedges.Set(c)
 	}
 	s.emit(SendCall{
@@ -157,25 +158,16 @@
 	})
 }
 
-// hedgeDelay is the time without a first token after which a call is taken to be
-// stuck: four times what was expected, at least two seconds for a plain call and
-// six for a model call, whose prompt costs more to repeat.
-func hedgeDelay(c *call, choice router.Choice) time.Duration {
-	if c.info.Kind == KindPlain {
-		return max(2*time.Second, seconds(4*choice.Seconds))
-	}
-	return max(6*time.Second, seconds(4*(choice.Wait+choice.Prefill)))
+// hedgeDelay is the time without an answer after which a plain call is taken to be
+// stuck: four times what was expected, at least two seconds.
+func hedgeDelay(choice router.Choice) time.Duration {
+	return max(2*time.Second, seconds(4*choice.Seconds))
 }
 
 func (s *State) hedge(c *call) {
 	if len(c.attempts) != 1 || c.attempts[0].started || !c.info.Repeatable {
 		return
 	}
-	// A busy engine gains nothing from a second prefill elsewhere; one that has
-	// answered nothing since may have a silent connection.
-	if c.info.Kind == KindModel && !c.attempts[0].node.Silent(c.attempts[0].sentAt) {
-		return
-	}
 	exclude := c.info.Exclude
 	c.info.Exclude = append(append([]string(nil), exclude...), c.attempts[0].node.Name())
 	choice := s.route(c)
