Let engines return under a new name and publish only real changes in the soak

A target that left comes back to the list as another process; the daemons remember the old one as gone for a while. A publish that changes nothing keeps its version, which the check took for one version accepted twice.

--- a/soaker/bed.go
+++ b/soaker/bed.go
@@ -51,8 +51,9 @@
 	services  []*emulator.Service
 	machines  []*host
 
-	mu    sync.Mutex
-	atEnd []func()
+	mu        sync.Mutex
+	atEnd     []func()
+	processes map[int]int // number of the current process of each engine
 }
 
 func newBed(options Options, t *tally) (*bed, error) {
@@ -61,19 +62,19 @@
 		base: options.Logger, tally: t, inspector: newInspector(t, ledger), network: newNetwork(),
 		tables:  emulator.NewTables(emulator.TablesOptions{WritesPerSec: 400, ReadsPerSec: 2000}, emulator.NewFaults(options.Seed)),
 		objects: emulator.NewObjects(emulator.NewFaults(options.Seed)),
-		hosts:   emulator.NewHostList(nil),
+		hosts:   emulator.NewHostList(nil), processes: map[int]int{},
 	}
 	for n := range 4 {
 		name := fmt.Sprintf("drafter-%d", n)
 		b.engines = append(b.engines, emulator.NewEngine(emulator.EngineOptions{
 			Name: name, Models: []string{"quill"}, TokensPerSec: 2_000, ChecksFencing: n%2 == 0,
 		}))
-		b.putTarget(name, drafter, n)
+		b.putTarget(b.runner(n), name, drafter, n)
 	}
 	for n := range 3 {
 		name := fmt.Sprintf("ledger-%d", n)
 		b.services = append(b.services, emulator.NewService(emulator.ServiceOptions{Name: name, LookupByKey: true}, ledger))
-		b.putTarget(name, ledgerName, n)
+		b.putTarget(name, name, ledgerName, n)
 	}
 	if err := b.publish(); err != nil {
 		return nil, err
@@ -88,9 +89,9 @@
 	return b, nil
 }
 
-func (b *bed) putTarget(name, role string, n int) {
+func (b *bed) putTarget(name, address, role string, n int) {
 	domain := domains[n%len(domains)]
-	b.hosts.Put(provider.Member{Host: name, Address: name, FailureDomain: domain.Name, Region: domain.Region, Role: role})
+	b.hosts.Put(provider.Member{Host: name, Address: address, FailureDomain: domain.Name, Region: domain.Region, Role: role})
 }
 
 func (b *bed) engine(name string) *emulator.Engine {
@@ -179,10 +180,8 @@
 	b.tables.Faults().Clear()
 	b.objects.Faults().Clear()
 	b.hosts.SetFaults(emulator.HostListFaults{})
-	for n, engine := range b.engines {
+	for _, engine := range b.engines {
 		engine.SetFaults(emulator.EngineFaults{})
-		b.putTarget(engine.Name(), drafter, n)
-		b.inspector.setLeaving(engine.Name(), false)
 	}
 	for _, service := range b.services {
 		service.SetFaults(emulator.ServiceFaults{})
--- a/soaker/faults.go
+++ b/soaker/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/emulator"
@@ -132,25 +133,39 @@
 	return func() { set(false) }
 }
 
-// leave announces that an engine leaves, removes it and brings it back. It
-// reports false when the engine is leaving already.
+// leave lets an engine leave: it is announced, later removed with its process, and
+// a new process serves at the address under a new name. It reports false when the
+// engine is leaving already.
 func (b *bed) leave(ctx context.Context, f fault) bool {
 	n := f.Subject % len(b.engines)
-	name, domain := b.engines[n].Name(), domains[n%len(domains)]
-	if !b.inspector.setLeaving(name, true) {
+	engine, domain := b.engines[n], domains[n%len(domains)]
+	if !b.inspector.setLeaving(engine.Name(), true) {
 		return false
 	}
+	old := b.runner(n)
 	b.hosts.Put(provider.Member{
-		Host: name, Address: name, FailureDomain: domain.Name, Region: domain.Region, Role: drafter, Leaving: true,
+		Host: old, Address: engine.Name(), FailureDomain: domain.Name, Region: domain.Region, Role: drafter, Leaving: true,
 	})
 	sleep(ctx, f.For)
-	b.hosts.Remove(name)
+	b.hosts.Remove(old)
+	engine.SetFaults(emulator.EngineFaults{Dead: true})
 	sleep(ctx, time.Second)
-	b.inspector.setLeaving(name, false)
-	b.putTarget(name, drafter, n)
+	engine.SetFaults(emulator.EngineFaults{})
+	b.inspector.setLeaving(engine.Name(), false)
+	b.mu.Lock()
+	b.processes[n]++
+	b.mu.Unlock()
+	b.putTarget(b.runner(n), engine.Name(), drafter, n)
 	return true
 }
 
+// runner is the name of an engine's current process.
+func (b *bed) runner(n int) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%s-run%d", b.engines[n].Name(), b.processes[n])
+}
+
 func sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/soaker/operator.go
+++ b/soaker/operator.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
@@ -19,6 +20,7 @@
 type versions struct {
 	bed    *bed
 	client *client
+	serial atomic.Int64
 
 	mu       sync.Mutex
 	accepted map[int]time.Time
@@ -50,7 +52,8 @@
 			v.bed.tally.check(checkConfig, false, "version %d has lost a service", document.Version)
 			continue
 		}
-		services[i].Limits.MaxConcurrency = 64 + random.IntN(64)
+		// A document that changes nothing would keep its version.
+		services[i].Limits.MaxQueue = 1_000 + int(v.serial.Add(1))
 		proposal := publisher.Proposal{
 			From: document.Version, Operator: "desk", Action: publisher.ActionPublish,
 			Document: publisher.Replace(document, services, nil),
