--- a/router/cost.go
+++ b/router/cost.go
@@ -41,7 +41,6 @@
 	NoCorrection bool
 	NoImport     bool
 	NoBurden     bool
-	NoMemory     bool
 }
 
 // NewCost returns the policy. The seed decides the random candidates.
@@ -156,6 +155,14 @@
 // Factors from 1 to 64 were compared in the bench (docs/measurements.md).
 const recomputeFactor = 16
 
+// linkFactor is what a megabyte on the link between regions costs at weight 1, in
+// seconds. Factors from 1 to 30 were compared in the bench.
+const linkFactor = 10
+
+// placementCalls is the number of calls that follow a program to a target that it
+// is sent to without its cache: it will stay there and send its history each time.
+const placementCalls = 8
+
 // slowLimit is the ratio to the service's mean above which a target counts as
 // slow; below it the difference is noise of the prediction.
 const slowLimit = 1.7
@@ -193,19 +200,19 @@
 	if f.Remote(n) && !c.options.NoLink {
 		bytes := f.LinkBytes(n, r)
 		transfer, latency, megabytes = bytes/profile.LinkBytesPerSec, profile.RegionLatency, bytes/1e6
+		if 2*choice.Cached < r.PromptTokens {
+			megabytes *= placementCalls
+		}
 	}
 	network := transfer + 2*latency.Seconds()
 	choice.Seconds = choice.Wait + choice.Prefill + decode + network
 	weights := c.weightsOf(r.Service)
 	choice.Cost = (choice.Wait+choice.Prefill+decode)*c.slow(n, p) + network +
-		weights.Cache*recomputeFactor*compute + weights.Link*megabytes
+		weights.Cache*recomputeFactor*compute + weights.Link*linkFactor*megabytes
 	if !c.options.NoBurden {
 		// Every chunk and every token lengthens the iterations of all others.
 		choice.Cost += running * (compute + answer*profile.DecodeSlope)
 	}
-	if !c.options.NoMemory {
-		choice.Cost += c.eviction(n, &choice, rate)
-	}
 	return choice
 }
 
@@ -217,16 +224,6 @@
 	return 1
 }
 
-// eviction returns the seconds of prefill that others lose when the call's blocks
-// push theirs out of the target's memory.
-func (c *Cost) eviction(n *Node, choice *Choice, rate float64) float64 {
-	free := n.FreeBlocks()
-	if free < 0 {
-		return 0
-	}
-	return math.Max(0, float64(choice.Uncached)-free*provider.BlockTokens) / rate
-}
-
 // consider compares recomputation of the missing prefix with the import of an
 // exported KV cache and takes the import when it is faster.
 func (c *Cost) consider(n *Node, r *Request, choice *Choice) {
