Run the soak against the daemons; answer unknown when an earlier try may have run

The soak saw a call that was refused as not run and had run: the entry daemon lost the connection to one owner, looked for another, and reported the refusal of the last try. A refusal after a try in doubt is now unknown. The estimate of an appended call's history is left to the sequencer, which adds it when the call starts.

--- a/controller/programs.go
+++ b/controller/programs.go
@@ -147,15 +147,10 @@
 	p.d.metrics.gauge("pending_records", float64(counts.PendingRecords))
 }
 
-// arrive passes a call to the sequencer. The bound of a request that appends
-// includes the recorded history, which only the owner knows.
+// arrive passes a call to the sequencer, which adds the recorded history to the
+// bound of a request that appends.
 func (p *programs) arrive(m callArrived) {
 	r := m.request
-	if r.Append {
-		if view, ok := p.sequencer.Program(r.Program); ok {
-			r.PromptTokens += view.Tokens
-		}
-	}
 	if _, open := p.sessions[r.ID]; open {
 		m.buffer.Finish(server.Answer{Outcome: server.OutcomeNotRun, Code: sequencer.CodeCallInProgress, Program: r.Program})
 		return
--- a/controller/route.go
+++ b/controller/route.go
@@ -43,7 +43,7 @@
 	giveUp := d.platform.Clock.Now().Add(wait)
 	last := refusal(call, server.CodeOwnerUnreachable, "the owner of the program is not known")
 	pause := firstRoutePause
-	avoid := ""
+	avoid, doubt := "", false
 	for try := 0; ; try++ {
 		now := d.platform.Clock.Now()
 		call.DeadlineMs = max(deadline.Sub(now).Milliseconds(), 1)
@@ -63,8 +63,9 @@
 			}
 			again := last.Outcome == server.OutcomeNotRun && reroutes[last.Code] ||
 				last.Outcome == server.OutcomeUnknown && named && (last.Code == codeOwnerLost || last.Code == sequencer.CodeOwnerChanged)
+			doubt = doubt || last.Outcome == server.OutcomeUnknown
 			if !again {
-				return last
+				return doubtful(last, doubt)
 			}
 			avoid = ""
 			if last.Code == server.CodeOwnerUnreachable || last.Code == codeOwnerLost {
@@ -79,13 +80,22 @@
 				zap.String("shard", shard), zap.String("owner", host), zap.Int("epoch", epoch), zap.String("code", last.Code))
 		}
 		if !now.Before(giveUp) || !now.Before(deadline) || ctx.Err() != nil || d.loopsDone.Load() {
-			return d.unreachable(last)
+			return doubtful(d.unreachable(last), doubt)
 		}
 		time.Sleep(pause/2 + rand.N(pause))
 		pause = min(2*pause, longestRoutePause)
 	}
 }
 
+// doubtful turns a refusal into an unknown outcome when an earlier try of the same
+// call may have run.
+func doubtful(last server.Answer, doubt bool) server.Answer {
+	if doubt && last.Outcome == server.OutcomeNotRun {
+		last.Outcome, last.Code, last.Message = server.OutcomeUnknown, codeOwnerLost, "an earlier try may have run: "+last.Message
+	}
+	return last
+}
+
 // hint is an owner that another daemon has named.
 type hint struct {
 	host  string
--- a/soaker/host.go
+++ b/soaker/host.go
@@ -80,6 +80,7 @@
 		Tables:  gatedTables{b.tables.For(h.name), gate},
 		Objects: b.objects.For(h.name),
 		Hosts:   b.hosts,
+		Dial:    b.network.dialer(h.name),
 		Engine: func(address string) provider.Engine {
 			return watchedEngine{Engine: b.engine(address), name: address, host: h, gate: gate, inspector: b.inspector}
 		},
--- a/soaker/platform.go
+++ b/soaker/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -58,8 +59,13 @@
 func (t gatedTables) Commit(ctx context.Context, transaction provider.Transaction) (provider.CommitResult, error) {
 	t.gate.pass()
 	defer t.gate.pass()
-	// A request that was about to be sent goes out even when its time is over.
-	return t.Tables.Commit(context.WithoutCancel(ctx), transaction)
+	if ctx.Err() != nil {
+		// A request that was about to be sent goes out even when its time is over.
+		late, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
+		defer cancel()
+		ctx = late
+	}
+	return t.Tables.Commit(ctx, transaction)
 }
 
 func (t gatedTables) Read(ctx context.Context, table, key string) (provider.Row, error) {
