Bound the reads and writes of a takeover after the loss of a failure domain

With 35 daemons at a tenth of the budgets, reads of leases starved reads of shard rows, and all daemons tried to fence the same hosts. Reads now alternate, little of the read budget is saved up, one handover target is checked at a time, and a daemon that is not a watcher reads the lease row once more before its late turn to fence.

--- a/lessor/handover.go
+++ b/lessor/handover.go
@@ -23,19 +23,22 @@
 		s.drain()
 		return
 	}
+	s.proposed = ""
 	for _, shard := range s.cared {
 		if shard.state != stateOwned {
 			continue
 		}
 		_, first := rank(s.settled.candidates(shard.domain), shard.hash, "", 0, "")
 		if first == "" || first == s.options.Self.Name {
-			shard.to = ""
 			continue
 		}
-		shard.to = first
 		if !s.holdsLease(now, first) {
+			if s.proposed == "" && s.usable(first) {
+				s.proposed = first
+			}
 			continue
 		}
+		shard.to = first
 		shard.fire(eventDrain)
 		s.handoverAt = now.Add(s.options.HandoverEvery)
 		s.emit(DrainShard{Shard: shard.name, To: first})
--- a/lessor/hosts.go
+++ b/lessor/hosts.go
@@ -155,7 +155,7 @@
 				continue
 			}
 		}
-		if !view.known || view.version != read.Version || now.Sub(view.lastAt) > s.options.Lease/2 {
+		if !view.known || view.version != read.Version || now.Sub(view.lastAt) > s.options.Lease*2/3 {
 			view.seenAt = now
 		}
 		view.known, view.row, view.version = true, row, read.Version
@@ -195,7 +195,7 @@
 			break
 		}
 		view.reading, view.requestedAt = true, now
-		view.readAt = now.Add(s.options.Lease / 4)
+		view.readAt = now.Add(s.options.Lease / 3)
 		if expiry := view.seenAt.Add(committer.ClaimerLease(s.options.Lease, s.options.ClockRateError)); view.known &&
 			expiry.After(now) && expiry.Before(view.readAt) {
 			view.readAt = expiry
@@ -226,11 +226,11 @@
 	for _, name := range s.names {
 		s.hosts[name].wanted = false
 	}
+	if s.proposed != "" {
+		s.hostView(s.proposed).wanted = true
+	}
 	for _, shard := range s.cared {
 		owner := shard.row.Owner
-		if shard.to != "" && (shard.state == stateOwned || shard.state == stateDraining) {
-			s.hostView(shard.to).wanted = true
-		}
 		if shard.state != stateOther || !shard.known || owner == "" || owner == s.options.Self.Name {
 			continue
 		}
@@ -258,8 +258,12 @@
 		if view.watched == s.options.Watchers && !view.wanted {
 			continue
 		}
-		turn := time.Duration(view.watched) * s.options.Stagger
-		if view.lastAt.Sub(view.seenAt) < expiry || now.Before(view.seenAt.Add(expiry+turn)) {
+		if view.lastAt.Sub(view.seenAt) < expiry || now.Before(view.seenAt.Add(expiry+s.turn(view))) {
+			continue
+		}
+		// Another one may have fenced it meanwhile: a read is cheaper than a conflict.
+		if now.Sub(view.lastAt) > s.options.Stagger/5 {
+			view.readAt = earlier(view.readAt, now)
 			continue
 		}
 		view.fencing = true
@@ -269,6 +273,16 @@
 	}
 }
 
+// turn is how long this daemon leaves an expired lease to others. Those that need a
+// shard of the host and are not its watchers come last, spread over further turns.
+func (s *State) turn(view *hostView) time.Duration {
+	position := view.watched
+	if position == s.options.Watchers {
+		position += int(weight(xxhash.Sum64String(s.options.Self.Name), view.hash) % otherTurns)
+	}
+	return time.Duration(position) * s.options.Stagger
+}
+
 // fenceFinished reads the row again, whatever the outcome was.
 func (s *State) fenceFinished(now time.Time, m FenceFinished) {
 	view := s.hostView(m.Host)
--- a/lessor/options.go
+++ b/lessor/options.go
@@ -19,6 +19,9 @@
 // claimRanks is how many hosts care for a shard that has no owner.
 const claimRanks = 2
 
+// otherTurns is the number of turns over which hosts that are not watchers spread.
+const otherTurns = 8
+
 // secondClaimAfter is how long the second-ranked host leaves a shard without an
 // owner to the first: several commits at full scale.
 const secondClaimAfter = 2 * time.Second
--- a/lessor/ownership_test.go
+++ b/lessor/ownership_test.go
@@ -209,7 +209,7 @@
 	case 0:
 		d.pausedUntil = w.now + f.last
 	case 1:
-		d.down = true
+		d.down, d.downAt = true, w.now
 		w.after(f.last, d.start)
 	case 2:
 		d.cut = true
--- a/lessor/state.go
+++ b/lessor/state.go
@@ -94,8 +94,12 @@
 
 	claiming   bool
 	handoverAt time.Time
-	tokens     float64
-	tokensAt   time.Time
+	// proposed is a host that should get a shard and whose lease is not known.
+	proposed string
+	// leasesFirst alternates, so that reads of leases and of shards share the budget.
+	leasesFirst bool
+	tokens      float64
+	tokensAt    time.Time
 }
 
 // New returns a state that owns nothing.
@@ -167,18 +171,31 @@
 		return
 	}
 	s.exclude(now)
-	s.readLeases(now)
+	s.read(now)
 	s.fence(now)
 	if !s.valid {
 		return
 	}
-	s.readShards(now)
 	s.claim(now)
 	s.load(now)
 	s.rebalance(now)
 	s.checkDrained()
 }
 
+// read reads the rows that are due, as far as the budget permits.
+func (s *State) read(now time.Time) {
+	s.leasesFirst = !s.leasesFirst
+	if s.leasesFirst {
+		s.readLeases(now)
+	}
+	if s.valid {
+		s.readShards(now)
+	}
+	if !s.leasesFirst {
+		s.readLeases(now)
+	}
+}
+
 // renewed notes a renewal of the own lease, which may belong to a new incarnation.
 func (s *State) renewed(now time.Time, m LeaseRenewed) {
 	s.incarnation = m.Incarnation
@@ -261,7 +278,8 @@
 // allow takes one read from the token bucket.
 func (s *State) allow(now time.Time) bool {
 	rate := s.options.ReadsPerSec / float64(max(1, len(s.places.all)))
-	burst := max(8, rate)
+	// Little is saved up: after a large failure all daemons read at the same time.
+	burst := max(1, rate/4)
 	if s.tokensAt.IsZero() {
 		s.tokens = burst
 	}
--- a/lessor/world_test.go
+++ b/lessor/world_test.go
@@ -68,19 +68,27 @@
 	lose, late float64
 	loads      int
 	violations []string
+	domains    []lessor.Domain
+	shards     int
+	// idle daemons write no records, for runs at scale.
+	idle bool
+	// writes and reads are the budgets of all daemons; 0 means the defaults.
+	writes, reads float64
 }
 
 // daemon is one simulated daemon: committer, lessor and a list of records for each
 // shard in place of the sequencer.
 type daemon struct {
-	world *world
-	name  string
+	world  *world
+	name   string
+	domain lessor.Domain
 	// process counts the starts; a lost lease changes only the incarnation.
 	process, incarnation int
 	rate                 float64
 	committer            *committer.State
 	lessor               *lessor.State
 	down                 bool
+	downAt               time.Duration
 	pausedUntil          time.Duration
 	cut, flap            bool
 	delayed              []func()
@@ -94,16 +102,29 @@
 }
 
 func newWorld(seed uint64, count int, mutation mutation) *world {
+	return newWorldOf(seed, mutation, []lessor.Domain{{Name: "a", Region: "r"}}, count, 6, 1)
+}
+
+// newWorldOf returns a world with a number of hosts and of shards in each domain.
+func newWorldOf(seed uint64, mutation mutation, domains []lessor.Domain, hosts, shards int, scale float64) *world {
 	w := &world{
-		mutation: mutation, random: rand.New(rand.NewPCG(seed, 3)),
+		mutation: mutation, random: rand.New(rand.NewPCG(seed, 3)), domains: domains, shards: shards,
+		writes: scale * committer.DefaultWritesPerSec, reads: scale * lessor.DefaultReadsPerSec,
 		tables:       emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(seed)),
 		objects:      emulator.NewObjects(emulator.NewFaults(seed)),
 		acknowledged: map[string][]string{}, owners: map[string]string{},
 	}
 	w.tables.Observe(w.observe)
-	for i := range count {
-		d := &daemon{world: w, name: fmt.Sprintf("host-%d", i), rate: 1 + (w.random.Float64()-0.5)*clockError}
-		w.daemons = append(w.daemons, d)
+	for _, domain := range domains {
+		for range hosts {
+			d := &daemon{
+				world: w, domain: domain, name: fmt.Sprintf("host-%d", len(w.daemons)),
+				rate: 1 + (w.random.Float64()-0.5)*clockError,
+			}
+			w.daemons = append(w.daemons, d)
+		}
+	}
+	for _, d := range w.daemons {
 		d.start()
 	}
 	w.after(0, w.tick)
@@ -160,8 +181,13 @@
 		if d.down {
 			continue
 		}
-		d.deliver(func() { d.toLessor(lessor.Tick{}); d.work() })
-		if w.now%time.Second == 0 {
+		d.deliver(func() {
+			d.toLessor(lessor.Tick{})
+			if !w.idle {
+				d.work()
+			}
+		})
+		if w.now%time.Second == 0 && (!w.idle || w.now%(2*time.Second) == 0) {
 			d.deliver(func() { d.toLessor(lessor.HostsChanged{Live: w.live(d)}) })
 		}
 	}
@@ -171,9 +197,9 @@
 func (w *world) live(self *daemon) []lessor.Host {
 	var hosts []lessor.Host
 	for _, d := range w.daemons {
-		silent := d.down || d.flap || d.pausedUntil > 0 && w.now < d.pausedUntil && w.now > d.pausedUntil-detectAfter
+		silent := d.down && w.now > d.downAt+detectAfter || d.flap || d.pausedUntil > 0 && w.now < d.pausedUntil && w.now > d.pausedUntil-detectAfter
 		if d == self || !silent {
-			hosts = append(hosts, lessor.Host{Name: d.name, FailureDomain: "a", Region: "r"})
+			hosts = append(hosts, d.host())
 		}
 	}
 	return hosts
@@ -190,12 +216,9 @@
 	d.waiting = map[committer.Ticket]func(provider.Kind, int){}
 	seed := uint64(d.incarnation)
 	// A third of the messages are large, so that objects are part of the log.
-	d.committer = committer.New(committer.Options{
-		Host: d.name, FailureDomain: "a", Region: "r", Incarnation: d.run(), Seed: seed, MaxRecordBytes: 40,
-	})
+	d.committer = committer.New(committer.Options{Host: d.name, Incarnation: d.run(), Seed: seed, MaxRecordBytes: 40, WritesPerSec: d.world.writes})
 	options := lessor.Options{
-		Self:    lessor.Host{Name: d.name, FailureDomain: "a", Region: "r"},
-		Domains: []lessor.Domain{{Name: "a", Region: "r"}}, ShardsPerDomain: 6,
+		Self: d.host(), Domains: d.world.domains, ShardsPerDomain: d.world.shards, ReadsPerSec: d.world.reads,
 		Lease: committer.DefaultLease, ClockRateError: clockError, SettleAfter: 5 * time.Second, Seed: seed,
 	}
 	if d.world.mutation == noLeaseWait {
@@ -205,6 +228,10 @@
 	d.toCommitter(committer.LiveChanged{Hosts: len(d.world.daemons)})
 }
 
+func (d *daemon) host() lessor.Host {
+	return lessor.Host{Name: d.name, FailureDomain: d.domain.Name, Region: d.domain.Region}
+}
+
 func (d *daemon) run() string { return fmt.Sprintf("%s-%d", d.name, d.incarnation) }
 
 func (d *daemon) now() time.Time {
