--- a/bencher/cell.go
+++ b/bencher/cell.go
@@ -75,20 +75,20 @@
 	// Median and P95 are over completed programs, in seconds.
 	Median float64
 	P95    float64
-	// WastedPerProgram are the prefill tokens computed again, by arrived program
-	// that completed; LinkBytes those sent between regions in the window.
+	// Wasted are the tokens that an engine had cached and that were computed again
+	// in the window, LinkBytes those sent between regions, Calls the model calls
+	// that began and Prefill the tokens computed.
 	Wasted        int
 	WastedPerCall float64
 	LinkBytes     float64
-	// Calls is the number of model calls that ended in the window, of programs
-	// that completed, for each second.
-	Goodput  float64
-	Calls    int
-	Prefill  int
-	HitShare float64
-	Retries  int
-	Hedges   int
-	Pauses   float64
+	Calls         int
+	Prefill       int
+	HitShare      float64
+	// Goodput is the model calls that ended in the window, of programs that
+	// completed, for each second.
+	Goodput float64
+	Retries int
+	Hedges  int
 }
 
 func quantile(sorted []float64, q float64) float64 {
--- a/sequencer/message.go
+++ b/sequencer/message.go
@@ -42,7 +42,8 @@
 	Messages []provider.ChatMessage
 	Model    string
 	Adapter  string
-	// MaxTokens and PromptTokens bound the call's use of tokens from above.
+	// MaxTokens and PromptTokens bound the use of tokens by the answer and by
+	// Messages from above; the owner adds the recorded history of an Append.
 	MaxTokens    int
 	PromptTokens int
 	// Cost bounds the call's cost from above.
@@ -123,6 +124,9 @@
 // ShardClosing stops new calls of a shard that is about to be handed over.
 type ShardClosing struct{ Shard string }
 
+// ShardKept allows new calls of a shard again whose handover was given up.
+type ShardKept struct{ Shard string }
+
 // ShardReleased takes a shard away; its callers are answered.
 type ShardReleased struct{ Shard string }
 
@@ -176,6 +180,7 @@
 
 func (ShardAcquired) message()    {}
 func (ShardClosing) message()     {}
+func (ShardKept) message()        {}
 func (ShardReleased) message()    {}
 func (CallArrived) message()      {}
 func (CallerLeft) message()       {}
