--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -34,6 +34,9 @@
 	service *emulator.Service
 	ledger  *emulator.Ledger
 	group   conc.WaitGroup
+	// timing and wrap apply to daemons that are started later.
+	timing parser.Timing
+	wrap   func(host string, tables provider.Tables) provider.Tables
 }
 
 func freeAddress(t *testing.T) string {
@@ -100,6 +103,7 @@
 		CallerAddress: freeAddress(b.t), PeerAddress: freeAddress(b.t), MetricsAddress: freeAddress(b.t),
 		Platform: parser.Platform{Tables: "memory", Objects: "memory", HostList: "memory"},
 		Domains:  []parser.Domain{{Name: "nl-ams", Region: "nl"}},
+		Timing:   b.timing,
 		Keys:     []parser.Key{{Client: "members", Role: parser.RoleCaller, SHA256: hex.EncodeToString(sum[:])}},
 	}
 	data, err := json.Marshal(settings)
@@ -112,8 +116,12 @@
 	b.hosts.Put(provider.Member{
 		Host: host, Address: settings.PeerAddress, FailureDomain: "nl-ams", Region: "nl", Role: roleDaemon,
 	})
+	tables := b.tables.For(host)
+	if b.wrap != nil {
+		tables = b.wrap(host, tables)
+	}
 	d, err := New(settings, Platform{
-		Tables: b.tables.For(host), Objects: b.objects.For(host), Hosts: b.hosts,
+		Tables: tables, Objects: b.objects.For(host), Hosts: b.hosts,
 		Engine:  func(string) provider.Engine { return b.engine },
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -52,6 +52,10 @@
 	// committerRoom is the factor between the bounds of the committer and those of
 	// the sequencer, which refuses calls first: a ticket must never be refused.
 	committerRoom = 4
+	// replayShare is the part of the store's reads that replays may use: one in so
+	// many, shared by all live daemons. maxReadBurst bounds what is saved up.
+	replayShare  = 2
+	maxReadBurst = 8
 	// readTimeout bounds a request of the ownership to the store.
 	readTimeout = 3 * time.Second
 )
@@ -68,8 +72,12 @@
 	collector   *recoverer.Collector
 	incarnation string
 	// waiting has what follows the internal tickets.
-	waiting   map[committer.Ticket]func(kind provider.Kind, sequence int)
-	draining  map[string]bool
+	waiting  map[committer.Ticket]func(kind provider.Kind, sequence int)
+	draining map[string]bool
+	// kept has the shards that are being handed over, as they were taken from the
+	// program loop.
+	kept      map[string]sequencer.ShardAcquired
+	limit     *rate.Limiter
 	collectAt time.Time
 	released  chan struct{}
 
@@ -86,12 +94,13 @@
 	settings := d.settings
 	milliseconds := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	stores := committer.Stores{Tables: d.platform.Tables, Objects: d.platform.Objects}
-	limit := rate.NewLimiter(rate.Limit(settings.Store.ReadsPerSec/4), int(settings.Store.ReadsPerSec/4)+1)
+	limit := rate.NewLimiter(rate.Limit(settings.Store.ReadsPerSec/replayShare), maxReadBurst)
 	o := &ownership{
 		d: d, port: d, loop: NewLoop[ownerMessage](), incarnation: d.incarnation,
 		recoverer: recoverer.New(recoverer.Options{}), loader: recoverer.NewLoader(stores, limit),
 		collector: recoverer.NewCollector(stores, limit),
 		waiting:   map[committer.Ticket]func(provider.Kind, int){}, draining: map[string]bool{},
+		kept: map[string]sequencer.ShardAcquired{}, limit: limit,
 		released: make(chan struct{}),
 	}
 	options := lessor.Options{
@@ -170,6 +179,7 @@
 		})
 	}
 	o.runner.Send(committer.LiveChanged{Hosts: len(live)})
+	o.limit.SetLimit(rate.Limit(o.d.settings.Store.ReadsPerSec / replayShare / float64(max(1, len(live)))))
 	o.loop.Post(lessorMessage{lessor.HostsChanged{Live: live}})
 }
 
@@ -233,11 +243,14 @@
 	case committed:
 		o.committed(m.command)
 	case appended:
+		o.recover(recoverer.LogGrew{Bytes: m.bytes})
 		for _, shard := range m.shards {
 			o.recover(recoverer.RecordsWritten{Shard: shard})
 		}
 	case shardRead:
 		o.acquire(m)
+	case shardTaken:
+		o.storeHandOver(m)
 	case handOverReady:
 		o.writeHandOver(m)
 	case restart:
@@ -264,6 +277,7 @@
 		// What is under way for the old incarnation must not reach the new one.
 		o.incarnation = ""
 		clear(o.draining)
+		clear(o.kept)
 		o.lease(lessor.LeaseLost{})
 		o.recover(recoverer.LeaseLost{})
 		// No record of a shard of the old incarnation may follow under the new one:
@@ -299,6 +313,12 @@
 		return
 	}
 	o.collectAt = now.Add(collectEvery)
+	o.mu.Lock()
+	preferred := o.lessor.Preferred("collector")
+	o.mu.Unlock()
+	if !preferred {
+		return
+	}
 	o.d.effect(func(ctx context.Context) {
 		if n, err := o.collector.Collect(ctx); err != nil {
 			o.d.logger.Info("collection of old logs failed", zap.Int("deleted", n), zap.Error(err))
--- a/controller/ownership_shards.go
+++ b/controller/ownership_shards.go
@@ -38,9 +38,7 @@
 		o.recover(recoverer.ShardPaused{Shard: c.Shard})
 		o.port.Deliver(sequencer.ShardClosing{Shard: c.Shard})
 	case lessor.KeepShard:
-		delete(o.draining, c.Shard)
-		o.port.Deliver(sequencer.ShardKept{Shard: c.Shard})
-		o.recover(recoverer.ShardLoaded{Shard: c.Shard})
+		o.keep(c.Shard)
 	case lessor.HandOverShard:
 		o.handOver(c)
 	case lessor.DropShard:
@@ -131,9 +129,12 @@
 			if ctx.Err() == nil {
 				o.d.logger.Error("shard cannot be loaded", zap.String("shard", c.Shard), zap.Error(err))
 			}
-			o.loop.Post(lessorMessage{lessor.ShardLoaded{Shard: c.Shard}})
+			o.loop.Post(shardRead{shard: c.Shard, incarnation: incarnation, failed: true})
 			return
 		}
+		if err := o.loader.DeleteSnapshots(ctx, c.Row); err != nil {
+			o.d.logger.Info("old snapshots cannot be deleted", zap.String("shard", c.Shard), zap.Error(err))
+		}
 		o.loop.Post(shardRead{shard: c.Shard, epoch: c.Row.Epoch, loaded: loaded, incarnation: incarnation})
 	})
 }
@@ -144,6 +145,7 @@
 	epoch       int
 	incarnation string
 	loaded      recoverer.Loaded
+	failed      bool
 }
 
 func (shardRead) isOwnerMessage() {}
@@ -154,6 +156,10 @@
 	if m.incarnation != o.incarnation {
 		return
 	}
+	if m.failed {
+		o.lease(lessor.ShardLoaded{Shard: m.shard})
+		return
+	}
 	o.port.Deliver(sequencer.ShardAcquired{
 		Shard: m.shard, Epoch: m.epoch, Snapshot: m.loaded.Snapshot, Records: m.loaded.Records,
 	})
@@ -179,40 +185,66 @@
 	})
 }
 
-// handOver takes a shard from the program loop, stores its snapshot and writes its
-// row.
-func (o *ownership) handOver(c lessor.HandOverShard) {
-	fail := func() {
-		o.loop.Post(lessorMessage{lessor.HandoverFinished{Shard: c.Shard, Kind: provider.KindUnavailable}})
+// keep serves a shard again whose handover was given up, from its snapshot if it was
+// already taken from the program loop.
+func (o *ownership) keep(shard string) {
+	delete(o.draining, shard)
+	if kept, taken := o.kept[shard]; taken {
+		delete(o.kept, shard)
+		o.port.Deliver(kept)
+	} else {
+		o.port.Deliver(sequencer.ShardKept{Shard: shard})
 	}
+	o.recover(recoverer.ShardLoaded{Shard: shard})
+}
+
+// handOver takes a shard from the program loop.
+func (o *ownership) handOver(c lessor.HandOverShard) {
 	delete(o.draining, c.Shard)
 	incarnation := o.incarnation
-	name := recoverer.SnapshotName(c.Shard, o.incarnation, c.Row.Epoch, int(o.ticket.Load()))
 	taken := func(snapshot []byte) {
-		if snapshot == nil {
-			fail()
-			return
-		}
-		o.d.effect(func(ctx context.Context) {
-			if err := o.loader.PutSnapshot(ctx, name, snapshot); err != nil {
-				fail()
-				return
-			}
-			row := c.Row
-			row.Snapshot = name
-			o.loop.Post(handOverReady{row: row, to: c.To, incarnation: incarnation})
-		})
+		o.loop.Post(shardTaken{row: c.Row, to: c.To, snapshot: snapshot, incarnation: incarnation})
 	}
 	if !o.port.TakeShard(c.Shard, taken) {
-		fail()
+		taken(nil)
+	}
+}
+
+// shardTaken has the snapshot of a shard that was taken from the program loop; nil
+// means that the shard was not idle and stays.
+type shardTaken struct {
+	row         encoder.ShardRow
+	to          string
+	snapshot    []byte
+	incarnation string
+}
+
+func (shardTaken) isOwnerMessage() {}
+
+// storeHandOver stores the snapshot of a shard that is handed over.
+func (o *ownership) storeHandOver(m shardTaken) {
+	if m.incarnation != o.incarnation {
+		return
+	}
+	shard := m.row.Shard
+	if m.snapshot == nil {
+		o.lease(lessor.HandoverFinished{Shard: shard, Kind: provider.KindUnavailable})
+		return
 	}
+	o.kept[shard] = sequencer.ShardAcquired{Shard: shard, Epoch: m.row.Epoch - 1, Snapshot: m.snapshot}
+	m.row.Snapshot = recoverer.SnapshotName(shard, m.incarnation, m.row.Epoch, int(-o.ticket.Add(-1)))
+	o.d.effect(func(ctx context.Context) {
+		err := o.loader.PutSnapshot(ctx, m.row.Snapshot, m.snapshot)
+		o.loop.Post(handOverReady{row: m.row, to: m.to, incarnation: m.incarnation, err: err})
+	})
 }
 
-// handOverReady has the row of a shard whose snapshot is stored.
+// handOverReady has the row of a shard whose snapshot is stored, unless err is set.
 type handOverReady struct {
 	row         encoder.ShardRow
 	to          string
 	incarnation string
+	err         error
 }
 
 func (handOverReady) isOwnerMessage() {}
@@ -221,12 +253,18 @@
 	if m.incarnation != o.incarnation {
 		return
 	}
+	if m.err != nil {
+		o.d.logger.Warn("shard cannot be handed over", zap.String("shard", m.row.Shard), zap.Error(m.err))
+		o.lease(lessor.HandoverFinished{Shard: m.row.Shard, Kind: provider.KindUnavailable})
+		return
+	}
 	r := committer.AppendRequested{Shards: []committer.ShardWrite{{Row: m.row, Version: committer.AnyVersion}}}
 	o.request(r, func(kind provider.Kind, _ int) {
 		if kind == provider.KindFenced {
 			return
 		}
 		if kind == provider.KindNone {
+			delete(o.kept, m.row.Shard)
 			o.recover(recoverer.ShardGone{Shard: m.row.Shard})
 			if m.to != "" {
 				o.port.Handover(m.to, m.row.Shard, m.row.Epoch)
--- a/recoverer/checkpoint.go
+++ b/recoverer/checkpoint.go
@@ -48,7 +48,7 @@
 // ShardGone removes a shard, after it was handed over.
 type ShardGone struct{ Shard string }
 
-// LogGrew reports the own log's sequence and the bytes that it grew by.
+// LogGrew reports the own log's sequence, or the bytes that it grows by, or both.
 type LogGrew struct{ Sequence, Bytes int }
 
 // RecordsWritten reports that the shard has records after its last checkpoint.
@@ -165,7 +165,7 @@
 	case ShardGone:
 		commands = s.gone(m.Shard)
 	case LogGrew:
-		s.sequence = m.Sequence
+		s.sequence = max(s.sequence, m.Sequence)
 		s.bytes += m.Bytes
 	case RecordsWritten:
 		if shard := s.shards[m.Shard]; shard != nil && !shard.dirty {
--- a/recoverer/load.go
+++ b/recoverer/load.go
@@ -167,12 +167,13 @@
 	}
 }
 
-// DeleteSnapshots deletes the snapshots of a shard that the row does not name. Only
-// the shard's owner may do this, before it stores its first own one.
-func (l *Loader) DeleteSnapshots(ctx context.Context, shard, except string) error {
-	names, err := l.stores.Objects.List(ctx, SnapshotPrefix(shard))
+// DeleteSnapshots deletes the snapshots that earlier owners of a shard have left behind.
+// Row is the claimed row; snapshots of its epoch or a later one are left alone.
+func (l *Loader) DeleteSnapshots(ctx context.Context, row encoder.ShardRow) error {
+	names, err := l.stores.Objects.List(ctx, SnapshotPrefix(row.Shard))
+	own := fmt.Sprintf("%s%012d", SnapshotPrefix(row.Shard), row.Epoch)
 	for _, name := range names {
-		if name != except && err == nil {
+		if name < own && name != row.Snapshot && err == nil {
 			err = l.stores.Objects.Delete(ctx, name)
 		}
 	}
