--- a/bencher/world.go
+++ b/bencher/world.go
@@ -124,8 +124,12 @@
 	for i := range d.Daemons {
 		w.daemons = append(w.daemons, newDaemon(w, i, i%domains))
 	}
+	interval := time.Second
+	if w.cell.Fault == RareReports {
+		interval = rarePoll
+	}
 	for _, e := range w.engines {
-		w.every(time.Second, func() { w.poll(e) })
+		w.every(interval, func() { w.poll(e) })
 	}
 }
 
@@ -137,6 +141,9 @@
 	})
 }
 
+// rarePoll is the interval of polls with RareReports.
+const rarePoll = 12 * time.Second
+
 // reportLag is the age of a polled report in the healthy case.
 const reportLag = 100 * time.Millisecond
 
@@ -149,6 +156,9 @@
 
 // poll sends a report of the engine to every daemon.
 func (w *world) poll(e *engine) {
+	if e.silent {
+		return
+	}
 	report := w.snapshot(e)
 	for _, d := range w.daemons {
 		if !w.cut(e.domain, d.domain) {
@@ -226,6 +236,11 @@
 			w.engines[0].slow = 4
 			w.engines[0].step()
 		})
+	case FailingRunner:
+		w.after(times.Warm/2, func() { w.engines[0].failing = true })
+	case SilentRunner:
+		w.after(from, func() { w.engines[0].silent = true })
+		w.after(from+(times.Until-times.Warm)/3, func() { w.engines[0].silent = false })
 	case DomainCut:
 		w.cutFrom, w.cutTo = from, from+min(2*time.Minute, (times.Until-times.Warm)/3)
 		w.after(w.cutFrom+detection, func() { w.publish(true) })
--- a/router/cost.go
+++ b/router/cost.go
@@ -65,7 +65,8 @@
 		}
 		choice := c.price(k.node, k.cached, r)
 		if r.Admits != nil && !r.Admits(k.node) {
-			if choice.Cost < full.Cost {
+			// Only a program whose cache is there gains by waiting for a slot.
+			if choice.Cost < full.Cost && (r.Plain || 2*choice.Cached >= r.PromptTokens) {
 				full = choice
 			}
 			continue
@@ -82,7 +83,7 @@
 }
 
 func usable(n *Node, r *Request) bool {
-	if !n.target.State.Accepts() || !n.Serves(r.Model, r.Adapter) {
+	if !n.target.State.Accepts() || !n.Serves(r.Model, r.Adapter) || (r.Blocked != nil && r.Blocked(n)) {
 		return false
 	}
 	return len(r.Exclude) == 0 || !slices.Contains(r.Exclude, n.target.Name)
@@ -103,7 +104,7 @@
 				return
 			}
 		}
-		if n.target.Service == r.Service {
+		if n.services[r.Service] {
 			list = append(list, candidate{node: n, cached: length})
 		}
 	}
@@ -174,7 +175,7 @@
 		return c.pricePlain(n, r)
 	}
 	f, profile, p := c.fleet, &c.fleet.profile, c.fleet.pools[r.Service]
-	choice := Choice{Node: n}
+	choice := Choice{Node: n, Service: r.Service}
 	choice.Cached = min(cachedBlocks*provider.BlockTokens, r.PromptTokens)
 	choice.Uncached = r.PromptTokens - choice.Cached
 	calls, waiting := n.Calls(), n.WaitingTokens()
@@ -261,5 +262,5 @@
 	}
 	wait := float64(n.InFlight()) * n.service
 	seconds := wait + n.service + 2*latency.Seconds()
-	return Choice{Node: n, Seconds: seconds, Wait: wait, Cost: seconds}
+	return Choice{Node: n, Service: r.Service, Seconds: seconds, Wait: wait, Cost: seconds}
 }
--- a/router/target.go
+++ b/router/target.go
@@ -76,6 +76,9 @@
 	Plain bool
 	// Exclude names targets that must not be chosen.
 	Exclude []string
+	// Blocked reports whether a target must not be used now, as after failures; nil
+	// means that none is.
+	Blocked func(*Node) bool
 	// Admits reports whether a target has a free slot; nil means that all have.
 	Admits func(*Node) bool
 }
@@ -84,6 +87,8 @@
 type Choice struct {
 	// Node is nil when no target may be used now.
 	Node *Node
+	// Service is the call's service.
+	Service string
 	// Seconds is the estimated time to completion at this target.
 	Seconds float64
 	// Wait and Prefill are the parts of Seconds before the first token.
