Keep large calls from delaying heartbeats

A history of several megabytes on a slow link held up the heartbeats of the same connection, and its transfer without an answer was taken for silence.

Calls have a connection of their own, large messages are written in pieces with a deadline each, and a write that makes progress is not silence. The new test fails when that last rule is removed.

--- a/measurer/member.go
+++ b/measurer/member.go
@@ -235,6 +235,9 @@
 		if err := json.Unmarshal(params, &beat); err != nil {
 			return nil, err
 		}
+		if beat.Host != from {
+			return nil, fmt.Errorf("heartbeat of %q from %q", beat.Host, from)
+		}
 		return m.ask(ctx, detector.HeartbeatReceived{Heartbeat: beat})
 	case messenger.MethodConfigDelta:
 		var request encoder.DeltaRequest
--- a/messenger/call.go
+++ b/messenger/call.go
@@ -96,6 +96,7 @@
 	if err != nil {
 		return encoder.CallResult{}, l.notSent(MethodCall, err)
 	}
+	l.requestSent()
 	result, err := l.follow(ctx, waiter, in, receive)
 	if err != nil {
 		m.cancelRemote(l, call.Call)
--- a/messenger/doc.go
+++ b/messenger/doc.go
@@ -6,7 +6,7 @@
 // # Usage
 //
 //	m := messenger.New(messenger.Settings{Host: "host-1", Token: token}, handler, logger)
-//	go m.Serve(ctx, listener)
+//	go m.Serve(listener)
 //	reply, err := messenger.Call[encoder.Heartbeat](ctx, m, peer, messenger.MethodHeartbeat, heartbeat)
 //	result, err := m.Forward(ctx, peer, call, func(event encoder.CallEvent) error { ... })
 //
--- a/messenger/link.go
+++ b/messenger/link.go
@@ -104,6 +104,16 @@
 	return true
 }
 
+// requestSent notes that a request was queued: the silence of its answer begins now, not
+// while a large request is encoded.
+func (l *link) requestSent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.due == 1 {
+		l.dueSince = time.Now()
+	}
+}
+
 func (l *link) end() {
 	l.touchUsed()
 	l.mu.Lock()
@@ -142,7 +152,7 @@
 	if last.Before(since) {
 		last = since
 	}
-	if now.Sub(last) > settings.Silence {
+	if now.Sub(last) > settings.Silence && !l.stream.writing.Load() {
 		l.messenger.counters.silent.Add(1)
 		l.messenger.logger.Info("closing silent connection", zap.String("peer", l.name()))
 		return true
@@ -244,6 +254,7 @@
 	if err != nil {
 		return l.notSent(method, err)
 	}
+	l.requestSent()
 	err = waiter.Wait(ctx, result)
 	if ctx.Err() != nil && l.received.Load() < sent {
 		// The next request uses a fresh connection: this one may be silent for good.
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"math/big"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -108,6 +109,39 @@
 	}
 }
 
+// Guards against a large request on a slow link that is taken for silence, and
+// that delays heartbeats.
+func TestLargeRequestOnSlowLink(t *testing.T) {
+	a, _, peer, network := pair(t, func(a, b *Settings) { a.Silence, b.Silence = 600*time.Millisecond, 600*time.Millisecond }, &echo{})
+	network.SetDelay(func(from, _ string) time.Duration {
+		if from == "a" {
+			return 100 * time.Millisecond // for each write of 64 KB
+		}
+		return 0
+	})
+	request, err := json.Marshal(strings.Repeat("x", 1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	started := time.Now()
+	go func() {
+		_, err := a.Forward(context.Background(), peer, encoder.ForwardedCall{Call: "c", Request: request},
+			func(encoder.CallEvent) error { return nil })
+		done <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	if err := heartbeat(a, peer, 800*time.Millisecond); err != nil {
+		t.Errorf("heartbeat during a large call: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Errorf("large call: %v", err)
+	}
+	if took := time.Since(started); took < 1200*time.Millisecond {
+		t.Errorf("the call took %v, too short to test the bound on silence", took)
+	}
+}
+
 // Guards against a gap or a repeat in the sequence that reaches the caller.
 func TestIncomingSequence(t *testing.T) {
 	tests := []struct {
@@ -163,6 +197,11 @@
 	case <-time.After(2 * time.Second):
 		t.Fatal("call still waits on a silent connection")
 	}
+	// Heartbeats have a connection of their own, which is silent too until one of
+	// them finds out.
+	if err := heartbeat(a, peer, time.Second); KindOf(err) != KindClosed {
+		t.Errorf("heartbeat on the silent connection: %v, want closed", err)
+	}
 	if err := heartbeat(a, peer, time.Second); err != nil {
 		t.Errorf("a new connection does not work: %v", err)
 	}
--- a/messenger/pool.go
+++ b/messenger/pool.go
@@ -51,7 +51,7 @@
 
 // connect returns the peer's connection and opens one when there is none.
 func (m *Messenger) connect(ctx context.Context, peer Peer, operation string) (*link, error) {
-	s := m.slot(peer)
+	s := m.slot(peer, operation == MethodCall)
 	select {
 	case s.token <- struct{}{}:
 	case <-ctx.Done():
@@ -89,8 +89,13 @@
 	s.notBefore = time.Now().Add(time.Duration((0.5 + rand.Float64()) * float64(pause)))
 }
 
-func (m *Messenger) slot(peer Peer) *slot {
+// slot returns the slot of a peer. Calls have a connection of their own, so that a
+// long history on a slow link does not delay heartbeats.
+func (m *Messenger) slot(peer Peer, calls bool) *slot {
 	key := peer.Host + " " + peer.Address
+	if calls {
+		key += " calls"
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s, ok := m.slots[key]
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -9,9 +9,13 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
+// pieceBytes is the part of a message that is read or written at a time.
+const pieceBytes = 64 << 10
+
 // sendQueue is the number of messages that may wait on one connection.
 const sendQueue = 256
 
@@ -34,6 +38,8 @@
 	silence  time.Duration
 	counters *counters
 	link     *link
+	// writing is set while a write is under way; its deadline then bounds silence.
+	writing atomic.Bool
 }
 
 func newStream(conn net.Conn, settings Settings, counters *counters, l *link) *stream {
@@ -93,11 +99,10 @@
 }
 
 func (s *stream) writeBatch(writer *bufio.Writer, message []byte) error {
-	if err := s.conn.SetWriteDeadline(time.Now().Add(s.silence)); err != nil {
-		return err
-	}
+	s.writing.Store(true)
+	defer s.writing.Store(false)
 	for {
-		if _, err := writer.Write(message); err != nil {
+		if err := s.writePieces(writer, message); err != nil {
 			return err
 		}
 		s.counters.sentMessages.Add(1)
@@ -110,6 +115,22 @@
 	}
 }
 
+// writePieces gives each piece its own deadline: a large message may take long on
+// a slow link as long as it makes progress.
+func (s *stream) writePieces(writer *bufio.Writer, message []byte) error {
+	for len(message) > 0 {
+		if err := s.conn.SetWriteDeadline(time.Now().Add(s.silence)); err != nil {
+			return err
+		}
+		n := min(len(message), pieceBytes)
+		if _, err := writer.Write(message[:n]); err != nil {
+			return err
+		}
+		message = message[n:]
+	}
+	return nil
+}
+
 // ReadObject reads the next message into object.
 func (s *stream) ReadObject(object any) error {
 	size, err := binary.ReadUvarint(s.reader)
@@ -131,10 +152,9 @@
 // readBody reads in pieces: memory grows with the bytes received, not with the
 // length that the peer claims, and each piece proves that the peer is alive.
 func (s *stream) readBody(size int) ([]byte, error) {
-	const piece = 64 << 10
-	data := make([]byte, 0, min(size, piece))
+	data := make([]byte, 0, min(size, pieceBytes))
 	for len(data) < size {
-		n := min(size-len(data), piece)
+		n := min(size-len(data), pieceBytes)
 		start := len(data)
 		data = append(data, make([]byte, n)...)
 		if _, err := io.ReadFull(s.reader, data[start:]); err != nil {
