--- a/controller/admin.go
+++ b/controller/admin.go
@@ -145,11 +145,7 @@
 
 // Publish puts a document into force by compare-and-set.
 func (d *Daemon) Publish(ctx context.Context, proposal publisher.Proposal) (int, error) {
-	version, err := d.config.Publish(ctx, proposal)
-	if err == nil {
-		d.control.Post(configDue{})
-	}
-	return version, err
+	return d.config.Publish(ctx, proposal)
 }
 
 // Audit returns audit records, oldest first.
