Ask for programs at their owner and repeat first steps

Requests about a program look for its owner as calls do. A first step whose answer was unknown can be repeated under the program's id, also when the first try left no trace. A program that does not exist is answered with 404.

--- a/controller/calls.go
+++ b/controller/calls.go
@@ -122,6 +122,9 @@
 // request under the same key finds the same program.
 func (d *Daemon) identify(call *server.Call) (code, message string) {
 	if call.Program != "" {
+		// The first step may be repeated although its first try left no trace; a
+		// sub-agent then needs its parent as well.
+		call.New = call.Step == 1 && (call.Parent != "" || sequencer.RootOf(call.Program) == call.Program)
 		return "", ""
 	}
 	if call.Step > 1 {
--- a/controller/lookup.go
+++ b/controller/lookup.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/messenger"
@@ -27,6 +28,9 @@
 type programResult struct {
 	Info   server.ProgramInfo `json:"info"`
 	Answer server.Answer      `json:"answer"`
+	// Owner is whom a host that does not own the program takes to be its owner.
+	Owner string `json:"owner,omitempty"`
+	Epoch int    `json:"epoch,omitempty"`
 }
 
 // Program describes a program of the client, of any client for "".
@@ -39,30 +43,64 @@
 	return d.askOwner(ctx, programRequest{Program: id, Client: client, End: true})
 }
 
-// askOwner asks the owner of a program. Both requests may be repeated.
+// askOwner asks the owner of a program, and another host while the owner is not
+// found. Both requests may be repeated.
 func (d *Daemon) askOwner(ctx context.Context, r programRequest) (server.ProgramInfo, server.Answer) {
-	unreachable := server.Answer{
-		Outcome: server.OutcomeNotRun, Code: server.CodeOwnerUnreachable, Program: r.Program,
-		Message: "the owner of the program cannot be reached", RetryAfterMs: d.settings.Timing.LeaseMs,
+	shard := sequencer.ShardOf(r.Program, d.settings.ShardsPerDomain)
+	avoid, pause := "", firstRoutePause
+	for try := 0; ; try++ {
+		host, _, known := d.pickOwner(shard, avoid, try)
+		if known {
+			result := d.askHost(ctx, host, r)
+			if result.Owner != host {
+				d.learn(shard, result.Owner, result.Epoch)
+			}
+			if !reroutes[result.Answer.Code] {
+				return result.Info, result.Answer
+			}
+			avoid = ""
+			if result.Answer.Code == server.CodeOwnerUnreachable {
+				avoid = host
+			}
+		}
+		if !wait(ctx, pause/2+rand.N(pause)) || d.loopsDone.Load() {
+			return server.ProgramInfo{}, server.Answer{
+				Outcome: server.OutcomeNotRun, Code: server.CodeOwnerUnreachable, Program: r.Program,
+				Message: "the owner of the program cannot be reached", RetryAfterMs: d.settings.Timing.LeaseMs,
+			}
+		}
+		pause = min(2*pause, longestRoutePause)
 	}
-	host, _, known := d.owner.Owner(sequencer.ShardOf(r.Program, d.settings.ShardsPerDomain))
-	if !known {
-		return server.ProgramInfo{}, unreachable
+}
+
+// wait waits and reports false when the context ended first.
+func wait(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
 	}
+}
+
+func (d *Daemon) askHost(ctx context.Context, host string, r programRequest) programResult {
 	if host == d.settings.Host {
-		result := d.localProgram(ctx, r)
-		return result.Info, result.Answer
+		return d.localProgram(ctx, r)
 	}
+	unreachable := programResult{Answer: server.Answer{Outcome: server.OutcomeNotRun, Code: server.CodeOwnerUnreachable}}
 	peer, ok := d.snapshot.Load().peer(host)
 	if !ok {
-		return server.ProgramInfo{}, unreachable
+		return unreachable
 	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
 	result, err := messenger.Call[programResult](ctx, d.messenger, peer, methodProgram, r)
 	if err != nil {
-		unreachable.Message += ": " + err.Error()
-		return server.ProgramInfo{}, unreachable
+		return unreachable
 	}
-	return result.Info, result.Answer
+	return result
 }
 
 func (d *Daemon) handleProgram(ctx context.Context, params json.RawMessage) (any, error) {
@@ -70,7 +108,11 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, &Error{operation: "daemon.program", kind: KindMethod, cause: err}
 	}
-	return d.localProgram(ctx, r), nil
+	result := d.localProgram(ctx, r)
+	if result.Answer.Code == sequencer.CodeNotOwner {
+		result.Owner, result.Epoch, _ = d.ownerOf(sequencer.ShardOf(r.Program, d.settings.ShardsPerDomain))
+	}
+	return result, nil
 }
 
 // localProgram answers from the program loop; an end is answered when it is
@@ -139,7 +181,7 @@
 		// Whether a program of another client exists is not told.
 		code, message := server.CodeNotFound, "there is no such program"
 		if _, owned := p.sequencer.Live(r.Program); !owned {
-			code, message = server.CodeOwnerUnreachable, "the program is moving to another host"
+			code, message = sequencer.CodeNotOwner, "this host does not own the program"
 		}
 		return programResult{Answer: server.Answer{Outcome: server.OutcomeNotRun, Code: code, Message: message, Program: r.Program}}
 	}
--- a/controller/route.go
+++ b/controller/route.go
@@ -47,13 +47,7 @@
 	for try := 0; ; try++ {
 		now := d.platform.Clock.Now()
 		call.DeadlineMs = max(deadline.Sub(now).Milliseconds(), 1)
-		host, epoch, known := d.ownerOf(shard)
-		if !known || host == avoid || !d.snapshot.Load().reachable(host) && host != d.settings.Host {
-			// Another host of the shard's failure domain may know a newer owner.
-			if other := d.snapshot.Load().fallback(shard, avoid, d.settings.Host, try); other != "" {
-				host, known = other, true
-			}
-		}
+		host, epoch, known := d.pickOwner(shard, avoid, try)
 		if known {
 			r.restart()
 			if host == d.settings.Host {
@@ -108,6 +102,19 @@
 	return host, epoch, known
 }
 
+// pickOwner returns the host to which a request about a shard is sent next. When the
+// owner is not known or did not answer, another host may know a newer owner.
+func (d *Daemon) pickOwner(shard, avoid string, try int) (host string, epoch int, known bool) {
+	snapshot := d.snapshot.Load()
+	host, epoch, known = d.ownerOf(shard)
+	if !known || host == avoid || !snapshot.reachable(host) && host != d.settings.Host {
+		if other := snapshot.fallback(shard, avoid, d.settings.Host, try); other != "" {
+			return other, epoch, true
+		}
+	}
+	return host, epoch, known
+}
+
 // learn takes the owner that another daemon has named.
 func (d *Daemon) learn(shard, host string, epoch int) {
 	if host == "" {
