Distribute the configuration between daemons

The daemon polled the store by itself, so that a version that one daemon had read stayed there while the store failed. Package distributor now decides about polls, deltas from peers and readiness. A daemon that accepts a publish applies its changes without reading the store again. Only listed hosts count for the quorum of a daemon that starts during an outage, and a version is told to peers only by daemons that serve with it.

--- a/controller/admin.go
+++ b/controller/admin.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dogwoodweir/dogwoodweir/distributor"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/publisher"
 	"github.com/dogwoodweir/dogwoodweir/server"
@@ -143,13 +144,14 @@
 	return d.config.At(ctx, version)
 }
 
-// Publish puts a document into force by compare-and-set.
+// Publish puts a document into force by compare-and-set. The daemon applies the
+// accepted changes at once, so that its peers get them without the store.
 func (d *Daemon) Publish(ctx context.Context, proposal publisher.Proposal) (int, error) {
-	version, err := d.config.Publish(ctx, proposal)
+	delta, err := d.config.PublishDelta(ctx, proposal)
 	if err == nil {
-		d.control.Post(configDue{})
+		d.control.Post(distributorMessage{distributor.Published{Delta: delta}})
 	}
-	return version, err
+	return delta.To, err
 }
 
 // Audit returns audit records, oldest first.
--- a/controller/control.go
+++ b/controller/control.go
@@ -7,9 +7,9 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/detector"
+	"github.com/dogwoodweir/dogwoodweir/distributor"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/provider"
-	"github.com/dogwoodweir/dogwoodweir/publisher"
 	"github.com/dogwoodweir/dogwoodweir/router"
 	"github.com/dogwoodweir/dogwoodweir/scheduler"
 )
@@ -19,16 +19,6 @@
 
 type controlTick struct{}
 
-// configDue asks for a poll of the configuration now.
-type configDue struct{}
-
-type configRead struct {
-	version  int
-	sections []encoder.Section
-	whole    bool
-	err      error
-}
-
 type hostsRead struct {
 	members []provider.Member
 	err     error
@@ -54,8 +44,6 @@
 
 func (controlQuery) isControlMessage()      {}
 func (controlTick) isControlMessage()       {}
-func (configDue) isControlMessage()         {}
-func (configRead) isControlMessage()        {}
 func (hostsRead) isControlMessage()         {}
 func (detectorMessage) isControlMessage()   {}
 func (heartbeatReceived) isControlMessage() {}
@@ -63,14 +51,17 @@
 
 // control is the state of the control loop: configuration and membership.
 type control struct {
-	d          *Daemon
-	detector   *detector.State
-	document   encoder.Document
+	d           *Daemon
+	detector    *detector.State
+	distributor *distributor.State
+	document    encoder.Document
+	// serving says that the document may be used for callers; see package
+	// distributor.
+	serving    bool
+	deltaReply chan<- encoder.Delta
 	view       detector.View
 	seen       map[string]time.Time
 	versions   map[string]int
-	configDue  time.Time
-	configBusy bool
 	hostsDue   time.Time
 	hostsBusy  bool
 	reply      chan<- encoder.Heartbeat
@@ -84,6 +75,7 @@
 	timing := d.settings.Timing
 	return &control{
 		d: d, auditor: newAuditor(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
+		distributor: newDistributor(d),
 		detector: detector.New(detector.Self{
 			Host: d.settings.Host, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain,
 			Region: d.settings.Region, Incarnation: d.incarnation, Generation: d.generation,
@@ -100,14 +92,13 @@
 	case controlTick:
 		c.d.lastTick.Store(now.UnixNano())
 		c.poll(now)
+		c.distribute(distributor.Tick{})
 		c.detect(detector.Tick{})
 		c.auditor.tick(now, c.view, c.targetKind)
-	case configDue:
-		c.configDue = now
-		c.poll(now)
-	case configRead:
-		c.configBusy = false
-		c.applyConfig(m)
+	case distributorMessage:
+		c.distribute(m.message)
+	case deltaRequested:
+		c.sendDelta(m)
 	case hostsRead:
 		c.hostsBusy = false
 		if m.err != nil {
@@ -133,18 +124,9 @@
 	}
 }
 
-// poll starts the reads that are due; each has at most one in flight.
+// poll reads the host list when it is due; at most one read is in flight.
 func (c *control) poll(now time.Time) {
 	timing := c.d.settings.Timing
-	if !c.configBusy && !now.Before(c.configDue) {
-		c.configBusy = true
-		from := c.document.Version
-		c.configDue = now.Add(time.Duration(timing.ConfigPollMs) * time.Millisecond)
-		c.d.effect(func(ctx context.Context) {
-			version, sections, whole, err := c.d.config.Delta(ctx, from)
-			c.d.control.Post(configRead{version: version, sections: sections, whole: whole, err: err})
-		})
-	}
 	if !c.hostsBusy && !now.Before(c.hostsDue) {
 		c.hostsBusy = true
 		c.hostsDue = now.Add(time.Duration(timing.HostListMs) * time.Millisecond)
@@ -155,30 +137,9 @@
 	}
 }
 
-// applyConfig moves to a higher version and never to a lower one.
-func (c *control) applyConfig(m configRead) {
-	c.d.storeReachable.Store(m.err == nil)
-	if m.err != nil {
-		c.d.logger.Warn("configuration is unavailable", zap.Error(m.err), zap.Int("version", c.document.Version))
-		return
-	}
-	if m.version <= c.document.Version {
-		return
-	}
-	if m.whole {
-		c.document = encoder.Document{}
-	}
-	c.document = publisher.Apply(c.document, m.version, m.sections)
-	c.d.logger.Info("configuration is in force", zap.Int("version", c.document.Version))
-	c.d.metrics.gauge("config_version", float64(c.document.Version))
-	c.detect(detector.ConfigChanged{Version: c.document.Version})
-	c.detect(detector.DrainsChanged{Hosts: publisher.Drained(c.document)})
-	c.publish()
-}
-
 // publish makes a new snapshot and tells the scheduler what it concerns.
 func (c *control) publish() {
-	snapshot := newSnapshot(c.document, c.view)
+	snapshot := newSnapshot(c.document, c.view, c.serving)
 	c.d.snapshot.Store(snapshot)
 	services := make([]scheduler.Service, 0, len(snapshot.services))
 	byRole := map[string][]string{}
--- a/controller/members.go
+++ b/controller/members.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/detector"
+	"github.com/dogwoodweir/dogwoodweir/distributor"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -39,6 +40,7 @@
 	if c.listed || c.d.platform.Clock.Now().Sub(c.started) > listWait {
 		c.tellOwner(view)
 	}
+	c.tellDistributor(view)
 	c.publish()
 }
 
@@ -68,13 +70,11 @@
 	c.reply = nil
 }
 
-// noteHeartbeat notes when a peer was heard and reads the configuration when it has
-// a higher version.
+// noteHeartbeat notes when a peer was heard and the configuration version that it
+// serves with.
 func (c *control) noteHeartbeat(now time.Time, h encoder.Heartbeat) {
 	c.seen[h.Host], c.versions[h.Host] = now, h.ConfigVersion
-	if h.ConfigVersion > c.document.Version {
-		c.configDue = now
-	}
+	c.distribute(distributor.PeerVersion{Host: h.Host, Version: h.ConfigVersion})
 }
 
 func (c *control) sendHeartbeat(m detector.SendHeartbeat) {
@@ -164,8 +164,10 @@
 	case messenger.MethodProbe:
 		return encoder.ProbeResult{
 			Host: d.settings.Host, Incarnation: d.incarnation, State: d.Status().State,
-			ConfigVersion: d.snapshot.Load().version,
+			ConfigVersion: d.snapshot.Load().servedVersion(),
 		}, nil
+	case messenger.MethodConfigDelta:
+		return d.handleDelta(ctx, params)
 	case messenger.MethodHandover:
 		return d.handleHandover(params)
 	case methodProgram:
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -21,11 +21,12 @@
 	ready      bool
 }
 
-// newSnapshot derives a snapshot from a document and the view of the detector.
-func newSnapshot(document encoder.Document, view detector.View) *Snapshot {
+// newSnapshot derives a snapshot from a document and the view of the detector;
+// serving says that callers may be served with the document.
+func newSnapshot(document encoder.Document, view detector.View, serving bool) *Snapshot {
 	s := &Snapshot{
 		version: document.Version, services: map[string]encoder.Service{}, workspaces: map[string]encoder.Workspace{},
-		view: view, peers: map[string]messenger.Peer{}, ready: document.Version > 0,
+		view: view, peers: map[string]messenger.Peer{}, ready: serving,
 	}
 	for _, section := range document.Sections {
 		switch {
@@ -87,6 +88,16 @@
 	return services
 }
 
+// servedVersion is the version that peers are told: 0 unless callers are served
+// with it, since a version that was only pulled from a peer is no evidence that it
+// is the highest one.
+func (s *Snapshot) servedVersion() int {
+	if !s.ready {
+		return 0
+	}
+	return s.version
+}
+
 func (s *Snapshot) peer(host string) (messenger.Peer, bool) {
 	peer, ok := s.peers[host]
 	return peer, ok
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -113,6 +113,8 @@
 	switch m := message.(type) {
 	case PollFinished:
 		commands = s.updatePoll(now, m)
+	case Published:
+		commands = s.updatePublished(now, m.Delta)
 	case PeerVersion:
 		if m.Version >= s.peers[m.Host] && m.Version > 0 {
 			s.peers[m.Host] = m.Version
@@ -185,6 +187,21 @@
 	return s.apply(m.Version, from, m.Sections)
 }
 
+// updatePublished applies an accepted publish. When the changes do not follow the
+// version in force, the store is asked at the next tick.
+func (s *State) updatePublished(now time.Time, delta encoder.Delta) []Command {
+	s.fromStore = s.fromStore || delta.To > 0 && delta.From == s.document.version
+	if !s.stale {
+		if commands := s.apply(delta.To, delta.From, delta.Sections); commands != nil {
+			return commands
+		}
+	}
+	if delta.To > s.document.version {
+		s.nextPoll = now
+	}
+	return nil
+}
+
 // schedule sets the next poll, with jitter so that daemons started together do
 // not poll together.
 func (s *State) schedule(now time.Time) {
@@ -275,10 +292,15 @@
 	if s.fromStore || s.confirmed || !s.storeFailed {
 		return
 	}
-	highest := 0
+	highest, answers := 0, 0
 	for _, version := range s.peers {
 		highest = max(highest, version)
 	}
+	for _, host := range s.unsuspected {
+		if s.peers[host] > 0 {
+			answers++
+		}
+	}
 	majority := len(s.unsuspected)/2 + 1
-	s.confirmed = highest > 0 && len(s.peers) >= majority && s.document.version >= highest
+	s.confirmed = highest > 0 && answers >= majority && s.document.version >= highest
 }
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -430,3 +430,40 @@
 		t.Fatalf("commands differ (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a quorum that is made of hosts which are not listed or are
+// suspected, and against one of a host list that is not known yet.
+func TestOnlyListedHostsCount(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	for _, listed := range [][]string{nil, {"self", "a", "b"}} {
+		s := New("self", Settings{}, 1, now)
+		s.Update(now, PeersChanged{Hosts: listed})
+		s.Update(now, PollFinished{Failed: true})
+		for _, host := range []string{"a", "x", "y"} {
+			s.Update(now, PeerVersion{Host: host, Version: 4})
+		}
+		s.Update(now, DeltaReceived{Host: "a", Delta: encoder.Delta{To: 4}})
+		if s.Version() != 4 {
+			t.Errorf("listed %v: version %d, want 4", listed, s.Version())
+		}
+		if s.Serving() {
+			t.Errorf("listed %v: serves after answers of a, x and y", listed)
+		}
+	}
+}
+
+// Guards against an accepted change that waits for a poll, and against one that is
+// applied although the versions before it are not known.
+func TestPublishedIsAppliedAtOnce(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	s := New("self", Settings{}, 1, now)
+	s.Update(now, PollFinished{Version: 3, Whole: true})
+	s.Update(now, Published{Delta: encoder.Delta{From: 5, To: 6}})
+	if s.Version() != 3 {
+		t.Fatalf("version %d after changes that do not follow 3", s.Version())
+	}
+	s.Update(now, Published{Delta: encoder.Delta{From: 3, To: 4}})
+	if s.Version() != 4 {
+		t.Fatalf("version %d, want 4", s.Version())
+	}
+}
--- a/distributor/message.go
+++ b/distributor/message.go
@@ -14,6 +14,9 @@
 	Failed        bool
 }
 
+// Published has the changes that the store has accepted from this daemon.
+type Published struct{ Delta encoder.Delta }
+
 // PeerVersion is the version in force on a peer, from a heartbeat or a probe.
 type PeerVersion struct {
 	Host    string
@@ -42,6 +45,7 @@
 type Tick struct{}
 
 func (PollFinished) isMessage()   {}
+func (Published) isMessage()      {}
 func (PeerVersion) isMessage()    {}
 func (DeltaReceived) isMessage()  {}
 func (PullFailed) isMessage()     {}
--- a/publisher/store.go
+++ b/publisher/store.go
@@ -132,26 +132,52 @@
 // error names the change that came first and nothing has changed. A document
 // that changes nothing keeps the version.
 func (s *Store) Publish(ctx context.Context, proposal Proposal) (int, error) {
+	record, err := s.publish(ctx, proposal)
+	return record.Version, err
+}
+
+// PublishDelta is Publish for a caller that puts the accepted changes into force
+// itself, since the store may become unreachable before they can be read.
+func (s *Store) PublishDelta(ctx context.Context, proposal Proposal) (encoder.Delta, error) {
+	record, err := s.publish(ctx, proposal)
+	if err != nil {
+		return encoder.Delta{}, err
+	}
+	delta := encoder.Delta{From: proposal.From, To: record.Version, Sections: []encoder.Section{}}
+	for _, change := range record.Changes {
+		section, err := sectionOf(change, record.Version)
+		if err != nil {
+			return encoder.Delta{}, err
+		}
+		delta.Sections = append(delta.Sections, section)
+	}
+	return delta, nil
+}
+
+// publish returns the audit record of the accepted change; a document that changes
+// nothing gives one without changes.
+func (s *Store) publish(ctx context.Context, proposal Proposal) (encoder.AuditRecord, error) {
+	var none encoder.AuditRecord
 	if err := Check(proposal.Document); err != nil {
-		return 0, err
+		return none, err
 	}
 	row, current, err := s.head(ctx)
 	if err != nil {
-		return 0, err
+		return none, err
 	}
 	if current.Version != proposal.From {
-		return 0, s.conflict(ctx, proposal.From)
+		return none, s.conflict(ctx, proposal.From)
 	}
 	before, err := s.Document(ctx)
 	if err != nil {
-		return 0, err
+		return none, err
 	}
 	if before.Version != proposal.From {
-		return 0, s.conflict(ctx, proposal.From)
+		return none, s.conflict(ctx, proposal.From)
 	}
 	changes := Diff(before, proposal.Document)
 	if len(changes) == 0 {
-		return current.Version, nil
+		return encoder.AuditRecord{Version: current.Version}, nil
 	}
 	record := encoder.AuditRecord{
 		Version: current.Version + 1, From: current.Version, Operator: proposal.Operator,
@@ -159,10 +185,15 @@
 	}
 	transaction, err := transactionOf(row.Version, record)
 	if err != nil {
-		return 0, err
+		return none, err
 	}
 	_, err = s.tables.Commit(ctx, transaction)
-	return s.publishResult(ctx, record, transaction.ID, err)
+	version, err := s.publishResult(ctx, record, transaction.ID, err)
+	if err != nil {
+		return none, err
+	}
+	record.Version = version
+	return record, nil
 }
 
 func (s *Store) publishResult(ctx context.Context, record encoder.AuditRecord, id string, err error) (int, error) {
