--- a/controller/control.go
+++ b/controller/control.go
@@ -53,17 +53,19 @@
 type control struct {
 	d           *Daemon
 	detector    *detector.State
-	document    encoder.Document
-	view        detector.View
-	seen        map[string]time.Time
-	versions    map[string]int
 	distributor *distributor.State
-	deltas      map[string]chan<- encoder.Delta
-	serving     bool
-	hostsDue    time.Time
-	hostsBusy   bool
-	reply       chan<- encoder.Heartbeat
-	auditor     *auditor
+	document    encoder.Document
+	// serving says that the document may be used for callers; see package
+	// distributor.
+	serving    bool
+	deltaReply chan<- encoder.Delta
+	view       detector.View
+	seen       map[string]time.Time
+	versions   map[string]int
+	hostsDue   time.Time
+	hostsBusy  bool
+	reply      chan<- encoder.Heartbeat
+	auditor    *auditor
 	// listed is set once the host list has been read.
 	listed  bool
 	started time.Time
@@ -73,10 +75,7 @@
 	timing := d.settings.Timing
 	return &control{
 		d: d, auditor: newAuditor(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
-		deltas: map[string]chan<- encoder.Delta{},
-		distributor: distributor.New(d.settings.Host, distributor.Settings{
-			Poll: time.Duration(timing.ConfigPollMs) * time.Millisecond,
-		}, d.seed, d.platform.Clock.Now()),
+		distributor: newDistributor(d),
 		detector: detector.New(detector.Self{
 			Host: d.settings.Host, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain,
 			Region: d.settings.Region, Incarnation: d.incarnation, Generation: d.generation,
@@ -93,6 +92,7 @@
 	case controlTick:
 		c.d.lastTick.Store(now.UnixNano())
 		c.poll(now)
+		c.distribute(distributor.Tick{})
 		c.detect(detector.Tick{})
 		c.distribute(distributor.Tick{})
 		c.auditor.tick(now, c.view, c.targetKind)
@@ -140,8 +140,7 @@
 
 // publish makes a new snapshot and tells the scheduler what it concerns.
 func (c *control) publish() {
-	snapshot := newSnapshot(c.document, c.view)
-	snapshot.ready = c.serving
+	snapshot := newSnapshot(c.document, c.view, c.serving)
 	c.d.snapshot.Store(snapshot)
 	services := make([]scheduler.Service, 0, len(snapshot.services))
 	byRole := map[string][]string{}
