--- a/controller/control.go
+++ b/controller/control.go
@@ -94,7 +94,6 @@
 		c.poll(now)
 		c.distribute(distributor.Tick{})
 		c.detect(detector.Tick{})
-		c.distribute(distributor.Tick{})
 		c.auditor.tick(now, c.view, c.targetKind)
 	case distributorMessage:
 		c.distribute(m.message)
--- a/controller/members.go
+++ b/controller/members.go
@@ -39,7 +39,6 @@
 	// A daemon that knows only itself would claim every shard without an owner.
 	if c.listed || c.d.platform.Clock.Now().Sub(c.started) > listWait {
 		c.tellOwner(view)
-		c.tellDistributor(view)
 	}
 	c.tellDistributor(view)
 	c.publish()
