--- a/soaker/inspector.go
+++ b/soaker/inspector.go
@@ -169,6 +169,22 @@
 	}
 }
 
+// held counts what engines hold for ended programs.
+func (i *inspector) held(engines []*emulator.Engine) int {
+	n := 0
+	for _, engine := range engines {
+		programs, _ := engine.Held(context.Background())
+		i.mu.Lock()
+		for _, program := range programs {
+			if _, over := i.ended[program]; over {
+				n++
+			}
+		}
+		i.mu.Unlock()
+	}
+	return n
+}
+
 // checkMemory checks that engines hold nothing for ended programs.
 func (i *inspector) checkMemory(engines []*emulator.Engine) {
 	for _, engine := range engines {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -124,7 +124,9 @@
 		group.Go(func() { c.endAll(ctx, limit) })
 	}
 	group.Wait()
-	sleep(ctx, settleTime)
+	for limit := time.Now().Add(settleTime); time.Now().Before(limit) && b.inspector.held(b.engines) > 0; {
+		sleep(ctx, 100*time.Millisecond)
+	}
 	b.inspector.checkMemory(b.engines)
 	b.inspector.checkRuns()
 	b.mu.Lock()
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -173,3 +174,20 @@
 		t.Errorf("no new connection after the cut: %v", err)
 	}
 }
+
+// Guards against any broken promise of daemons under load and faults; the seeds
+// draw crashes during calls, pauses past the lease, partitions and store faults.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{4, 9} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			report, err := Run(t.Context(), Options{Seed: seed, Duration: 6 * time.Second, Callers: 8})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(report.Violations) > 0 || report.Counts["outcome done"] < 100 {
+				t.Errorf("violations, or too little load:\n%s", report)
+			}
+		})
+	}
+}
