--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -34,6 +34,9 @@
 	service *emulator.Service
 	ledger  *emulator.Ledger
 	group   conc.WaitGroup
+	// timing and wrap apply to daemons that are started later.
+	timing parser.Timing
+	wrap   func(host string, tables provider.Tables) provider.Tables
 }
 
 func freeAddress(t *testing.T) string {
@@ -93,6 +96,23 @@
 
 // start runs a daemon until the test's end and waits until it is ready.
 func (b *bed) start(host string) (*Daemon, string) {
+	b.t.Helper()
+	d := b.launch(host)
+	deadline := time.Now().Add(5 * time.Second)
+	for {
+		s := d.snapshot.Load()
+		if s.ready && len(s.view.Targets) == 2 {
+			return d, "http://" + d.settings.CallerAddress
+		}
+		if time.Now().After(deadline) {
+			b.t.Fatal("the daemon did not get ready")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// launch runs a daemon until the test's end.
+func (b *bed) launch(host string) *Daemon {
 	b.t.Helper()
 	sum := sha256.Sum256([]byte("caller-key"))
 	settings := parser.Settings{
@@ -100,6 +120,7 @@
 		CallerAddress: freeAddress(b.t), PeerAddress: freeAddress(b.t), MetricsAddress: freeAddress(b.t),
 		Platform: parser.Platform{Tables: "memory", Objects: "memory", HostList: "memory"},
 		Domains:  []parser.Domain{{Name: "nl-ams", Region: "nl"}},
+		Timing:   b.timing,
 		Keys:     []parser.Key{{Client: "members", Role: parser.RoleCaller, SHA256: hex.EncodeToString(sum[:])}},
 	}
 	data, err := json.Marshal(settings)
@@ -112,8 +133,12 @@
 	b.hosts.Put(provider.Member{
 		Host: host, Address: settings.PeerAddress, FailureDomain: "nl-ams", Region: "nl", Role: roleDaemon,
 	})
+	tables := b.tables.For(host)
+	if b.wrap != nil {
+		tables = b.wrap(host, tables)
+	}
 	d, err := New(settings, Platform{
-		Tables: b.tables.For(host), Objects: b.objects.For(host), Hosts: b.hosts,
+		Tables: tables, Objects: b.objects.For(host), Hosts: b.hosts,
 		Engine:  func(string) provider.Engine { return b.engine },
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
@@ -132,17 +157,7 @@
 			b.t.Error(err)
 		}
 	})
-	deadline := time.Now().Add(5 * time.Second)
-	for {
-		s := d.snapshot.Load()
-		if s.ready && len(s.view.Targets) == 2 {
-			return d, "http://" + settings.CallerAddress
-		}
-		if time.Now().After(deadline) {
-			b.t.Fatal("the daemon did not get ready")
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	return d
 }
 
 func (b *bed) post(url, body string, headers ...string) (*http.Response, string) {
--- a/controller/route.go
+++ b/controller/route.go
@@ -43,17 +43,11 @@
 	giveUp := d.platform.Clock.Now().Add(wait)
 	last := refusal(call, server.CodeOwnerUnreachable, "the owner of the program is not known")
 	pause := firstRoutePause
-	avoid := ""
+	avoid, doubt := "", false
 	for try := 0; ; try++ {
 		now := d.platform.Clock.Now()
 		call.DeadlineMs = max(deadline.Sub(now).Milliseconds(), 1)
-		host, epoch, known := d.ownerOf(shard)
-		if !known || host == avoid || !d.snapshot.Load().reachable(host) && host != d.settings.Host {
-			// Another host of the shard's failure domain may know a newer owner.
-			if other := d.snapshot.Load().fallback(shard, avoid, d.settings.Host, try); other != "" {
-				host, known = other, true
-			}
-		}
+		host, epoch, known := d.pickOwner(shard, avoid, try)
 		if known {
 			r.restart()
 			if host == d.settings.Host {
@@ -63,8 +57,9 @@
 			}
 			again := last.Outcome == server.OutcomeNotRun && reroutes[last.Code] ||
 				last.Outcome == server.OutcomeUnknown && named && (last.Code == codeOwnerLost || last.Code == sequencer.CodeOwnerChanged)
+			doubt = doubt || last.Outcome == server.OutcomeUnknown
 			if !again {
-				return last
+				return doubtful(last, doubt)
 			}
 			avoid = ""
 			if last.Code == server.CodeOwnerUnreachable || last.Code == codeOwnerLost {
@@ -79,13 +74,22 @@
 				zap.String("shard", shard), zap.String("owner", host), zap.Int("epoch", epoch), zap.String("code", last.Code))
 		}
 		if !now.Before(giveUp) || !now.Before(deadline) || ctx.Err() != nil || d.loopsDone.Load() {
-			return d.unreachable(last)
+			return doubtful(d.unreachable(last), doubt)
 		}
 		time.Sleep(pause/2 + rand.N(pause))
 		pause = min(2*pause, longestRoutePause)
 	}
 }
 
+// doubtful turns a refusal into an unknown outcome when an earlier try of the same
+// call may have run.
+func doubtful(last server.Answer, doubt bool) server.Answer {
+	if doubt && last.Outcome == server.OutcomeNotRun {
+		last.Outcome, last.Code, last.Message = server.OutcomeUnknown, codeOwnerLost, "an earlier try may have run: "+last.Message
+	}
+	return last
+}
+
 // hint is an owner that another daemon has named.
 type hint struct {
 	host  string
@@ -108,6 +112,19 @@
 	return host, epoch, known
 }
 
+// pickOwner returns the host to which a request about a shard is sent next. When the
+// owner is not known or did not answer, another host may know a newer owner.
+func (d *Daemon) pickOwner(shard, avoid string, try int) (host string, epoch int, known bool) {
+	snapshot := d.snapshot.Load()
+	host, epoch, known = d.ownerOf(shard)
+	if !known || host == avoid || !snapshot.reachable(host) && host != d.settings.Host {
+		if other := snapshot.fallback(shard, avoid, d.settings.Host, try); other != "" {
+			return other, epoch, true
+		}
+	}
+	return host, epoch, known
+}
+
 // learn takes the owner that another daemon has named.
 func (d *Daemon) learn(shard, host string, epoch int) {
 	if host == "" {
