--- a/sequencer/arrive.go
+++ b/sequencer/arrive.go
@@ -22,7 +22,18 @@
 	}
 }
 
+// fromKnowledge are the codes of refusals that follow from what this owner knows
+// of a program.
+var fromKnowledge = map[string]bool{
+	CodeProgramNotFound: true, CodeStepOutOfOrder: true, CodeStepConflict: true, CodeHistoryMismatch: true,
+}
+
+// refuse answers that a request did not run. Without a valid lease a newer owner
+// may know more, so what this one does not know is no answer.
 func (s *State) refuse(id, program string, step int, f refusal) {
+	if !s.lease && fromKnowledge[f.code] {
+		f = refusal{code: CodeNotOwner, text: "another host may own the program by now"}
+	}
 	s.answer(Answer{Request: id, Program: program, Step: step, Outcome: OutcomeNotRun, Code: f.code, Message: f.text})
 }
 
--- a/sequencer/sequencer_test.go
+++ b/sequencer/sequencer_test.go
@@ -196,6 +196,11 @@
 		{"a step out of order is refused", Options{}, func(d *desk) { d.turn(); d.call(func(r *CallRequest) { r.Step = 3 }) }, "notRun 3 stepOutOfOrder", 1},
 		{"another client sees no program", Options{}, func(d *desk) { d.turn(); d.call(func(r *CallRequest) { r.Client = "d" }) }, "notRun 0 programNotFound", 1},
 		{"an unknown program is not created silently", Options{}, func(d *desk) { d.call(func(r *CallRequest) { r.New = false }) }, "notRun 0 programNotFound", 0},
+		{"ignorance without a lease is no answer", Options{}, func(d *desk) {
+			d.turn()
+			d.send(LeaseChanged{})
+			d.call(func(r *CallRequest) { r.Step = 3 })
+		}, "notRun 3 notOwner", 1},
 		{"another shard's program is not served", Options{}, func(d *desk) { d.call(func(r *CallRequest) { r.Program = "de-fra-1" }) }, "notRun 0 notOwner", 0},
 		{"a shorter history is refused", Options{}, func(d *desk) { d.turn(); d.call(func(r *CallRequest) { r.Append = false }) }, "done 1", 1},
 		{"a changed history is refused", Options{}, func(d *desk) {
