--- a/soaker/bed.go
+++ b/soaker/bed.go
@@ -51,6 +51,8 @@
 	engines   []*emulator.Engine
 	services  []*emulator.Service
 	machines  []*host
+	noEngine  *emulator.Engine
+	noService *emulator.Service
 
 	mu        sync.Mutex
 	atEnd     []func()
@@ -65,6 +67,10 @@
 		objects: emulator.NewObjects(emulator.NewFaults(options.Seed)),
 		hosts:   emulator.NewHostList(nil), processes: map[int]int{},
 	}
+	b.noEngine = emulator.NewEngine(emulator.EngineOptions{Name: "none"})
+	b.noEngine.SetFaults(emulator.EngineFaults{Dead: true})
+	b.noService = emulator.NewService(emulator.ServiceOptions{Name: "none"}, ledger)
+	b.noService.SetFaults(emulator.ServiceFaults{Dead: true})
 	for n := range 4 {
 		name := fmt.Sprintf("drafter-%d", n)
 		b.engines = append(b.engines, emulator.NewEngine(emulator.EngineOptions{
@@ -95,13 +101,15 @@
 	b.hosts.Put(provider.Member{Host: name, Address: address, FailureDomain: domain.Name, Region: domain.Region, Role: role})
 }
 
+// engine returns the engine at an address. Any other address answers like a host
+// that serves something else.
 func (b *bed) engine(name string) *emulator.Engine {
 	for _, engine := range b.engines {
 		if engine.Name() == name {
 			return engine
 		}
 	}
-	return nil
+	return b.noEngine
 }
 
 func (b *bed) service(name string) *emulator.Service {
@@ -110,7 +118,7 @@
 			return service
 		}
 	}
-	return nil
+	return b.noService
 }
 
 func (b *bed) publish() error {
@@ -219,7 +227,8 @@
 		h.kill()
 		h.group.Wait()
 	}
-	for _, engine := range b.engines {
+	for _, engine := range append(b.engines, b.noEngine) {
 		engine.Close()
 	}
+	b.noService.Close()
 }
