Measure capacity and leave the identity out of most heartbeats

With headers, probes and polls the control traffic of a daemon came to 5.9 KB/s at 350 daemons, over the limit of 5 KB/s.

A ready host sends its identity with every eighth heartbeat, and assigned targets are probed every 10 s. Command capacity measures daemons, targets, programs, shards, decisions, group commit, ownership and calls through one daemon, writes docs/capacity.json and renders docs/CAPACITY.md.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: build test check fmt lint generate soak
+.PHONY: build test check fmt lint generate soak capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -33,3 +33,7 @@
 
 soak:
 	go run ./cmd/soak -seed $(SEED) -duration $(DURATION)
+
+# Under five minutes; GOMEMLIMIT keeps it under half of a machine of 32 GB.
+capacity:
+	GOMEMLIMIT=12GiB go run ./cmd/capacity -data docs/capacity.json -page docs/CAPACITY.md
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -2,12 +2,15 @@
 //
 // # Usage
 //
+//	capacity -data docs/capacity.json -page docs/CAPACITY.md   # everything
+//	capacity -render -data FILE -page FILE                     # the page from the data
 //	capacity -news -hosts 9          # times of news; fails when one is over 3 s
 //	capacity -control 9,50,150,350   # control traffic of idle fleets
 package main
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"os"
@@ -24,9 +27,15 @@
 	control := flag.String("control", "", "sizes of idle fleets, such as 9,50,150,350")
 	warmUp := flag.Duration("warmUp", 10500*time.Millisecond, "time before the measurement of a fleet")
 	window := flag.Duration("window", 3*time.Second, "time of the measurement of a fleet")
+	data := flag.String("data", "docs/capacity.json", "file for the measurements")
+	page := flag.String("page", "docs/CAPACITY.md", "file for the page")
+	render := flag.Bool("render", false, "render the page from the data without measuring")
 	flag.Parse()
 	ctx := context.Background()
 	var err error
+	if !*news && *control == "" {
+		err = everything(ctx, *data, *page, *render)
+	}
 	if *news {
 		err = printNews(ctx, *hosts)
 	}
@@ -39,6 +48,35 @@
 	}
 }
 
+// everything measures, unless only the page is wanted, and writes both files.
+func everything(ctx context.Context, data, page string, renderOnly bool) error {
+	var report *measurer.Report
+	if renderOnly {
+		text, err := os.ReadFile(data)
+		if err != nil {
+			return err
+		}
+		report = new(measurer.Report)
+		if err := json.Unmarshal(text, report); err != nil {
+			return err
+		}
+	} else {
+		measured, err := measurer.Measure(ctx, func(name string) { fmt.Println("measuring:", name) })
+		if err != nil {
+			return err
+		}
+		report = measured
+		text, err := json.MarshalIndent(report, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(data, append(text, '\n'), 0o644); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(page, []byte(report.Markdown()), 0o644)
+}
+
 func printNews(ctx context.Context, hosts int) error {
 	timings, err := measurer.NewsTimes(ctx, hosts)
 	if err != nil {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -64,7 +64,7 @@
 	DefaultRecoverAfter  = 3
 	DefaultSlowStart     = 10 * time.Second
 	DefaultUrgentPause   = 100 * time.Millisecond
-	DefaultAssignedProbe = 5 * time.Second
+	DefaultAssignedProbe = 10 * time.Second
 	DefaultFailedProbe   = time.Second
 	DefaultProbesPerSec  = 4
 	DefaultReturnAfter   = 30 * time.Second
@@ -266,12 +266,17 @@
 // the place of the sender, for peers whose list does not have it yet.
 const placeFor = 10 * time.Second
 
+// identityEvery is the mean number of heartbeats of a ready host to one that
+// carries its identity: a new run and leaving are also spread as rumours.
+const identityEvery = 8
+
 func (s *State) heartbeat(now time.Time, to *host, repair bool) encoder.Heartbeat {
-	h := encoder.Heartbeat{
-		Host: s.self.Host, Incarnation: s.self.Incarnation, Generation: s.self.Generation,
-		Sequence: s.sequence, State: s.ownState(), ConfigVersion: s.configVersion,
+	h := encoder.Heartbeat{Host: s.self.Host, ConfigVersion: s.configVersion}
+	young := now.Sub(s.started) < placeFor
+	if young || s.leaving || s.random.IntN(identityEvery) == 0 {
+		h.Incarnation, h.Generation, h.Sequence, h.State = s.self.Incarnation, s.self.Generation, s.sequence, s.ownState()
 	}
-	if now.Sub(s.started) < placeFor {
+	if young {
 		h.Address, h.FailureDomain, h.Region = s.self.Address, s.self.FailureDomain, s.self.Region
 	}
 	same := to == nil || to.member.FailureDomain == s.self.FailureDomain
--- a/detector/host.go
+++ b/detector/host.go
@@ -176,7 +176,9 @@
 		Kind: kindHost, Subject: beat.Host, State: beat.State, Incarnation: beat.Incarnation, Generation: beat.Generation,
 		Sequence: beat.Sequence, Address: beat.Address, FailureDomain: beat.FailureDomain, Region: beat.Region,
 	}
-	s.hearFact(now, fact)
+	if fact.Incarnation != "" {
+		s.hearFact(now, fact)
+	}
 	s.hear(now, beat.Rumours)
 	h := s.hosts[beat.Host]
 	if h != nil && beat.Host != s.self.Host {
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -124,7 +124,8 @@
 	Code string `json:"code,omitempty,omitzero"`
 }
 
-// Heartbeat request and its answer.
+// Heartbeat request and its answer. The identity (incarnation, generation,
+// sequence, state) is left out of most heartbeats of a host that is ready.
 type Heartbeat struct {
 	// Peer address of the sender.
 	Address string `json:"address,omitempty,omitzero"`
@@ -139,13 +140,13 @@
 	FailureDomain string `json:"failureDomain,omitempty,omitzero"`
 
 	// Orders the runs of this host.
-	Generation int `json:"generation"`
+	Generation int `json:"generation,omitempty,omitzero"`
 
 	// Host corresponds to the JSON schema field "host".
 	Host string `json:"host"`
 
 	// Random identity of this run.
-	Incarnation string `json:"incarnation"`
+	Incarnation string `json:"incarnation,omitempty,omitzero"`
 
 	// Region corresponds to the JSON schema field "region".
 	Region string `json:"region,omitempty,omitzero"`
@@ -154,10 +155,10 @@
 	Rumours []Rumour `json:"rumours,omitempty,omitzero"`
 
 	// Rises with each change of state of this run.
-	Sequence int `json:"sequence"`
+	Sequence int `json:"sequence,omitempty,omitzero"`
 
 	// State that the sender asserts about itself.
-	State string `json:"state"`
+	State string `json:"state,omitempty,omitzero"`
 }
 
 // First message of every connection.
--- /dev/null
+++ b/measurer/commit.go
@@ -0,0 +1,140 @@
+package measurer
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/committer"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+)
+
+// CommitSample is one daemon's use of the store for its log in virtual time.
+type CommitSample struct {
+	Hosts       int     `json:"hosts"`
+	CallsPerSec float64 `json:"callsPerSec"`
+	// WritesPerSec are transactions of this daemon, FleetWrites of all.
+	WritesPerSec float64 `json:"writesPerSec"`
+	FleetWrites  float64 `json:"fleetWritesPerSec"`
+	MeanWaitMs   float64 `json:"meanWaitMs"`
+	// MicrosPerCall is the processor time of batching and encoding.
+	MicrosPerCall float64 `json:"microsPerCall"`
+	BytesPerSec   float64 `json:"storeBytesPerSec"`
+}
+
+const (
+	commitSeconds = 30
+	commitWarmUp  = 10 * time.Second
+	// storeLatency is the time of the store's answer to a commit.
+	storeLatency = 4 * time.Millisecond
+	// commitStep is the resolution of the virtual time.
+	commitStep = time.Millisecond
+)
+
+// CommitSlope measures group commit for each number of daemons and call rate of one
+// daemon; a call writes two requests (its start and its end).
+func CommitSlope(hosts []int, callsPerSec []float64) ([]CommitSample, error) {
+	var out []CommitSample
+	for _, n := range hosts {
+		for _, rate := range callsPerSec {
+			sample, err := commitSample(n, rate)
+			if err != nil {
+				return nil, err
+			}
+			out = append(out, sample)
+		}
+	}
+	return out, nil
+}
+
+type commitRun struct {
+	state    *committer.State
+	now      time.Time
+	version  int64
+	answerAt time.Time
+	pending  committer.CommitTransaction
+	busy     time.Duration
+	asked    map[committer.Ticket]time.Time
+	waits    time.Duration
+	done     int
+	writes   int
+	bytes    int
+}
+
+func (r *commitRun) update(message committer.Message) {
+	started := time.Now()
+	commands := r.state.Update(r.now, message)
+	r.busy += time.Since(started)
+	for _, command := range commands {
+		switch c := command.(type) {
+		case committer.ReadLeaseRow:
+			r.update(committer.LeaseRowRead{})
+		case committer.CommitTransaction:
+			r.pending, r.answerAt = c, r.now.Add(storeLatency)
+			r.writes++
+			for _, write := range c.Transaction.Writes {
+				r.bytes += len(write.Value) + len(write.Key)
+			}
+		case committer.TicketCommitted:
+			if at, ok := r.asked[c.Ticket]; ok {
+				r.waits += r.now.Sub(at)
+				r.done++
+				delete(r.asked, c.Ticket)
+			}
+		}
+	}
+}
+
+func commitSample(hosts int, callsPerSec float64) (CommitSample, error) {
+	start := time.Unix(1_700_000_000, 0)
+	r := &commitRun{now: start, asked: map[committer.Ticket]time.Time{}}
+	r.state = committer.New(committer.Options{Host: "host-000", Incarnation: "a", Seed: 1})
+	random := rand.New(rand.NewPCG(uint64(hosts), 1))
+	r.update(committer.LiveChanged{Hosts: hosts})
+	r.update(committer.Tick{})
+	body := strings.Repeat("x", turnBytes)
+	ticket := committer.Ticket(0)
+	arrival := start.Add(time.Second)
+	counted := start.Add(commitWarmUp)
+	for r.now.Before(counted.Add(commitSeconds * time.Second)) {
+		r.now = r.now.Add(commitStep)
+		if r.now.Equal(counted) {
+			// The allowance that was saved up before the load is not counted.
+			r.writes, r.bytes, r.busy = 0, 0, 0
+		}
+		if !r.answerAt.IsZero() && !r.now.Before(r.answerAt) {
+			r.answerAt = time.Time{}
+			versions := make([]int64, len(r.pending.Transaction.Writes))
+			r.version++
+			for i := range versions {
+				versions[i] = 1
+			}
+			versions[0] = r.version
+			r.update(committer.CommitFinished{ID: r.pending.Transaction.ID, Versions: versions})
+		}
+		for callsPerSec > 0 && !r.now.Before(arrival) {
+			arrival = arrival.Add(time.Duration(random.ExpFloat64() / (2 * callsPerSec) * float64(time.Second)))
+			ticket++
+			r.asked[ticket] = r.now
+			r.update(committer.AppendRequested{Ticket: ticket, Records: []encoder.Record{{
+				Shard: "domain-0/1", Program: fmt.Sprintf("domain-0-%032x", ticket), Sequence: 1, Kind: "turn", Body: body,
+			}}})
+		}
+		if next := r.state.Next(); !next.IsZero() && !r.now.Before(next) {
+			r.update(committer.Tick{})
+		}
+	}
+	if callsPerSec > 0 && r.done == 0 {
+		return CommitSample{}, fmt.Errorf("no request became durable with %d hosts", hosts)
+	}
+	sample := CommitSample{
+		Hosts: hosts, CallsPerSec: callsPerSec, WritesPerSec: float64(r.writes) / commitSeconds,
+		FleetWrites: float64(hosts) * float64(r.writes) / commitSeconds, BytesPerSec: float64(r.bytes) / commitSeconds,
+	}
+	if r.done > 0 {
+		sample.MeanWaitMs = r.waits.Seconds() * 1e3 / float64(r.done)
+		sample.MicrosPerCall = float64(r.busy.Microseconds()) / (callsPerSec * commitSeconds)
+	}
+	return sample, nil
+}
--- a/measurer/control.go
+++ b/measurer/control.go
@@ -35,7 +35,7 @@
 func ControlSlope(ctx context.Context, sizes []int, warmUp, window time.Duration) ([]ControlSample, error) {
 	var out []ControlSample
 	for _, size := range sizes {
-		sample, err := controlSample(ctx, size, warmUp, window)
+		sample, err := controlSample(ctx, size, 16*size, warmUp, window)
 		if err != nil {
 			return nil, fmt.Errorf("%d hosts: %w", size, err)
 		}
@@ -63,10 +63,23 @@
 	return t
 }
 
-func controlSample(ctx context.Context, size int, warmUp, window time.Duration) (ControlSample, error) {
+// TargetSlope measures idle fleets of one size with different numbers of targets.
+func TargetSlope(ctx context.Context, hosts int, targets []int, warmUp, window time.Duration) ([]ControlSample, error) {
+	var out []ControlSample
+	for _, n := range targets {
+		sample, err := controlSample(ctx, hosts, n, warmUp, window)
+		if err != nil {
+			return nil, fmt.Errorf("%d targets: %w", n, err)
+		}
+		out = append(out, sample)
+	}
+	return out, nil
+}
+
+func controlSample(ctx context.Context, size, targets int, warmUp, window time.Duration) (ControlSample, error) {
 	runtime.GC()
 	before := heapBytes()
-	f, err := NewFleet(ctx, Options{Domains: 5, Hosts: size, Targets: 16 * size, ListEvery: 5 * time.Second})
+	f, err := NewFleet(ctx, Options{Domains: 5, Hosts: size, Targets: targets, ListEvery: 5 * time.Second})
 	if err != nil {
 		return ControlSample{}, err
 	}
--- /dev/null
+++ b/measurer/lease.go
@@ -0,0 +1,278 @@
+package measurer
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/committer"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/lessor"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// LeaseSample is the use of the store for shard ownership by a whole fleet, in
+// virtual time, without the renewals of leases, which commits carry.
+type LeaseSample struct {
+	Hosts  int `json:"hosts"`
+	Shards int `json:"shards"`
+	Lost   int `json:"lostHosts"`
+	// ColdStartSec is the time from the start of all daemons at once until every
+	// shard has an owner, or the limit; ColdOwned is the shards owned by then.
+	ColdStartSec float64 `json:"coldStartSec"`
+	ColdOwned    int     `json:"coldOwned"`
+	// Steady figures are means before the loss.
+	SteadyReads  float64 `json:"steadyReadsPerSec"`
+	SteadyWrites float64 `json:"steadyWritesPerSec"`
+	// Peaks are the largest of one second after the loss.
+	PeakReads  float64 `json:"peakReadsPerSec"`
+	PeakWrites float64 `json:"peakWritesPerSec"`
+	// TakeoverSec is the time from the loss until live hosts own every shard, with
+	// detection, or the limit; OwnedAfter15 is the shards that they own 15 s after
+	// the loss and Unowned those that they do not own at the limit.
+	TakeoverSec  float64 `json:"takeoverSec"`
+	OwnedAfter15 int     `json:"ownedAfter15Sec"`
+	Unowned      int     `json:"unowned"`
+	MicrosPerSec float64 `json:"microsPerSecAndHost"`
+}
+
+const (
+	leaseStep   = 250 * time.Millisecond
+	leaseRenew  = 2 * time.Second
+	leaseSettle = 120 * time.Second
+	leaseWindow = 20 * time.Second
+	leaseLimit  = 90 * time.Second
+	// leaseDetect is the time until the survivors see the loss, from the detector:
+	// one round, three heartbeats of silence and a probe.
+	leaseDetect = 5 * time.Second
+)
+
+type leaseHost struct {
+	host    lessor.Host
+	state   *lessor.State
+	alive   bool
+	credit  float64
+	writes  []func()
+	version int64
+	fenced  bool
+}
+
+type leaseWorld struct {
+	now     time.Time
+	hosts   []*leaseHost
+	byName  map[string]*leaseHost
+	shards  map[string]provider.Row
+	owners  map[string]string
+	reads   int
+	written int
+	busy    time.Duration
+	live    []lessor.Host
+}
+
+// LeaseRun measures a fleet of five failure domains from its start to after the
+// loss of the given number of hosts of one domain.
+func LeaseRun(hosts, shardsPerDomain, lose int) LeaseSample {
+	w := newLeaseWorld(hosts, shardsPerDomain)
+	sample := LeaseSample{Hosts: hosts, Shards: 5 * shardsPerDomain, Lost: lose}
+	for start := w.now; w.owned() < sample.Shards && sample.ColdStartSec < leaseSettle.Seconds(); {
+		w.run(time.Second)
+		sample.ColdStartSec = w.now.Sub(start).Seconds()
+	}
+	sample.ColdOwned = w.owned()
+	w.run(leaseWindow)
+	reads, writes, busy := w.reads, w.written, w.busy
+	w.run(leaseWindow)
+	seconds := leaseWindow.Seconds()
+	sample.SteadyReads = float64(w.reads-reads) / seconds
+	sample.SteadyWrites = float64(w.written-writes) / seconds
+	sample.MicrosPerSec = float64((w.busy - busy).Microseconds()) / seconds / float64(hosts)
+	w.lose(lose)
+	lost := w.now
+	for w.now.Sub(lost) < leaseLimit {
+		reads, writes = w.reads, w.written
+		w.run(time.Second)
+		if w.now.Sub(lost) >= leaseDetect && len(w.live) == hosts {
+			w.setLive()
+		}
+		sample.PeakReads = max(sample.PeakReads, float64(w.reads-reads))
+		sample.PeakWrites = max(sample.PeakWrites, float64(w.written-writes))
+		owned := w.owned()
+		if w.now.Sub(lost) <= 15*time.Second {
+			sample.OwnedAfter15 = owned
+		}
+		if owned == sample.Shards {
+			sample.TakeoverSec = w.now.Sub(lost).Seconds()
+			return sample
+		}
+	}
+	sample.TakeoverSec, sample.Unowned = leaseLimit.Seconds(), sample.Shards-w.owned()
+	return sample
+}
+
+func newLeaseWorld(hosts, shardsPerDomain int) *leaseWorld {
+	w := &leaseWorld{now: time.Unix(1_700_000_000, 0), byName: map[string]*leaseHost{},
+		shards: map[string]provider.Row{}, owners: map[string]string{}}
+	var domains []lessor.Domain
+	for i := range 5 {
+		domains = append(domains, lessor.Domain{Name: fmt.Sprintf("domain-%d", i), Region: fmt.Sprintf("region-%d", i/3)})
+	}
+	for i := range hosts {
+		domain := domains[i%5]
+		h := &leaseHost{alive: true, host: lessor.Host{
+			Name: fmt.Sprintf("host-%03d", i), FailureDomain: domain.Name, Region: domain.Region, Incarnation: fmt.Sprint("run-", i),
+		}}
+		h.state = lessor.New(lessor.Options{Self: h.host, Domains: domains, ShardsPerDomain: shardsPerDomain,
+			Lease: committer.DefaultLease, ClockRateError: committer.DefaultClockRateError, Seed: uint64(i)})
+		w.hosts = append(w.hosts, h)
+		w.byName[h.host.Name] = h
+	}
+	w.setLive()
+	return w
+}
+
+func (w *leaseWorld) setLive() {
+	w.live = nil
+	for _, h := range w.hosts {
+		if h.alive {
+			w.live = append(w.live, h.host)
+		}
+	}
+	for _, h := range w.hosts {
+		if h.alive {
+			w.update(h, lessor.HostsChanged{Live: w.live})
+		}
+	}
+}
+
+func (w *leaseWorld) lose(count int) {
+	for i := 0; count > 0 && i < len(w.hosts); i += 5 {
+		w.hosts[i].alive = false
+		count--
+	}
+}
+
+func (w *leaseWorld) owned() int {
+	n := 0
+	for _, owner := range w.owners {
+		if w.byName[owner].alive {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *leaseWorld) run(d time.Duration) {
+	// Each daemon has an equal share of the write budget.
+	share := float64(committer.DefaultWritesPerSec) / float64(len(w.hosts))
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(leaseStep)
+		for i, h := range w.hosts {
+			if !h.alive {
+				continue
+			}
+			if w.now.Add(time.Duration(i)*leaseStep).UnixMilli()%leaseRenew.Milliseconds() == 0 && !h.fenced {
+				h.version++
+				w.update(h, lessor.LeaseRenewed{SentAt: w.now, Incarnation: h.host.Incarnation})
+			}
+			h.credit = min(max(1, share*leaseStep.Seconds()), h.credit+share*leaseStep.Seconds())
+			for h.credit >= 1 && len(h.writes) > 0 {
+				h.credit--
+				write := h.writes[0]
+				h.writes = h.writes[1:]
+				w.written++
+				write()
+			}
+			w.update(h, lessor.Tick{})
+		}
+	}
+}
+
+func (w *leaseWorld) update(h *leaseHost, message lessor.Message) {
+	started := time.Now()
+	commands := h.state.Update(w.now, message)
+	w.busy += time.Since(started)
+	for _, command := range append([]lessor.Command(nil), commands...) {
+		switch c := command.(type) {
+		case lessor.ScanLeases:
+			w.update(h, w.readLeases(c.Hosts))
+		case lessor.ScanShards:
+			w.reads += len(c.Shards)
+			var read lessor.ShardRowsRead
+			for _, name := range c.Shards {
+				row := w.shards[name]
+				row.Table, row.Key = committer.TableShards, name
+				read.Rows = append(read.Rows, row)
+			}
+			w.update(h, read)
+		case lessor.LoadShard:
+			w.update(h, lessor.ShardLoaded{Shard: c.Shard, OK: true})
+		case lessor.DrainShard:
+			w.update(h, lessor.ShardIdle{Shard: c.Shard})
+		case lessor.FenceHost, lessor.ClaimShards, lessor.HandOverShard:
+			h.writes = append(h.writes, func() { w.write(h, command) })
+		}
+	}
+}
+
+func (w *leaseWorld) readLeases(hosts []string) lessor.LeaseRowsRead {
+	w.reads += len(hosts)
+	var read lessor.LeaseRowsRead
+	for _, name := range hosts {
+		h := w.byName[name]
+		row := encoder.LeaseRow{Host: name, Incarnation: h.host.Incarnation, State: committer.RowActive,
+			FailureDomain: h.host.FailureDomain, Region: h.host.Region}
+		if h.fenced {
+			row.State = committer.RowFenced
+		}
+		read.Rows = append(read.Rows, provider.Row{Table: committer.TableLeases, Key: name, Version: h.version, Value: encode(row)})
+	}
+	return read
+}
+
+func encode(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // Rows have only text and numbers.
+	}
+	return data
+}
+
+func (w *leaseWorld) write(h *leaseHost, command lessor.Command) {
+	switch c := command.(type) {
+	case lessor.FenceHost:
+		other, kind := w.byName[c.Host], provider.KindConflict
+		if other.version == c.Version && !other.fenced {
+			other.version++
+			other.fenced, kind = true, provider.KindNone
+		}
+		w.update(h, lessor.FenceFinished{Host: c.Host, Kind: kind})
+	case lessor.ClaimShards:
+		w.update(h, w.claim(c.Claims))
+	case lessor.HandOverShard:
+		w.put(c.Row)
+		w.update(h, lessor.HandoverFinished{Shard: c.Shard, Kind: provider.KindNone})
+		w.update(w.byName[c.To], lessor.HandoverReceived{Shard: c.Shard})
+	}
+}
+
+// claim applies one transaction: all of its conditions hold or nothing is written.
+func (w *leaseWorld) claim(claims []lessor.Claim) lessor.ClaimFinished {
+	finished := lessor.ClaimFinished{Kind: provider.KindNone}
+	for _, claim := range claims {
+		finished.Shards = append(finished.Shards, claim.Row.Shard)
+		if w.shards[claim.Row.Shard].Version != claim.Version {
+			finished.Kind = provider.KindConflict
+		}
+	}
+	if finished.Kind == provider.KindNone {
+		for _, claim := range claims {
+			w.put(claim.Row)
+		}
+	}
+	return finished
+}
+
+func (w *leaseWorld) put(row encoder.ShardRow) {
+	w.shards[row.Shard] = provider.Row{Version: w.shards[row.Shard].Version + 1, Value: encode(row)}
+	w.owners[row.Shard] = row.Owner
+}
--- /dev/null
+++ b/measurer/render_bad.go
@@ -0,0 +1,152 @@
+package measurer
+
+import (
+	"fmt"
+	"strings"
+)
+
+func (r *Report) storeRows() []row {
+	c, commit, lease := last(r.Control), r.designCommit(), last(r.Leases)
+	polls := c.StoreReads * designHosts
+	return []row{
+		{"transactions", "/s", commit.FleetWrites, limitWrites, true, fmt.Sprintf("group commit: %.2f/s of one daemon at %.1f calls/s in virtual time, x 350", commit.WritesPerSec, commit.CallsPerSec)},
+		{"row writes", "/s", 2 * commit.FleetWrites, 0, false, "lease row and log row; a store that counts rows needs half of storeWriteBudget"},
+		{"reads, configuration polls", "/s", polls, limitReads, true, fmt.Sprintf("%.2f/s of one daemon x 350", c.StoreReads)},
+		{"reads, leases and shards", "/s", lease.SteadyReads, limitReads, true, fmt.Sprintf("%d shards, %d hosts, virtual time", lease.Shards, lease.Hosts)},
+		{"reads in all", "/s", polls + lease.SteadyReads, limitReads, true, "the two lines above"},
+		{"bytes written", "B/s", commit.BytesPerSec * designHosts, 0, false, fmt.Sprintf("%.0f B/s of one daemon x 350, turns of 2 x %d B", commit.BytesPerSec, turnBytes)},
+		{"configuration changes", "/s", changesPerSec, limitWrites, false, "11,000 a day, one transaction each"},
+	}
+}
+
+// remoteHosts are the daemons of the region without the store: two of the five
+// failure domains.
+const remoteHosts = designHosts * 2 / 5
+
+func (r *Report) linkRows() []row {
+	c, commit := last(r.Control), r.designCommit()
+	message := (c.SentPerSec + c.ReceivedPerSec) / c.MessagesPerSec
+	// A daemon sends one heartbeat a second to another domain by rotation over four;
+	// two of the four are in the other region for 210 daemons and three for 140.
+	beats := 0.6*designHosts*2/4 + 0.4*designHosts*3/4
+	log := commit.BytesPerSec * remoteHosts
+	size := designTokens / designCalls * 4 / turnBytes
+	return []row{
+		{"heartbeats", "B/s", beats * 2 * (message + headerBytes), limitLink, false, fmt.Sprintf("%.0f/s across, request and answer of %.0f B + %.0f B of headers", beats, message, headerBytes)},
+		{"polls of the configuration", "B/s", remoteHosts * pollBytes, limitLink, false, fmt.Sprintf("%d daemons x %.0f B/s", remoteHosts, pollBytes)},
+		{"log of group commits, short turns", "B/s", log, limitLink, false, fmt.Sprintf("%d daemons x %.0f B/s (measured, turns of 2 x %d B)", remoteHosts, commit.BytesPerSec, turnBytes)},
+		{"log of group commits, answers of 268 tokens", "B/s", log * (1 + size) / 2, limitLink, false, fmt.Sprintf("2.2 M / 8,200 tokens x 4 B in place of %d B an answer", turnBytes)},
+		{"reads of the host list", "B/s", float64(remoteHosts * last(r.Lists).Bytes), limitLink, false, "if the list is served from the other region only"},
+	}
+}
+
+func (r *Report) engineRows() []row {
+	return []row{
+		{"calls of one engine", "/s", designCalls / designTargets, 0, false, "8,200 / 5,600"},
+		{"probes of one engine", "/s", 0.1, 0, false, "one daemon of its failure domain, every 10 s; calls within 10 s replace them"},
+		{"daemons that use one engine", "", 64 * designHosts / designTargets, 0, false, "subset of 64 x 350 / 5,600, for one service"},
+	}
+}
+
+func (r *Report) toolRows() []row {
+	return []row{
+		{"requests of one publish", "", 2, 0, false, "read and compare-and-set through one daemon; with -wait one status request a second"},
+		{"publishes", "/s", changesPerSec, limitWrites, false, "11,000 a day"},
+	}
+}
+
+func (r *Report) badRows() []row {
+	lease, c := last(r.Leases), last(r.Control)
+	polls := c.StoreReads * designHosts
+	owned := float64(designShards) / designHosts
+	records := last(r.Owners).RecordsPerCall * designCalls / designHosts
+	share := limitWrites / designHosts
+	backlog := 4_096 * last(r.Owners).LogBytesPerCall / last(r.Owners).RecordsPerCall * remoteHosts
+	return []row{
+		{"failure domain lost: reads, peak second", "/s", lease.PeakReads + polls, limitReads, true, fmt.Sprintf("%.0f for leases and shards + polls; %d of %d hosts lost", lease.PeakReads, lease.Lost, lease.Hosts)},
+		{"failure domain lost: writes for ownership, peak second", "/s", lease.PeakWrites, limitWrites, true, "fencing and claims, inside each daemon's write allowance"},
+		{"failure domain lost: shards owned after 15 s", "", float64(lease.OwnedAfter15), float64(lease.Shards), true, "detection 5 s, lease 6.06 s, claims"},
+		{"failure domain lost: all shards owned after", "s", lease.TakeoverSec, 0, true, fmt.Sprintf("%d shards without owner then", lease.Unowned)},
+		{"rack of 10 hosts lost: writes for ownership", "", 10 * (1 + owned), 0, false, "one fence and at most 11.7 claims for each host"},
+		{"all daemons started at once: shards owned", "", float64(lease.ColdOwned), float64(lease.Shards), true, fmt.Sprintf("after %.0f s", lease.ColdStartSec)},
+		{"rolling restart of one daemon: handovers", "s", (owned + 1) / share, 130, false, fmt.Sprintf("%.1f shards and the release at %.2f transactions/s, against drainTimeout", owned, share)},
+		{"rolling restart of all, one every 10 s", "/s", (2*owned + 2) / 10, limitWrites, false, "handover and return of 11.7 shards, release and new lease; takes 58 minutes"},
+		{"rolling restart of all in 5 minutes", "/s", (2*owned + 2) * designHosts / 300, limitWrites, false, "the same, leaves the rest for commits"},
+		{"region link lost for an hour: time until records are full", "s", 4_096 / records, 3_600, false, fmt.Sprintf("4,096 records / %.1f records/s of one daemon without the store; then notRun", records)},
+		{"region link back: time to send the backlog", "s", backlog / limitLink, 0, false, fmt.Sprintf("%d daemons x 4,096 records at 30 Mbit/s", remoteHosts)},
+	}
+}
+
+// doesNotFit names every row over its limit with what would carry it.
+func (r *Report) doesNotFit() string {
+	remedies := []struct{ name, remedy string }{
+		{"host list", "Two daemons of each failure domain read the list and spread its changes as rumours, or the list answers with changes since a version; a whole list every second fits neither the bytes nor the link."},
+		{"processor, decoding the host list", "As for the bytes of the list."},
+		{"processor, control plane in all", "As for the bytes of the list, whose decoding is the largest part."},
+		{"log of group commits", "A store in each region, or a log whose text goes to an object store of the own region while the table service gets digests; compression alone gives about a third."},
+		{"reads of the host list", "A list in each region, and changes instead of the whole list."},
+		{"failure domain lost: reads", "A lower storeReadBudget (1,200), or polls of the configuration every 2 s, since peers announce versions at once."},
+		{"reads in all", "A longer CheckEvery of the lessor, since owners announce handovers."},
+		{"sum without the host list", "Fewer probes of targets with traffic, heartbeats of 1.5 s."},
+	}
+	var b strings.Builder
+	b.WriteString("## What does not fit\n\n")
+	all := [][]row{r.peerRows(), r.entryRows(), r.ownerRows(), r.storeRows(), r.linkRows(), r.badRows()}
+	for _, rows := range all {
+		for _, x := range rows {
+			if x.limit == 0 || x.value <= x.limit {
+				continue
+			}
+			remedy := "No remedy is planned yet."
+			for _, known := range remedies {
+				if strings.HasPrefix(x.name, known.name) {
+					remedy = known.remedy
+					break
+				}
+			}
+			fmt.Fprintf(&b, "- %s: %s %s against %s %s. %s\n", x.name, number(x.value), x.unit, number(x.limit), x.unit, remedy)
+		}
+	}
+	fmt.Fprintf(&b, "- A region cut off from the store can keep nothing durable: after %.0f s of full load its daemons refuse programs as notRun until the link is back. A store in each region would carry it.\n", 4_096/(last(r.Owners).RecordsPerCall*designCalls/designHosts))
+	if lease := last(r.Leases); lease.Unowned > 0 || lease.ColdOwned < lease.Shards {
+		fmt.Fprintf(&b, "- Ownership has a tail in this measurement: %d of %d shards were owned %.0f s after the start of all daemons, and %d lacked an owner %.0f s after the loss of a failure domain.\n",
+			lease.ColdOwned, lease.Shards, lease.ColdStartSec, lease.Unowned, lease.TakeoverSec)
+	}
+	b.WriteString("\nNot measured: memory of streams in flight, group commit and forwarding in the\npath of a call, and traffic over real links.\n\n")
+	return b.String()
+}
+
+// slopes renders the measurements over size.
+func (r *Report) slopes() string {
+	var b strings.Builder
+	b.WriteString("## Slopes\n\n| news | situation | hosts | time (s) |\n|---|---|---|---|\n")
+	for _, t := range r.News {
+		fmt.Fprintf(&b, "| %s | %s | %d | %.3f %s |\n", t.News, t.Situation, t.Hosts, t.Took.Seconds(), t.Error)
+	}
+	b.WriteString("\n| hosts | targets | bytes/s | busiest bytes/s | messages/s | core % | memory (MB) | store reads/s |\n|---|---|---|---|---|---|---|---|\n")
+	for _, c := range append(append([]ControlSample(nil), r.Control...), r.Targets...) {
+		fmt.Fprintf(&b, "| %d | %d | %.0f | %.0f | %.1f | %.2f | %.2f | %.2f |\n", c.Hosts, c.Targets, c.SentPerSec+c.ReceivedPerSec,
+			c.MaxPerSec, c.MessagesPerSec, 100*c.ProcessShare, c.HeapBytes/1e6, c.StoreReads)
+	}
+	b.WriteString("\n| programs | turns | shards | bytes/program | us/call | us/tick | log bytes/call |\n|---|---|---|---|---|---|---|\n")
+	for _, o := range append(append([]OwnerSample(nil), r.Owners...), r.Shards...) {
+		fmt.Fprintf(&b, "| %d | %d | %d | %.0f | %.1f | %.0f | %.0f |\n", o.Programs, o.Turns, o.Shards, o.BytesPerProgram, o.MicrosPerCall, o.MicrosPerTick, o.LogBytesPerCall)
+	}
+	b.WriteString("\n| targets | us/decision | us/end |\n|---|---|---|\n")
+	for _, d := range r.Decisions {
+		fmt.Fprintf(&b, "| %d | %.1f | %.1f |\n", d.Targets, d.MicrosPerCall, d.MicrosToFinish)
+	}
+	b.WriteString("\n| hosts | calls/s of one daemon | transactions/s, fleet | mean wait (ms) | us/call |\n|---|---|---|---|---|\n")
+	for _, c := range r.Commits {
+		fmt.Fprintf(&b, "| %d | %.1f | %.1f | %.1f | %.1f |\n", c.Hosts, c.CallsPerSec, c.FleetWrites, c.MeanWaitMs, c.MicrosPerCall)
+	}
+	b.WriteString("\n| hosts | shards | lost hosts | reads/s | peak reads/s | peak writes/s | owned after 15 s | all owned (s) | us/s of one host |\n|---|---|---|---|---|---|---|---|---|\n")
+	for _, l := range r.Leases {
+		fmt.Fprintf(&b, "| %d | %d | %d | %.0f | %.0f | %.0f | %d | %.0f | %.0f |\n", l.Hosts, l.Shards, l.Lost, l.SteadyReads, l.PeakReads, l.PeakWrites, l.OwnedAfter15, l.TakeoverSec, l.MicrosPerSec)
+	}
+	b.WriteString("\n| path | clients | calls | failed | first token p50 / p95 (ms) | between tokens p50 / p95 (ms) | requests/s | processor ms/call |\n|---|---|---|---|---|---|---|---|\n")
+	for _, f := range r.Flow {
+		fmt.Fprintf(&b, "| %s | %d | %d | %d | %.2f / %.2f | %.2f / %.2f | %.0f | %.2f |\n", f.Path, f.Clients, f.Calls, f.Failed, f.FirstP50, f.FirstP95, f.GapP50, f.GapP95, f.RequestsPerSec, f.CPUMsPerCall)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/measurer/report.go
@@ -0,0 +1,106 @@
+package measurer
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+)
+
+// Report is everything that one run of capacity measured.
+type Report struct {
+	Go         string           `json:"go"`
+	Processors int              `json:"processors"`
+	Seconds    float64          `json:"seconds"`
+	News       []Timing         `json:"news"`
+	Control    []ControlSample  `json:"control"`
+	Targets    []ControlSample  `json:"targets"`
+	Owners     []OwnerSample    `json:"owners"`
+	Shards     []OwnerSample    `json:"shards"`
+	Decisions  []DecisionSample `json:"decisions"`
+	Commits    []CommitSample   `json:"commits"`
+	Leases     []LeaseSample    `json:"leases"`
+	Lists      []ListSample     `json:"lists"`
+	Flow       []FlowSample     `json:"flow"`
+}
+
+// The size to design for.
+const (
+	designHosts    = 350
+	designTargets  = 5_600
+	designShards   = 4_100
+	designPrograms = 220_000
+	designTurns    = 72
+	designCalls    = 8_200.0
+	designTokens   = 2.2e6
+)
+
+// Measure runs all measurements; progress is told what runs.
+func Measure(ctx context.Context, progress func(string)) (*Report, error) {
+	started := time.Now()
+	r := &Report{Go: runtime.Version(), Processors: runtime.NumCPU()}
+	calls := designCalls / designHosts
+	steps := []struct {
+		name string
+		run  func() error
+	}{
+		{"calls through one daemon", func() (err error) {
+			r.Flow, err = Flow(ctx, []int{1, 32, 128}, 2*time.Second)
+			return err
+		}},
+		{"programs", func() (err error) {
+			r.Owners, err = OwnerSlope([]int{100, 300, designPrograms/designHosts + 1}, designTurns, 12)
+			return err
+		}},
+		{"shards", func() (err error) {
+			for _, shards := range []int{4, 12, 48} {
+				samples, err := OwnerSlope([]int{600}, 12, shards)
+				if err != nil {
+					return err
+				}
+				r.Shards = append(r.Shards, samples...)
+			}
+			return nil
+		}},
+		{"scheduling decisions", func() error {
+			r.Decisions = DecisionSlope([]int{64, 640, designTargets}, 20_000)
+			return nil
+		}},
+		{"group commit", func() (err error) {
+			r.Commits, err = CommitSlope([]int{9, 50, 150, designHosts}, []float64{0, 1, calls})
+			return err
+		}},
+		{"host lists", func() (err error) {
+			r.Lists, err = ListSlope([]int{9, 50, 150, designHosts})
+			return err
+		}},
+		{"news", func() (err error) {
+			r.News, err = NewsTimes(ctx, 9)
+			return err
+		}},
+		{"control traffic over daemons", func() (err error) {
+			r.Control, err = ControlSlope(ctx, []int{9, 50, 150, designHosts}, 10500*time.Millisecond, 3*time.Second)
+			return err
+		}},
+		{"control traffic over targets", func() (err error) {
+			r.Targets, err = TargetSlope(ctx, 25, []int{400, 1_600, designTargets}, 10500*time.Millisecond, 3*time.Second)
+			return err
+		}},
+		{"shard ownership", func() error {
+			for _, size := range []struct{ hosts, shards, lost int }{{10, 32, 2}, {50, 100, 10}, {150, 350, 30}, {designHosts, designShards / 5, 70}} {
+				r.Leases = append(r.Leases, LeaseRun(size.hosts, size.shards, size.lost))
+			}
+			return nil
+		}},
+	}
+	for _, step := range steps {
+		progress(step.name)
+		if err := step.run(); err != nil {
+			return nil, fmt.Errorf("%s: %w", step.name, err)
+		}
+	}
+	r.Seconds = time.Since(started).Seconds()
+	return r, nil
+}
+
+func last[T any](samples []T) T { return samples[len(samples)-1] }
