--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,7 @@
 
 bench:
 	go run ./cmd/bench -seed $(SEED) -plot docs
+
+# Under five minutes; GOMEMLIMIT keeps it under half of a machine of 32 GB.
+capacity:
+	GOMEMLIMIT=12GiB go run ./cmd/capacity -data docs/capacity.json -page docs/CAPACITY.md
