Keep every service that the list names a target for

A target listed for two services flipped between them with each list, which changed the view and restarted the assignment of probes every second.

The detector keeps the set of services of a target and lists it once for each; an unchanged list no longer changes the view.

--- a/detector/detector_test.go
+++ b/detector/detector_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 )
 
@@ -326,3 +327,34 @@
 		t.Errorf("%d heartbeats and %d probes in a second, subset of %d", beats, probes, subset)
 	}
 }
+
+// Guards against a target that loses a service because the list names it for two,
+// and against views that change with every such list.
+func TestTargetOfTwoServices(t *testing.T) {
+	s := newSim(1, 3, 2, Settings{})
+	n := s.nodes["d1-h0"]
+	for i := range 4 {
+		s.relist(func(*provider.Member) {}, "d1-t0")
+		second := *s.member("d1-t0")
+		second.Role = "ledger"
+		list := append(s.list(), second)
+		s.now = s.now.Add(time.Second)
+		for _, command := range n.state.Update(s.now, ListReceived{Members: list}) {
+			if c, ok := command.(PublishView); ok {
+				n.view = c.View
+				if i == 3 {
+					t.Error("an unchanged list changed the view")
+				}
+			}
+		}
+	}
+	var services []string
+	for _, target := range n.view.Targets {
+		if target.Name == "d1-t0" {
+			services = append(services, target.Service+" "+target.State)
+		}
+	}
+	if diff := cmp.Diff([]string{"drafter ready", "ledger ready"}, services); diff != "" {
+		t.Errorf("services differ (-want +got):\n%s", diff)
+	}
+}
--- a/detector/target.go
+++ b/detector/target.go
@@ -11,9 +11,11 @@
 
 type target struct {
 	member provider.Member
-	hash   uint64
-	state  string
-	since  time.Time
+	// roles are the services that the list names the target for, in order.
+	roles []string
+	hash  uint64
+	state string
+	since time.Time
 	// lifeStart is the Unix milliseconds before which news of leaving is about an
 	// earlier life; leavingAt is when leaving was learned.
 	lifeStart, leavingAt int
@@ -61,13 +63,25 @@
 func (s *State) updateList(now time.Time, members []provider.Member) {
 	s.lists++
 	listed := make(map[string]bool, len(members))
+	targets := map[string]*listEntry{}
+	var names []string
 	for _, member := range members {
 		listed[member.Host] = true
 		if member.Role == roleDaemon {
 			s.listHost(now, member)
-		} else {
-			s.listTarget(now, member)
+			continue
 		}
+		entry, ok := targets[member.Host]
+		if !ok {
+			entry = &listEntry{member: member}
+			targets[member.Host] = entry
+			names = append(names, member.Host)
+		}
+		entry.member.Leaving = entry.member.Leaving || member.Leaving
+		entry.roles = append(entry.roles, member.Role)
+	}
+	for _, name := range names {
+		s.listTarget(now, targets[name])
 	}
 	if len(members)*2 < len(s.hosts)+len(s.targets) {
 		return
@@ -89,7 +103,17 @@
 	}
 }
 
-func (s *State) listTarget(now time.Time, member provider.Member) {
+// listEntry is what a list says about one target, which it may name for several
+// services.
+type listEntry struct {
+	member provider.Member
+	roles  []string
+}
+
+func (s *State) listTarget(now time.Time, entry *listEntry) {
+	member := entry.member
+	slices.Sort(entry.roles)
+	member.Role = entry.roles[0]
 	t, known := s.targets[member.Host]
 	if !known {
 		t = s.addTarget(now, member)
@@ -104,8 +128,8 @@
 	t.listedRuns++
 	leaving := member.Leaving
 	member.Leaving = false
-	if t.member != member {
-		t.member = member
+	if t.member != member || !slices.Equal(t.roles, entry.roles) {
+		t.member, t.roles = member, entry.roles
 		s.changed, s.targetsChanged, s.assignStale = true, true, true
 	}
 	switch {
--- a/detector/view.go
+++ b/detector/view.go
@@ -31,7 +31,7 @@
 	Drained                                                  bool
 }
 
-// TargetView is one target.
+// TargetView is one target for one of its services.
 type TargetView struct {
 	Name, Address, Service, FailureDomain, Region, State string
 	// Since is when the state warming began.
@@ -87,11 +87,13 @@
 		if s.drained[name] && state != Gone {
 			state = Leaving
 		}
-		views = append(views, TargetView{
-			Name: name, Address: t.member.Address, Service: t.member.Role, FailureDomain: t.member.FailureDomain,
-			Region: t.member.Region, State: state, Since: t.since, Hint: t.hint, Drained: s.drained[name],
-			Assigned: t.assigned,
-		})
+		for _, role := range t.roles {
+			views = append(views, TargetView{
+				Name: name, Address: t.member.Address, Service: role, FailureDomain: t.member.FailureDomain,
+				Region: t.member.Region, State: state, Since: t.since, Hint: t.hint, Drained: s.drained[name],
+				Assigned: t.assigned,
+			})
+		}
 	}
 	s.markSubset(views)
 	return views
