--- a/lessor/state.go
+++ b/lessor/state.go
@@ -11,24 +11,12 @@
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 )
 
-type status int
-
-const (
-	// statusOther is a shard that this daemon does not own.
-	statusOther status = iota
-	statusClaiming
-	statusLoading
-	statusOwned
-	statusDraining
-	statusHandingOver
-)
-
 // shardView is what the state knows of one shard.
 type shardView struct {
 	name    string
 	hash    uint64
 	domain  Domain
-	status  status
+	state   string
 	row     encoder.ShardRow
 	version int64
 	known   bool
@@ -106,8 +94,12 @@
 
 	claiming   bool
 	handoverAt time.Time
-	tokens     float64
-	tokensAt   time.Time
+	// proposed is a host that should get a shard and whose lease is not known.
+	proposed string
+	// leasesFirst alternates, so that reads of leases and of shards share the budget.
+	leasesFirst bool
+	tokens      float64
+	tokensAt    time.Time
 }
 
 // New returns a state that owns nothing.
@@ -122,7 +114,7 @@
 	for _, domain := range options.Domains {
 		for number := range options.ShardsPerDomain {
 			name := ShardName(domain.Name, number)
-			shard := &shardView{name: name, hash: xxhash.Sum64String(name), domain: domain, rank: claimRanks}
+			shard := &shardView{name: name, hash: xxhash.Sum64String(name), domain: domain, rank: claimRanks, state: shardChart.Initial()}
 			s.shards[name] = shard
 			s.order = append(s.order, shard)
 		}
@@ -179,18 +171,31 @@
 		return
 	}
 	s.exclude(now)
-	s.readLeases(now)
+	s.read(now)
 	s.fence(now)
 	if !s.valid {
 		return
 	}
-	s.readShards(now)
 	s.claim(now)
 	s.load(now)
 	s.rebalance(now)
 	s.checkDrained()
 }
 
+// read reads the rows that are due, as far as the budget permits.
+func (s *State) read(now time.Time) {
+	s.leasesFirst = !s.leasesFirst
+	if s.leasesFirst {
+		s.readLeases(now)
+	}
+	if s.valid {
+		s.readShards(now)
+	}
+	if !s.leasesFirst {
+		s.readLeases(now)
+	}
+}
+
 // renewed notes a renewal of the own lease, which may belong to a new incarnation.
 func (s *State) renewed(now time.Time, m LeaseRenewed) {
 	s.incarnation = m.Incarnation
@@ -221,10 +226,10 @@
 	s.checkLease(time.Time{})
 	s.claiming = false
 	for _, shard := range s.cared {
-		if shard.status != statusOther && shard.status != statusClaiming {
+		if shard.state != stateOther && shard.state != stateClaiming {
 			s.emit(DropShard{Shard: shard.name})
 		}
-		shard.status = statusOther
+		shard.fire(eventLost)
 		shard.known, shard.readAt = false, time.Time{}
 	}
 }
@@ -236,10 +241,8 @@
 	if shard == nil {
 		return "", 0, false
 	}
-	switch shard.status {
-	case statusOwned, statusDraining:
+	if shard.state == stateOwned || shard.state == stateDraining {
 		return s.options.Self.Name, shard.row.Epoch, true
-	case statusClaiming, statusLoading, statusHandingOver, statusOther:
 	}
 	if shard.learnedEpoch > shard.row.Epoch {
 		return shard.learned, shard.learnedEpoch, true
@@ -255,20 +258,28 @@
 func (s *State) Owned() []string {
 	var names []string
 	for _, shard := range s.cared {
-		if shard.status == statusOwned || shard.status == statusDraining {
+		if shard.state == stateOwned || shard.state == stateDraining {
 			names = append(names, shard.name)
 		}
 	}
 	return names
 }
 
+// Preferred reports whether this daemon ranks first among all live ones for a key. Use
+// it for work that one daemon should do and several may.
+func (s *State) Preferred(key string) bool {
+	position, _ := rank(s.places.all, xxhash.Sum64String(key), s.options.Self.Name, 1, "")
+	return position == 0
+}
+
 // LeaseValid reports whether the own lease is valid at the time.
 func (s *State) LeaseValid(now time.Time) bool { return now.Before(s.leaseUntil) }
 
 // allow takes one read from the token bucket.
 func (s *State) allow(now time.Time) bool {
 	rate := s.options.ReadsPerSec / float64(max(1, len(s.places.all)))
-	burst := max(8, rate)
+	// Little is saved up: after a large failure all daemons read at the same time.
+	burst := max(1, rate/4)
 	if s.tokensAt.IsZero() {
 		s.tokens = burst
 	}
--- a/recoverer/checkpoint.go
+++ b/recoverer/checkpoint.go
@@ -48,7 +48,7 @@
 // ShardGone removes a shard, after it was handed over.
 type ShardGone struct{ Shard string }
 
-// LogGrew reports the own log's sequence and the bytes that it grew by.
+// LogGrew reports the own log's sequence, or the bytes that it grows by, or both.
 type LogGrew struct{ Sequence, Bytes int }
 
 // RecordsWritten reports that the shard has records after its last checkpoint.
@@ -163,11 +163,9 @@
 	case ShardPaused:
 		s.setLoaded(m.Shard, false)
 	case ShardGone:
-		s.setLoaded(m.Shard, false)
-		delete(s.shards, m.Shard)
-		commands = s.trim(s.options.MaxLogRows / trimShare)
+		commands = s.gone(m.Shard)
 	case LogGrew:
-		s.sequence = m.Sequence
+		s.sequence = max(s.sequence, m.Sequence)
 		s.bytes += m.Bytes
 	case RecordsWritten:
 		if shard := s.shards[m.Shard]; shard != nil && !shard.dirty {
@@ -193,6 +191,17 @@
 	}
 }
 
+// gone removes a shard that was handed over with a snapshot of its own.
+func (s *State) gone(name string) []Command {
+	s.setLoaded(name, false)
+	var commands []Command
+	if old := s.Snapshot(name); old != "" {
+		commands = append(commands, DeleteSnapshot{Name: old})
+	}
+	delete(s.shards, name)
+	return append(commands, s.trim(s.options.MaxLogRows/trimShare)...)
+}
+
 // next starts the most urgent checkpoint; one is in progress at a time.
 func (s *State) next(now time.Time) []Command {
 	if s.busy != "" || now.Before(s.nextAt) {
--- a/router/node.go
+++ b/router/node.go
@@ -9,10 +9,11 @@
 
 // flight is one call of this daemon at a target.
 type flight struct {
-	ticket uint64
-	sentAt time.Time
-	doneAt time.Time
-	tokens int
+	ticket  uint64
+	service string
+	sentAt  time.Time
+	doneAt  time.Time
+	tokens  int
 	// first and token are the predicted seconds before and of each token.
 	first   float64
 	token   float64
@@ -41,12 +42,14 @@
 	slowness float64
 	service  float64
 	index    int
+	// services are those that the target is listed for.
+	services map[string]bool
 	// heard is when the target last answered anything.
 	heard time.Time
 }
 
 func newNode(target Target, profile *Profile) *Node {
-	return &Node{target: target, profile: profile, slowness: 1, service: profile.PlainSeconds}
+	return &Node{target: target, profile: profile, slowness: 1, service: profile.PlainSeconds, services: map[string]bool{}}
 }
 
 // Target returns the node's target.
@@ -69,9 +72,6 @@
 	return n.profile.MaxBatch
 }
 
-// TotalBlocks returns the size of the target's KV cache, 0 when unknown.
-func (n *Node) TotalBlocks() int { return n.report.TotalBlocks }
-
 // Calls estimates all calls at the target now: those of the last report plus
 // this daemon's own since.
 func (n *Node) Calls() float64 {
@@ -123,24 +123,9 @@
 // Silent reports whether the target has answered nothing since the given time.
 func (n *Node) Silent(since time.Time) bool { return !n.heard.After(since) }
 
-// FreeBlocks estimates the free blocks of the KV cache, less what this daemon's
-// calls since the last report take; -1 when unknown.
-func (n *Node) FreeBlocks() float64 {
-	if n.report.TotalBlocks == 0 {
-		return -1
-	}
-	free := float64(n.report.FreeBlocks)
-	for i := range n.flights {
-		if f := &n.flights[i]; !f.counted {
-			free -= float64(f.tokens) / provider.BlockTokens
-		}
-	}
-	return math.Max(0, free)
-}
-
 func (n *Node) sent(now time.Time, ticket uint64, choice *Choice) {
 	n.flights = append(n.flights, flight{
-		ticket: ticket, sentAt: now, tokens: choice.Uncached, token: choice.Token,
+		ticket: ticket, service: choice.Service, sentAt: now, tokens: choice.Uncached, token: choice.Token,
 		first: choice.Wait + choice.Prefill,
 	})
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/admitter"
@@ -99,7 +100,7 @@
 
 // pump sends waiting calls in the order of their ranks while targets have slots.
 func (s *State) pump(v *service) {
-	for v.queue.Len() > 0 {
+	for v.queue.Len() > 0 && s.anySlot(v) {
 		var ready *call
 		var choice router.Choice
 		tried := 0
@@ -123,12 +124,19 @@
 	}
 }
 
+// anySlot reports whether a target of the service may have a free slot; in large
+// pools it says yes without a search.
+func (s *State) anySlot(v *service) bool {
+	nodes := s.fleet.Accepting(v.config.Name)
+	return len(nodes) > 64 || slices.ContainsFunc(nodes, s.admits)
+}
+
 func (s *State) route(c *call) router.Choice {
 	s.request = router.Request{
 		Service: c.info.Service, Program: c.info.Program, Root: c.info.Root, Model: c.info.Model,
 		Adapter: c.info.Adapter, Blocks: c.info.Blocks, PromptTokens: c.info.PromptTokens,
 		MaxTokens: c.info.MaxTokens, Plain: c.info.Kind == KindPlain, Exclude: c.info.Exclude,
-		Admits: s.admits,
+		Blocked: s.blocked, Admits: s.admits,
 	}
 	return s.policy.Router.Decide(s.now, &s.request)
 }
@@ -140,7 +148,7 @@
 	c.attempts = append(c.attempts, attempt{node: n, sentAt: s.now, choice: choice})
 	c.service.inFlight++
 	if !hedge && s.policy.HedgeRatio > 0 && c.info.Repeatable {
-		c.hedgeAt = s.now.Add(hedgeDelay(choice))
+		c.hedgeAt = s.now.Add(hedgeDelay(c, choice))
 		s.hedges.Set(c)
 	}
 	s.emit(SendCall{
@@ -150,13 +158,13 @@
 }
 
 // hedgeDelay is the time without a first token after which a call is taken to be
-// stuck: four times what was expected, at least two seconds.
-func hedgeDelay(choice router.Choice) time.Duration {
-	expected := choice.Wait + choice.Prefill
-	if choice.Prefill == 0 {
-		expected = choice.Seconds
+// stuck: four times what was expected, at least two seconds for a plain call and
+// six for a model call, whose prompt costs more to repeat.
+func hedgeDelay(c *call, choice router.Choice) time.Duration {
+	if c.info.Kind == KindPlain {
+		return max(2*time.Second, seconds(4*choice.Seconds))
 	}
-	return max(2*time.Second, time.Duration(4*expected*float64(time.Second)))
+	return max(6*time.Second, seconds(4*(choice.Wait+choice.Prefill)))
 }
 
 func (s *State) hedge(c *call) {
