Keep doubt over several owners and release memory by what answers

A call that one owner may have run was reported as not run when another owner then refused it; the answer is now unknown. Held memory is told to the owner also when the auditor knows only the preferred owner, and released at targets that the detector takes to be gone but that answer.

--- a/controller/audit.go
+++ b/controller/audit.go
@@ -23,8 +23,14 @@
 type memoryRequest struct {
 	Target   string   `json:"target"`
 	Programs []string `json:"programs"`
+	// Hops counts the hosts that have passed the request on.
+	Hops int `json:"hops,omitempty"`
 }
 
+// maxMemoryHops bounds how often a memory request is passed on: from the auditor
+// to the preferred owner, which knows the owner, with one to spare.
+const maxMemoryHops = 3
+
 // auditor polls targets: load reports and cache events in turn, and the programs
 // for which memory is held at every audit interval.
 type auditor struct {
@@ -60,8 +66,7 @@
 		a.auditDue = now.Add(time.Duration(a.d.settings.Timing.AuditMs) * time.Millisecond)
 	}
 	for _, t := range view.Targets {
-		reachable := t.State != detector.Unreachable && t.State != detector.Gone
-		if !reachable || kind(t.Name) != server.KindModel {
+		if kind(t.Name) != server.KindModel {
 			continue
 		}
 		if t.Subset {
@@ -115,33 +120,34 @@
 			d.logger.Debug("audit of held memory failed", zap.String("target", t.Name), zap.Error(err))
 			return
 		}
-		byOwner := map[string][]string{}
-		for _, program := range held {
-			host, _, known := d.owner.Owner(sequencer.ShardOf(program, d.settings.ShardsPerDomain))
-			if known {
-				byOwner[host] = append(byOwner[host], program)
-			}
-		}
-		for host, programs := range byOwner {
-			d.tellHeld(ctx, host, memoryRequest{Target: t.Name, Programs: programs})
-		}
+		d.memoryHeld(ctx, memoryRequest{Target: t.Name, Programs: held})
 	})
 }
 
-func (d *Daemon) tellHeld(ctx context.Context, host string, r memoryRequest) {
-	if host == d.settings.Host {
-		d.memoryHeld(r)
-		return
+// memoryHeld tells the owners of programs that a target holds memory for them. A
+// host that does not own a program passes the request on to whom it takes to be the
+// owner.
+func (d *Daemon) memoryHeld(ctx context.Context, r memoryRequest) {
+	others := map[string][]string{}
+	for _, program := range r.Programs {
+		host, _, known := d.ownerOf(sequencer.ShardOf(program, d.settings.ShardsPerDomain))
+		switch {
+		case !known:
+		case host == d.settings.Host:
+			d.programs.Post(sequencerMessage{sequencer.MemoryReported{Program: program, Target: r.Target}})
+		default:
+			others[host] = append(others[host], program)
+		}
 	}
-	if peer, ok := d.snapshot.Load().peer(host); ok {
-		// A lost report is repeated by the next audit.
-		_, _ = messenger.Call[struct{}](ctx, d.messenger, peer, methodMemory, r)
+	if r.Hops >= maxMemoryHops {
+		return
 	}
-}
-
-func (d *Daemon) memoryHeld(r memoryRequest) {
-	for _, program := range r.Programs {
-		d.programs.Post(sequencerMessage{sequencer.MemoryReported{Program: program, Target: r.Target}})
+	for host, programs := range others {
+		if peer, ok := d.snapshot.Load().peer(host); ok {
+			// A lost request is made up for by the next audit.
+			_, _ = messenger.Call[struct{}](ctx, d.messenger, peer, methodMemory,
+				memoryRequest{Target: r.Target, Programs: programs, Hops: r.Hops + 1})
+		}
 	}
 }
 
@@ -150,7 +156,11 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, &Error{operation: "daemon.memory", kind: KindMethod, cause: err}
 	}
-	d.memoryHeld(r)
+	d.effect(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, objectTimeout)
+		defer cancel()
+		d.memoryHeld(ctx, r)
+	})
 	return struct{}{}, nil
 }
 
@@ -167,13 +177,3 @@
 	ok := kind == provider.KindNone || kind == provider.KindRefused
 	d.control.Post(detectorMessage{detector.TrafficObserved{Target: target, OK: ok}})
 }
-
-// targetGone reports whether the platform does not list a target any more.
-func (d *Daemon) targetGone(target string) bool {
-	for _, t := range d.snapshot.Load().view.Targets {
-		if t.Name == target {
-			return t.State == detector.Gone
-		}
-	}
-	return true
-}
--- a/controller/memory.go
+++ b/controller/memory.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/scheduler"
 	"github.com/dogwoodweir/dogwoodweir/sequencer"
@@ -84,25 +85,29 @@
 	})
 }
 
-// release frees the memory of an ended program. A target that the platform does
-// not list any more holds none.
+// release frees the memory of an ended program. A target holds none when the
+// platform does not list it, or does not list it any more and nothing answers at its
+// address; one that returns is found by the audit.
 func (p *programs) release(c sequencer.ReleaseMemory) {
+	snapshot := p.d.snapshot.Load()
 	for _, target := range c.Targets {
-		node := p.scheduler.Fleet().Node(target)
 		confirmed := sequencerMessage{sequencer.ReleaseConfirmed{Program: c.Program, Target: target}}
-		if node == nil {
-			if p.d.targetGone(target) {
-				p.d.programs.Post(confirmed)
-			}
+		t, listed := snapshot.target(target)
+		if !listed {
+			p.d.programs.Post(confirmed)
 			continue
 		}
-		address := node.Target().Address
 		p.d.effect(func(ctx context.Context) {
-			order := provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry}
-			err := p.d.platform.Engine(address).Order(ctx, order)
-			if kind := provider.KindOf(err); kind == provider.KindNone || kind == provider.KindNotFound {
-				p.d.programs.Post(confirmed)
+			ctx, cancel := context.WithTimeout(ctx, orderExpiry)
+			defer cancel()
+			err := p.d.platform.Engine(t.Address).Order(ctx, provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry})
+			kind := provider.KindOf(err)
+			gone := t.State == detector.Gone && kind == provider.KindUnavailable
+			if kind != provider.KindNone && kind != provider.KindNotFound && !gone {
+				p.d.logger.Debug("release failed", zap.String("program", c.Program), zap.String("target", target), zap.Error(err))
+				return
 			}
+			p.d.programs.Post(confirmed)
 		})
 	}
 }
--- a/controller/route.go
+++ b/controller/route.go
@@ -44,6 +44,9 @@
 	last := refusal(call, server.CodeOwnerUnreachable, "the owner of the program is not known")
 	pause := firstRoutePause
 	avoid := ""
+	// doubt is set once a try may have run: what another host then refuses says
+	// nothing about that try.
+	doubt := false
 	for try := 0; ; try++ {
 		now := d.platform.Clock.Now()
 		call.DeadlineMs = max(deadline.Sub(now).Milliseconds(), 1)
@@ -57,9 +60,13 @@
 			}
 			again := last.Outcome == server.OutcomeNotRun && reroutes[last.Code] ||
 				last.Outcome == server.OutcomeUnknown && named && (last.Code == codeOwnerLost || last.Code == sequencer.CodeOwnerChanged)
+			if doubt && last.Outcome == server.OutcomeNotRun {
+				last.Outcome = server.OutcomeUnknown
+			}
 			if !again {
 				return last
 			}
+			doubt = doubt || last.Outcome == server.OutcomeUnknown
 			avoid = ""
 			if last.Code == server.CodeOwnerUnreachable || last.Code == codeOwnerLost {
 				avoid = host
--- a/controller/snapshot.go
+++ b/controller/snapshot.go
@@ -133,3 +133,13 @@
 	}
 	return hosts[try%len(hosts)]
 }
+
+// target returns a target as the detector sees it.
+func (s *Snapshot) target(name string) (detector.TargetView, bool) {
+	for _, t := range s.view.Targets {
+		if t.Name == name {
+			return t, true
+		}
+	}
+	return detector.TargetView{}, false
+}
