--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,65 +17,76 @@
 // distributorMessage is for the distributor as it is.
 type distributorMessage struct{ message distributor.Message }
 
-// deltaRequested is a peer's request for changed sections; the answer goes to
-// reply.
+// deltaRequested is a peer's request for changes; the answer goes to reply.
 type deltaRequested struct {
-	request encoder.DeltaRequest
-	reply   chan<- encoder.Delta
+	from  int
+	reply chan<- encoder.Delta
 }
 
 func (distributorMessage) isControlMessage() {}
 func (deltaRequested) isControlMessage()     {}
 
+func newDistributor(d *Daemon) *distributor.State {
+	poll := time.Duration(d.settings.Timing.ConfigPollMs) * time.Millisecond
+	return distributor.New(d.settings.Host, distributor.Settings{Poll: poll}, d.seed, d.platform.Clock.Now())
+}
+
 // distribute updates the distributor and executes its commands.
 func (c *control) distribute(message distributor.Message) {
+	changed := false
 	for _, command := range c.distributor.Update(c.d.platform.Clock.Now(), message) {
 		switch m := command.(type) {
 		case distributor.PollStore:
-			c.pollStore(m)
+			c.pollStore(m.From)
 		case distributor.PullDelta:
 			c.pullDelta(m)
 		case distributor.QueryVersion:
-			c.queryVersion(m)
+			c.queryVersion(m.Host)
 		case distributor.SendDelta:
-			if reply := c.deltas[m.ReplyTo]; reply != nil {
-				reply <- m.Delta
-				delete(c.deltas, m.ReplyTo)
+			if c.deltaReply != nil {
+				c.deltaReply <- m.Delta
+				c.deltaReply = nil
 			}
-		case distributor.NotifyPeers:
-			c.detect(detector.ConfigChanged{Version: m.Version})
 		case distributor.ApplyDocument:
-			c.applyDocument(m.Document)
+			c.document, changed = m.Document, true
+		case distributor.NotifyPeers:
+			// ConfigChanged below makes the detector tell peers.
 		case distributor.ReportStale:
-			c.d.metrics.count("stale_configurations", 1)
-			c.d.logger.Error("the store has an older configuration than is in force",
+			c.d.metrics.count("config_stale", 1)
+			c.d.logger.Warn("the store answered an old version of the configuration",
 				zap.Int("version", m.Version), zap.Int("inForce", m.InForce))
 		}
 	}
-	if serving := c.distributor.Serving(); serving != c.serving {
+	if serving := c.distributor.Serving(); changed || serving != c.serving {
 		c.serving = serving
-		c.publish()
+		c.applyDocument()
 	}
 }
 
-func (c *control) applyDocument(document encoder.Document) {
-	c.document = document
-	c.serving = c.distributor.Serving()
-	c.d.logger.Info("configuration is in force", zap.Int("version", document.Version))
-	c.d.metrics.gauge("config_version", float64(document.Version))
-	c.detect(detector.DrainsChanged{Hosts: publisher.Drained(document)})
+// applyDocument puts the document into force. Peers are told of a version only
+// when this daemon serves with it.
+func (c *control) applyDocument() {
+	c.d.logger.Info("configuration is in force", zap.Int("version", c.document.Version), zap.Bool("serving", c.serving))
+	c.d.metrics.gauge("config_version", float64(c.document.Version))
+	if c.serving {
+		c.detect(detector.ConfigChanged{Version: c.document.Version})
+	}
+	c.detect(detector.DrainsChanged{Hosts: publisher.Drained(c.document)})
 	c.publish()
 }
 
-func (c *control) pollStore(m distributor.PollStore) {
+func (c *control) pollStore(from int) {
 	d := c.d
 	d.effect(func(ctx context.Context) {
-		version, sections, whole, err := d.config.Delta(ctx, m.From)
-		if d.storeReachable.Swap(err == nil) != (err == nil) {
-			d.logger.Warn("reachability of the store changed", zap.Bool("reachable", err == nil), zap.Error(err))
+		ctx, cancel := context.WithTimeout(ctx, distributor.DefaultPollTimeout)
+		defer cancel()
+		version, sections, whole, err := d.config.Delta(ctx, from)
+		d.storeReachable.Store(err == nil)
+		if err != nil && ctx.Err() != context.Canceled {
+			d.logger.Warn("configuration is unavailable", zap.Error(err), zap.Int("version", from))
 		}
 		d.control.Post(distributorMessage{distributor.PollFinished{
-			From: m.From, Version: version, Sections: sections, Whole: whole, Failed: err != nil,
+			From: from, Version: version, Sections: sections, Whole: whole, Failed: err != nil,
 		}})
 	})
 }
@@ -87,9 +99,9 @@
 		return
 	}
 	d.effect(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, distributor.DefaultPullTimeout)
 		defer cancel()
-		request := encoder.DeltaRequest{From: m.From, Host: d.settings.Host}
+		request := encoder.DeltaRequest{From: m.From}
 		delta, err := messenger.Call[encoder.Delta](ctx, d.messenger, peer, messenger.MethodConfigDelta, request)
 		if err != nil {
 			d.control.Post(distributorMessage{distributor.PullFailed{Host: m.Host}})
@@ -99,9 +111,9 @@
 	})
 }
 
-func (c *control) queryVersion(m distributor.QueryVersion) {
+func (c *control) queryVersion(host string) {
 	d := c.d
-	peer, ok := d.snapshot.Load().peer(m.Host)
+	peer, ok := d.snapshot.Load().peer(host)
 	if !ok {
 		return
 	}
@@ -109,31 +121,41 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		if result, err := d.messenger.Probe(ctx, peer); err == nil {
-			d.control.Post(distributorMessage{distributor.PeerVersion{Host: m.Host, Version: result.ConfigVersion}})
+			d.control.Post(distributorMessage{distributor.PeerVersion{Host: host, Version: result.ConfigVersion}})
 		}
 	})
 }
 
-// tellDistributor names the hosts that count for a quorum.
+// sendDelta answers a peer's request for changes.
+func (c *control) sendDelta(m deltaRequested) {
+	c.deltaReply = m.reply
+	c.distribute(distributor.DeltaRequested{From: m.from})
+	c.deltaReply = nil
+}
+
+// tellDistributor gives the listed hosts that are not suspected. Without the host
+// list the size of a majority is not known.
 func (c *control) tellDistributor(view detector.View) {
-	hosts := []string{}
-	for _, h := range view.Hosts {
-		if h.State == detector.Ready || h.State == detector.Joining || h.State == detector.Leaving || h.Name == c.d.settings.Host {
-			hosts = append(hosts, h.Name)
+	if !c.listed {
+		return
+	}
+	var hosts []string
+	for _, host := range view.Hosts {
+		switch host.State {
+		case detector.Joining, detector.Ready, detector.Leaving:
+			hosts = append(hosts, host.Name)
 		}
 	}
 	c.distribute(distributor.PeersChanged{Hosts: hosts})
 }
 
-// handleDelta answers a peer's request for changed sections.
-func (d *Daemon) handleDelta(ctx context.Context, from string, params json.RawMessage) (any, error) {
+func (d *Daemon) handleDelta(ctx context.Context, params json.RawMessage) (any, error) {
 	var request encoder.DeltaRequest
 	if err := json.Unmarshal(params, &request); err != nil {
 		return nil, &Error{operation: "daemon.configDelta", kind: KindMethod, cause: err}
 	}
-	request.Host = from + "/" + d.newID()
 	reply := make(chan encoder.Delta, 1)
-	if !d.control.Post(deltaRequested{request: request, reply: reply}) {
+	if !d.control.Post(deltaRequested{from: request.From, reply: reply}) {
 		return nil, &Error{operation: "daemon.configDelta", kind: KindStopped}
 	}
 	select {
@@ -145,10 +167,3 @@
 		return nil, &Error{operation: "daemon.configDelta", kind: KindStopped}
 	}
 }
-
-// sendDelta lets the distributor answer a peer.
-func (c *control) sendDelta(m deltaRequested) {
-	c.deltas[m.request.Host] = m.reply
-	c.distribute(distributor.DeltaRequested{From: m.request.From, ReplyTo: m.request.Host})
-	delete(c.deltas, m.request.Host)
-}
--- a/controller/members.go
+++ b/controller/members.go
@@ -39,8 +39,8 @@
 	// A daemon that knows only itself would claim every shard without an owner.
 	if c.listed || c.d.platform.Clock.Now().Sub(c.started) > listWait {
 		c.tellOwner(view)
-		c.tellDistributor(view)
 	}
+	c.tellDistributor(view)
 	c.publish()
 }
 
@@ -70,7 +70,8 @@
 	c.reply = nil
 }
 
-// noteHeartbeat notes when a peer was heard and which version it has.
+// noteHeartbeat notes when a peer was heard and the configuration version that it
+// serves with.
 func (c *control) noteHeartbeat(now time.Time, h encoder.Heartbeat) {
 	c.seen[h.Host], c.versions[h.Host] = now, h.ConfigVersion
 	c.distribute(distributor.PeerVersion{Host: h.Host, Version: h.ConfigVersion})
@@ -163,10 +164,10 @@
 	case messenger.MethodProbe:
 		return encoder.ProbeResult{
 			Host: d.settings.Host, Incarnation: d.incarnation, State: d.Status().State,
-			ConfigVersion: d.snapshot.Load().version,
+			ConfigVersion: d.snapshot.Load().servedVersion(),
 		}, nil
 	case messenger.MethodConfigDelta:
-		return d.handleDelta(ctx, from, params)
+		return d.handleDelta(ctx, params)
 	case messenger.MethodHandover:
 		return d.handleHandover(params)
 	case methodProgram:
