Import exported caches and report first tokens to the scheduler

The import that the scheduler asked for with a call was dropped, so an exported cache was never used; the daemon now orders it before the call is generated and the prompt is computed when it fails. Orders about memory carry the highest fencing number that the target has reported, since an engine that checks numbers refuses lower ones. Exported objects are deleted after the program's end.

The first token of a call was reported as CallStarted, which the scheduler ignores, so running calls were hedged and concurrency limits did not adapt. A load report that announces a shutdown now reaches the detector also when it was polled for load.

In the test a second turn at another engine answers with at least 900 cached tokens after the import and with none when the object is missing.

--- a/controller/audit.go
+++ b/controller/audit.go
@@ -154,9 +154,14 @@
 	return struct{}{}, nil
 }
 
-// reported passes a load report to the scheduler.
+// reported passes a load report to the scheduler, and to the detector what it says
+// about a shutdown.
 func (d *Daemon) reported(target string, report provider.LoadReport) {
 	report.Target = target
+	d.noteFencing(target, report.FencingNumber)
+	if report.Leaving {
+		d.control.Post(detectorMessage{detector.TargetLeaving{Target: target}})
+	}
 	d.programs.Post(schedulerMessage{scheduler.ReportReceived{Report: report}})
 }
 
--- a/controller/daemon.go
+++ b/controller/daemon.go
@@ -57,6 +57,7 @@
 	mu        sync.Mutex
 	listeners []*server.Listener
 	hints     map[string]hint
+	fencing   map[string]int64
 
 	// effects run until effectsCtx ends.
 	effects       *tasks
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -31,6 +31,8 @@
 	objects *emulator.Objects
 	hosts   *emulator.HostList
 	engine  *emulator.Engine
+	// engines are further engines by address.
+	engines map[string]*emulator.Engine
 	service *emulator.Service
 	ledger  *emulator.Ledger
 	group   conc.WaitGroup
@@ -49,11 +51,13 @@
 func newBed(t *testing.T) *bed {
 	ledger := emulator.NewLedger()
 	b := &bed{
-		t: t, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
+		t: t, engines: map[string]*emulator.Engine{}, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
 		objects: emulator.NewObjects(emulator.NewFaults(1)),
-		engine:  emulator.NewEngine(emulator.EngineOptions{Name: "drafter-1", Models: []string{"quill"}}),
 		service: emulator.NewService(emulator.ServiceOptions{Name: "ledger-1"}, ledger), ledger: ledger,
 	}
+	b.engine = emulator.NewEngine(emulator.EngineOptions{
+		Name: "drafter-1", Models: []string{"quill"}, Objects: b.objects.For("drafter-1"),
+	})
 	b.hosts = emulator.NewHostList([]provider.Member{
 		{Host: "drafter-1", Address: "drafter-1", FailureDomain: "nl-ams", Region: "nl", Role: "drafter"},
 		{Host: "ledger-1", Address: "ledger-1", FailureDomain: "nl-ams", Region: "nl", Role: "ledger"},
@@ -75,6 +79,20 @@
 	return b
 }
 
+// addEngine starts a further engine; start no daemon before. list lists it.
+func (b *bed) addEngine(options emulator.EngineOptions) *emulator.Engine {
+	engine := emulator.NewEngine(options)
+	b.t.Cleanup(engine.Close)
+	b.engines[options.Name] = engine
+	return engine
+}
+
+func (b *bed) list(target, role string, leaving bool) {
+	b.hosts.Put(provider.Member{
+		Host: target, Address: target, FailureDomain: "nl-ams", Region: "nl", Role: role, Leaving: leaving,
+	})
+}
+
 func (b *bed) publish(services ...encoder.Service) {
 	b.t.Helper()
 	store := publisher.New(b.tables.For("test"), systemClock{})
@@ -95,10 +113,20 @@
 func (b *bed) start(host string) (*Daemon, string) {
 	b.t.Helper()
 	d := b.launch(host)
+	members, err := b.hosts.List(b.t.Context())
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	targets := 0
+	for _, member := range members {
+		if member.Role != roleDaemon {
+			targets++
+		}
+	}
 	deadline := time.Now().Add(5 * time.Second)
 	for {
 		s := d.snapshot.Load()
-		if s.ready && len(s.view.Targets) == 2 {
+		if s.ready && len(s.view.Targets) == targets {
 			return d, "http://" + d.settings.CallerAddress
 		}
 		if time.Now().After(deadline) {
@@ -131,7 +159,12 @@
 	})
 	d, err := New(settings, Platform{
 		Tables: b.tables.For(host), Objects: b.objects.For(host), Hosts: b.hosts,
-		Engine:  func(string) provider.Engine { return b.engine },
+		Engine: func(address string) provider.Engine {
+			if engine := b.engines[address]; engine != nil {
+				return engine
+			}
+			return b.engine
+		},
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
 	if err != nil {
--- a/controller/members.go
+++ b/controller/members.go
@@ -120,7 +120,6 @@
 		ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 		defer cancel()
 		var err error
-		leaving := false
 		if kind == server.KindPlain {
 			_, err = d.platform.Service(m.Address).Lookup(ctx, "probe")
 			if kind := provider.KindOf(err); kind == provider.KindNotFound || kind == provider.KindUnsupported {
@@ -129,15 +128,11 @@
 		} else {
 			var report provider.LoadReport
 			report, err = d.platform.Engine(m.Address).Report(ctx)
-			leaving = report.Leaving
 			if err == nil {
 				d.reported(m.Target, report)
 			}
 		}
 		d.control.Post(detectorMessage{detector.ProbeFinished{Target: m.Target, OK: err == nil}})
-		if leaving {
-			d.control.Post(detectorMessage{detector.TargetLeaving{Target: m.Target}})
-		}
 	})
 }
 
--- a/controller/memory.go
+++ b/controller/memory.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
-	"github.com/dogwoodweir/dogwoodweir/scheduler"
 	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
@@ -99,7 +98,7 @@
 		address := node.Target().Address
 		p.d.effect(func(ctx context.Context) {
 			order := provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry}
-			err := p.d.platform.Engine(address).Order(ctx, order)
+			err := p.d.orderMemory(ctx, target, address, order)
 			if kind := provider.KindOf(err); kind == provider.KindNone || kind == provider.KindNotFound {
 				p.d.programs.Post(confirmed)
 			}
@@ -107,26 +106,6 @@
 	}
 }
 
-// orderExpiry bounds the time that an order is under way.
-const orderExpiry = 5 * time.Second
-
-// order sends an order about a program's memory. It names the program, whose id is
-// never used again, so it needs no fencing number.
-func (p *programs) order(c scheduler.OrderTarget) {
-	node := p.scheduler.Fleet().Node(c.Target)
-	if node == nil {
-		return
-	}
-	address, order := node.Target().Address, c.Order
-	p.d.effect(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderExpiry)
-		defer cancel()
-		if err := p.d.platform.Engine(address).Order(ctx, order); err != nil {
-			p.d.logger.Debug("order failed", zap.String("target", c.Target), zap.String("order", order.Kind), zap.Error(err))
-		}
-	})
-}
-
 // lookup asks a target of the service for the result of a call that an earlier
 // owner may have run. It never runs the call.
 func (p *programs) lookup(c sequencer.LookupAttempt) {
--- a/controller/programs.go
+++ b/controller/programs.go
@@ -47,6 +47,8 @@
 	attempts  map[scheduler.Ticket]*attempt
 	byCall    map[string]scheduler.Ticket
 	ticket    scheduler.Ticket
+	// exports has the objects with exported caches by program.
+	exports map[string]string
 	// Messages that wait while commands are executed.
 	sequences  []sequencer.Message
 	schedules  []scheduler.Message
@@ -86,6 +88,7 @@
 			Place:   router.Place{Domain: d.settings.FailureDomain, Region: d.settings.Region},
 			Profile: router.DefaultProfile(), Seed: d.seed,
 		}),
+		exports:  map[string]string{},
 		sessions: map[string]*session{}, attempts: map[scheduler.Ticket]*attempt{}, byCall: map[string]scheduler.Ticket{},
 	}
 }
@@ -112,7 +115,7 @@
 	case promptReady:
 		p.promptReady(m)
 	case sendStarted:
-		p.schedule(scheduler.CallStarted{Ticket: m.ticket, Target: m.target})
+		p.schedule(scheduler.FirstToken{Ticket: m.ticket, Target: m.target})
 	case sendFinished:
 		p.sendFinished(m)
 	case retryDue:
@@ -198,6 +201,7 @@
 		p.release(c)
 	case sequencer.EndProgram:
 		p.schedule(scheduler.ProgramEnded{Program: c.Program})
+		p.deleteExport(c.Program)
 	case sequencer.StoreSegment:
 		p.d.storeSegment(c)
 	}
--- a/controller/send.go
+++ b/controller/send.go
@@ -53,7 +53,7 @@
 		d: p.d, ticket: c.Ticket, target: c.Target, address: node.Target().Address, priority: c.Priority,
 		id:   sequencer.AttemptID(a.call, a.number) + "." + strconv.Itoa(a.sends),
 		call: a.call, remote: node.Target().Region != p.d.settings.Region,
-		request: a.request, blocks: a.info.Blocks, output: a.output,
+		request: a.request, blocks: a.info.Blocks, output: a.output, object: c.Import,
 	}
 	p.d.effect(func(context.Context) {
 		defer cancel()
@@ -74,6 +74,8 @@
 	request  sequencer.CallRequest
 	blocks   []uint64
 	output   *output
+	// object names an exported cache to import first, "" for none.
+	object string
 }
 
 func (s *send) run(ctx context.Context) sendFinished {
@@ -115,6 +117,7 @@
 // attempt, at another engine or by another owner, continues the same answer.
 func (s *send) generate(ctx context.Context) error {
 	r := s.request
+	s.importCache(ctx)
 	engine := s.d.platform.Engine(s.address)
 	first := true
 	err := engine.Generate(ctx, provider.GenerateRequest{
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -199,6 +199,9 @@
 	f.exports[program] = export{object: object, tokens: tokens, region: region}
 }
 
+// ExportLost notes that a program's exported cache cannot be imported.
+func (f *Fleet) ExportLost(program string) { delete(f.exports, program) }
+
 // Ended forgets a program and returns the targets that may hold memory for it.
 func (f *Fleet) Ended(program string) []*Node {
 	delete(f.exports, program)
--- a/scheduler/message.go
+++ b/scheduler/message.go
@@ -131,6 +131,9 @@
 // ProgramEnded says that a program makes no further calls.
 type ProgramEnded struct{ Program string }
 
+// ExportLost says that a program's exported cache is not in the object store.
+type ExportLost struct{ Program string }
+
 // ServicesChanged replaces the services.
 type ServicesChanged struct{ Services []Service }
 
@@ -147,6 +150,7 @@
 func (CacheChanged) message()    {}
 func (ProgramPaused) message()   {}
 func (ProgramEnded) message()    {}
+func (ExportLost) message()      {}
 func (ServicesChanged) message() {}
 func (Tick) message()            {}
 
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -191,6 +191,8 @@
 		s.pauseProgram(m)
 	case ProgramEnded:
 		s.endProgram(m.Program)
+	case ExportLost:
+		s.fleet.ExportLost(m.Program)
 	case ServicesChanged:
 		s.changeServices(m.Services)
 	case Tick:
