--- a/controller/memory.go
+++ b/controller/memory.go
@@ -7,8 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/provider"
-	"github.com/dogwoodweir/dogwoodweir/scheduler"
 	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
@@ -84,49 +84,33 @@
 	})
 }
 
-// release frees the memory of an ended program. A target that the platform does
-// not list any more holds none.
+// release frees the memory of an ended program. A target holds none when the
+// platform does not list it, or does not list it any more and nothing answers at its
+// address; one that returns is found by the audit.
 func (p *programs) release(c sequencer.ReleaseMemory) {
+	snapshot := p.d.snapshot.Load()
 	for _, target := range c.Targets {
-		node := p.scheduler.Fleet().Node(target)
 		confirmed := sequencerMessage{sequencer.ReleaseConfirmed{Program: c.Program, Target: target}}
-		if node == nil {
-			if p.d.targetGone(target) {
-				p.d.programs.Post(confirmed)
-			}
+		t, listed := snapshot.target(target)
+		if !listed {
+			p.d.programs.Post(confirmed)
 			continue
 		}
-		address := node.Target().Address
 		p.d.effect(func(ctx context.Context) {
-			order := provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry}
-			err := p.d.platform.Engine(address).Order(ctx, order)
-			if kind := provider.KindOf(err); kind == provider.KindNone || kind == provider.KindNotFound {
-				p.d.programs.Post(confirmed)
+			ctx, cancel := context.WithTimeout(ctx, orderExpiry)
+			defer cancel()
+			err := p.d.orderMemory(ctx, target, t.Address, provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry})
+			kind := provider.KindOf(err)
+			gone := t.State == detector.Gone && kind == provider.KindUnavailable
+			if kind != provider.KindNone && kind != provider.KindNotFound && !gone {
+				p.d.logger.Debug("release failed", zap.String("program", c.Program), zap.String("target", target), zap.Error(err))
+				return
 			}
+			p.d.programs.Post(confirmed)
 		})
 	}
 }
 
-// orderExpiry bounds the time that an order is under way.
-const orderExpiry = 5 * time.Second
-
-// order sends an order about a program's memory. It names the program, whose id is
-// never used again, so it needs no fencing number.
-func (p *programs) order(c scheduler.OrderTarget) {
-	node := p.scheduler.Fleet().Node(c.Target)
-	if node == nil {
-		return
-	}
-	address, order := node.Target().Address, c.Order
-	p.d.effect(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderExpiry)
-		defer cancel()
-		if err := p.d.platform.Engine(address).Order(ctx, order); err != nil {
-			p.d.logger.Debug("order failed", zap.String("target", c.Target), zap.String("order", order.Kind), zap.Error(err))
-		}
-	})
-}
-
 // lookup asks a target of the service for the result of a call that an earlier
 // owner may have run. It never runs the call.
 func (p *programs) lookup(c sequencer.LookupAttempt) {
