--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -295,30 +295,30 @@
 	if d.program == "" || d.over {
 		return
 	}
-	if c.random.IntN(3) == 0 || !c.end(ctx, d) {
+	if c.random.IntN(3) == 0 || c.end(ctx, d).status != 200 {
 		c.open = append(c.open, d)
 	}
 }
 
-// end ends a program and reports whether the end was acknowledged.
-func (c *caller) end(ctx context.Context, d *dialogue) bool {
+// end ends a program; status 200 acknowledges the end.
+func (c *caller) end(ctx context.Context, d *dialogue) reply {
 	r := c.client.send(ctx, c.host(), "DELETE", "/v1/programs/"+d.program, nil, nil)
-	if r.status != 200 {
-		return false
+	if r.status == 200 {
+		c.bed.tally.count("programs ended", 1)
+		c.bed.inspector.programEnded(d.program)
 	}
-	c.bed.tally.count("programs ended", 1)
-	c.bed.inspector.programEnded(d.program)
-	return true
+	return r
 }
 
 // endAll ends the programs that the caller left open, until the limit.
 func (c *caller) endAll(ctx context.Context, limit time.Time) {
 	for _, d := range c.open {
-		ended := c.end(ctx, d)
-		for !ended && time.Now().Before(limit) {
+		r := c.end(ctx, d)
+		for r.status != 200 && time.Now().Before(limit) {
 			sleep(ctx, 100*time.Millisecond)
-			ended = c.end(ctx, d)
+			r = c.end(ctx, d)
 		}
-		c.bed.tally.check(checkHistory, ended, "%s cannot be ended after everything has healed", d.program)
+		c.bed.tally.check(checkHistory, r.status == 200, "%s cannot be ended after everything has healed: %d %s %s",
+			d.program, r.status, r.code, r.message)
 	}
 }
