--- a/soaker/client.go
+++ b/soaker/client.go
@@ -26,8 +26,8 @@
 func (r reply) lost() bool { return r.outcome == "" }
 
 // requestTimeout is how long a caller waits; a call may wait for a takeover, the
-// store and its own time-out.
-const requestTimeout = callTimeout + 5*time.Second
+// store and its own time-out, and an end for 10 s.
+const requestTimeout = callTimeout + 8*time.Second
 
 // client sends requests to daemons, each on a new connection, so that a caller
 // never depends on one that went silent.
