Test the committer's runner under faults in virtual time

The decision had tests, its execution had none. The test loses and delays requests and answers of both stores and compares what was acknowledged with the log. It fails when a lost answer is taken for no effect.

--- /dev/null
+++ b/committer/runner_test.go
@@ -0,0 +1,104 @@
+package committer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+)
+
+type wallClock struct{}
+
+func (wallClock) Now() time.Time { return time.Now() }
+
+// Guards against requests that the runner loses, repeats, reorders or never answers
+// when requests and answers are lost or late, against a count of pending requests
+// that drifts, and against a runner that does not end after the release.
+func TestRunnerUnderFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		faults := emulator.NewFaults(5)
+		tables := emulator.NewTables(emulator.TablesOptions{}, faults)
+		objects := emulator.NewObjects(faults)
+		var mutex sync.Mutex
+		var committed []string
+		runner := NewRunner(New(Options{Host: "a", Incarnation: "i", MaxPendingRecords: 20, MaxRecordBytes: 100}),
+			Stores{tables.For("a"), objects.For("a")}, wallClock{}, func(command Command) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				switch c := command.(type) {
+				case TicketCommitted:
+					committed = append(committed, fmt.Sprint(c.Ticket))
+				case TicketDropped, TicketRefused, LeaseLost:
+					t.Errorf("unexpected %T", c)
+				}
+			})
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			runner.Run(context.Background())
+		}()
+		time.Sleep(time.Second)
+		faults.SetDelay(5*time.Millisecond, 10*time.Millisecond)
+		faults.SetLoseRequests(0.15)
+		faults.SetLoseAnswers(0.15)
+		faults.SetLateRequests(0.1, 4*time.Second)
+		faults.SetLateAnswers(0.1, 4*time.Second)
+		var want []string
+		refused := 0
+		for ticket := Ticket(1); ticket <= 200; ticket++ {
+			request := records(ticket, fmt.Sprint(ticket)+strings.Repeat(" ", int(ticket)))
+			for runner.Append(request) != nil {
+				refused++
+				time.Sleep(100 * time.Millisecond)
+			}
+			want = append(want, fmt.Sprint(ticket))
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Minute)
+		faults.Clear()
+		time.Sleep(10 * time.Second)
+		if refused == 0 || runner.Backlog() != 0 || !runner.LeaseValid() {
+			t.Errorf("refused %d, backlog %v, lease valid %v", refused, runner.Backlog(), runner.LeaseValid())
+		}
+		runner.Send(ReleaseRequested{})
+		<-ended
+		var full *Error
+		if err := runner.Append(records(1, "x")); !errors.As(err, &full) || full.Kind() != KindStopped || runner.LeaseValid() {
+			t.Errorf("after the release: %v, lease valid %v", err, runner.LeaseValid())
+		}
+		if diff := cmp.Diff(want, committed); diff != "" {
+			t.Errorf("committed (-want +got):\n%s", diff)
+		}
+		var logged []string
+		for _, row := range tables.Rows(TableLog, "", "", 0) {
+			var batch encoder.Batch
+			if err := json.Unmarshal(row.Value, &batch); err != nil {
+				t.Fatal(err)
+			}
+			for _, record := range batch.Records {
+				body := record.Body
+				if record.Object != "" {
+					value, err := objects.For("a").Get(t.Context(), record.Object)
+					if err != nil {
+						t.Fatal(err)
+					}
+					body = string(value)
+				}
+				logged = append(logged, strings.TrimSpace(body))
+			}
+		}
+		if diff := cmp.Diff(want, logged); diff != "" {
+			t.Errorf("logged (-want +got):\n%s", diff)
+		}
+	})
+}
