Guard the hysteresis of rebalancing

A host that flaps must not move shards. The test fails when hosts settle at once. Learned owners that are not live are no longer named for routing.

--- a/lessor/state.go
+++ b/lessor/state.go
@@ -248,7 +248,7 @@
 	if shard.state == stateOwned || shard.state == stateDraining {
 		return s.options.Self.Name, shard.row.Epoch, true
 	}
-	if shard.learnedEpoch > shard.row.Epoch {
+	if learned := s.hosts[shard.learned]; shard.learnedEpoch > shard.row.Epoch && learned != nil && learned.live {
 		return shard.learned, shard.learnedEpoch, true
 	}
 	if shard.known && shard.row.Owner != s.options.Self.Name && !s.dead(shard) {
--- a/lessor/storm_test.go
+++ b/lessor/storm_test.go
@@ -83,6 +83,39 @@
 	t.Logf("%+v", result)
 }
 
+// Guards against shards that move to and fro with a host that flaps, and against hosts
+// that never get shards: a host that joins gets its shards when it has been live for a
+// while, and not before.
+func TestFlappingHostMovesNothing(t *testing.T) {
+	w := newWorld(1, 4, intact)
+	joining := w.daemons[3]
+	joining.down = true
+	w.run(40 * time.Second)
+	joining.start()
+	settled := w.takeovers
+	for i := range 20 {
+		joining.flap = i%2 == 0
+		w.run(w.now + 2*time.Second)
+	}
+	if moved := w.takeovers - settled; moved != 0 || len(joining.lessor.Owned()) != 0 {
+		t.Errorf("%d transactions while the host flapped; it owns %v", moved, joining.lessor.Owned())
+	}
+	joining.flap = false
+	w.run(w.now + time.Minute)
+	owned := joining.lessor.Owned()
+	if len(owned) == 0 {
+		t.Error("a host that is live for a minute owns nothing")
+	}
+	moved := w.takeovers
+	for i := range 20 {
+		joining.flap = i%2 == 0
+		w.run(w.now + 2*time.Second)
+	}
+	if w.takeovers != moved || len(w.violations) > 0 {
+		t.Errorf("%d transactions while an owner flapped: %v", w.takeovers-moved, w.violations)
+	}
+}
+
 // BenchmarkTakeover reports the cost of the loss of hosts at full scale: 350 daemons and
 // 4,100 shards.
 func BenchmarkTakeover(b *testing.B) {
