--- a/controller/ownership_test.go
+++ b/controller/ownership_test.go
@@ -119,6 +119,41 @@
 	}
 }
 
+// Guards against programs that are lost when all daemons stop at the same time: nothing
+// acknowledged may exist only in their memory.
+func TestProgramsSurviveARestartOfAllDaemons(t *testing.T) {
+	tests := []struct {
+		name string
+		stop func(t *testing.T, d *Daemon)
+	}{
+		{"shutdown", func(t *testing.T, d *Daemon) {
+			ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+			defer cancel()
+			if err := d.Shutdown(ctx); err != nil {
+				t.Error(err)
+			}
+		}},
+		{"crash", func(_ *testing.T, d *Daemon) { d.Kill() }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBed(t)
+			b.timing = shortLease
+			first, url := b.start("ams-1")
+			conversations := make([]conversation, 3)
+			for i := range conversations {
+				b.sayWithin(10*time.Second, url, &conversations[i], "Quote for the harbour shoot.")
+			}
+			test.stop(t, first)
+			_, url = b.start("ams-1")
+			for i := range conversations {
+				took := b.sayWithin(10*time.Second, url, &conversations[i], "Add a print?")
+				t.Logf("continued after %v", took)
+			}
+		})
+	}
+}
+
 // gate holds a host's requests to the store back while it is closed, as if the
 // process were paused, and lets them through late.
 type gate struct {
