--- a/server/error.go
+++ b/server/error.go
@@ -85,6 +85,8 @@
 	"programEnded":       http.StatusConflict,
 	"keyConflict":        http.StatusConflict,
 	"stepConflict":       http.StatusConflict,
+	"stepOutOfOrder":     http.StatusConflict,
+	"callInProgress":     http.StatusConflict,
 	"budgetExceeded":     http.StatusPaymentRequired,
 	"deadlineExceeded":   http.StatusGatewayTimeout,
 	"timeout":            http.StatusGatewayTimeout,
@@ -100,3 +102,18 @@
 	}
 	return http.StatusBadGateway
 }
+
+// retries are the pauses after refusals that pass by themselves, for answers that
+// name none. Without one another try is useless.
+var retries = map[string]int{
+	CodeNotReady: 1_000, CodeShuttingDown: 100, CodeNoTarget: 1_000, CodeOwnerUnreachable: 2_000,
+	CodeStoreUnavailable: 2_000, CodeOverloaded: 1_000, "queueFull": 1_000, "callInProgress": 200,
+	"budgetReserved": 500, "ownerChanging": 200, "ownerChanged": 200, "targetFailed": 500,
+}
+
+func withRetry(answer Answer) Answer {
+	if answer.RetryAfterMs == 0 {
+		answer.RetryAfterMs = retries[answer.Code]
+	}
+	return answer
+}
