--- a/connector/client.go
+++ b/connector/client.go
@@ -119,6 +119,10 @@
 	if json.Unmarshal(body, &f) == nil && f.Kind != "" {
 		kind = provider.ParseKind(f.Kind)
 	}
+	if kind == provider.KindNone {
+		// An error status that calls itself a success says nothing.
+		kind = provider.KindUnknown
+	}
 	return provider.NewError(operation, kind, eris.Errorf("status %d: %s", status, f.Message))
 }
 
--- a/connector/engine.go
+++ b/connector/engine.go
@@ -62,14 +62,10 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var chunk provider.Chunk
-		if err := json.Unmarshal(lines.Bytes(), &chunk); err != nil {
+		chunk, err := decodeChunk(lines.Bytes(), request.Call, next)
+		if err != nil {
 			return provider.NewError(operation, provider.KindUnknown, err)
 		}
-		if chunk.Call != request.Call || chunk.Sequence != next {
-			return provider.NewError(operation, provider.KindUnknown,
-				eris.Errorf("chunk %d of call %q where %d was expected", chunk.Sequence, chunk.Call, next))
-		}
 		next++
 		if err := emit(chunk); err != nil {
 			return provider.NewError(operation, provider.KindUnknown, err)
@@ -88,6 +84,22 @@
 	return provider.NewError(operation, provider.KindUnknown, err)
 }
 
+// decodeChunk reads one line of a stream, which must be the next chunk of the call.
+func decodeChunk(line []byte, call string, next int) (provider.Chunk, error) {
+	var chunk provider.Chunk
+	if err := json.Unmarshal(line, &chunk); err != nil {
+		return chunk, err
+	}
+	u := chunk.Usage
+	switch {
+	case chunk.Call != call || chunk.Sequence != next:
+		return chunk, eris.Errorf("chunk %d of call %q where %d was expected", chunk.Sequence, chunk.Call, next)
+	case u.PromptTokens < 0 || u.CachedTokens < 0 || u.CompletionTokens < 0:
+		return chunk, eris.New("negative usage")
+	}
+	return chunk, nil
+}
+
 // Cancel ends a call at the engine.
 func (e *Engine) Cancel(ctx context.Context, call string) error {
 	return e.client.roundTrip(ctx, "engine.cancel", http.MethodPost, e.base+"/v1/cancel?call="+url.QueryEscape(call), nil, nil)
