Send a failed call again when there is only one target

The retry of a call excluded the only target that accepts calls, so the call waited until its time was over.

--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -37,6 +37,8 @@
 	// timing and wrap apply to daemons that are started later.
 	timing parser.Timing
 	wrap   func(host string, tables provider.Tables) provider.Tables
+	// target replaces the engine.
+	target provider.Engine
 }
 
 func freeAddress(t *testing.T) string {
@@ -57,6 +59,7 @@
 		engine:  emulator.NewEngine(emulator.EngineOptions{Name: "drafter-1", Models: []string{"quill"}}),
 		service: emulator.NewService(emulator.ServiceOptions{Name: "ledger-1"}, ledger), ledger: ledger,
 	}
+	b.target = b.engine
 	b.hosts = emulator.NewHostList([]provider.Member{
 		{Host: "drafter-1", Address: "drafter-1", FailureDomain: "nl-ams", Region: "nl", Role: "drafter"},
 		{Host: "ledger-1", Address: "ledger-1", FailureDomain: "nl-ams", Region: "nl", Role: "ledger"},
@@ -139,7 +142,7 @@
 	}
 	d, err := New(settings, Platform{
 		Tables: tables, Objects: b.objects.For(host), Hosts: b.hosts,
-		Engine:  func(string) provider.Engine { return b.engine },
+		Engine:  func(string) provider.Engine { return b.target },
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
 	if err != nil {
--- a/scheduler/finish.go
+++ b/scheduler/finish.go
@@ -140,8 +140,11 @@
 	if c.info.Repeatable && !expired && c.info.Attempt+1 < maxAttempts && c.service.retries.Spend() {
 		exclude := append(append([]string(nil), c.info.Exclude...), target)
 		// With every target excluded the call could never be sent again.
-		if len(exclude) >= len(s.fleet.Accepting(c.info.Service)) {
-			exclude = []string{target}
+		if accepting := len(s.fleet.Accepting(c.info.Service)); len(exclude) >= accepting {
+			exclude = nil
+			if accepting > 1 {
+				exclude = []string{target}
+			}
 		}
 		s.emit(RetryCall{
 			Ticket: c.ticket, Exclude: exclude, Attempt: c.info.Attempt + 1, Uncertain: c.uncertain,
