Place models with the loader and fence its orders

Models were only used where engines had loaded them by themselves. The owner of the shard that a target's name hashes to now runs a loader for it. All daemons rank the targets of a model alike, so that each knows its share of the replicas; a configured model is kept on at least one target. The fencing number has the epoch of the target's shard, and an order is given up when it expires, so that it cannot arrive after the first order of the next issuer. The epoch and the waiting time are those of a target now, since shards change their owners one by one.

--- a/controller/audit.go
+++ b/controller/audit.go
@@ -48,8 +48,9 @@
 	return &auditor{d: d, busy: map[string]bool{}, events: map[string]int64{}}
 }
 
-// tick starts the polls and audits that are due.
-func (a *auditor) tick(now time.Time, view detector.View, kind func(string) string) {
+// tick starts the polls and audits that are due. Targets that this daemon uses or
+// issues orders to are polled.
+func (a *auditor) tick(now time.Time, view detector.View, kind func(string) string, issues func(string) bool) {
 	if now.Before(a.pollDue) {
 		return
 	}
@@ -64,7 +65,7 @@
 		if !reachable || kind(t.Name) != server.KindModel {
 			continue
 		}
-		if t.Subset {
+		if t.Subset || issues(t.Name) {
 			used = append(used, t)
 		}
 		if audit && t.Assigned {
@@ -154,11 +155,12 @@
 	return struct{}{}, nil
 }
 
-// reported passes a load report to the scheduler, and to the detector what it says
-// about a shutdown.
+// reported passes a load report to the scheduler and the loader, and to the detector
+// what it says about a shutdown.
 func (d *Daemon) reported(target string, report provider.LoadReport) {
 	report.Target = target
 	d.noteFencing(target, report.FencingNumber)
+	d.control.Post(targetReported{report})
 	if report.Leaving {
 		d.control.Post(detectorMessage{detector.TargetLeaving{Target: target}})
 	}
--- a/controller/configuration_test.go
+++ b/controller/configuration_test.go
@@ -56,6 +56,7 @@
 // daemons because the store fails right afterwards, and against a daemon that
 // starts during the outage and serves without the answers of a majority.
 func TestOutageAfterPublish(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	defer b.tables.Faults().Clear()
 	first, _ := b.start("ams-1")
@@ -91,6 +92,7 @@
 // Guards against a return to an older version when the store answers one, as after
 // a restore from a backup.
 func TestOldVersionFromStore(t *testing.T) {
+	t.Parallel()
 	b := newBed(t)
 	d, _ := b.start("ams-1")
 	old := b.tables.Get(publisher.ConfigTable, "head")
--- a/controller/control.go
+++ b/controller/control.go
@@ -66,6 +66,7 @@
 	hostsBusy  bool
 	reply      chan<- encoder.Heartbeat
 	auditor    *auditor
+	placement  *placement
 	// listed is set once the host list has been read.
 	listed  bool
 	started time.Time
@@ -74,7 +75,7 @@
 func newControl(d *Daemon) *control {
 	timing := d.settings.Timing
 	return &control{
-		d: d, auditor: newAuditor(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
+		d: d, auditor: newAuditor(d), placement: newPlacement(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
 		distributor: newDistributor(d),
 		detector: detector.New(detector.Self{
 			Host: d.settings.Host, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain,
@@ -94,7 +95,8 @@
 		c.poll(now)
 		c.distribute(distributor.Tick{})
 		c.detect(detector.Tick{})
-		c.auditor.tick(now, c.view, c.targetKind)
+		c.placement.tick(now, c.view)
+		c.auditor.tick(now, c.view, c.targetKind, c.placement.issues)
 	case distributorMessage:
 		c.distribute(m.message)
 	case deltaRequested:
@@ -117,6 +119,12 @@
 	case eventsRead:
 		c.auditor.busy[m.target] = false
 		c.auditor.events[m.target] = m.after
+	case targetReported:
+		c.placement.reported(now, m)
+	case callServed:
+		c.placement.served(now, m, len(c.view.Hosts))
+	case loadFinished:
+		c.placement.finished(now, m)
 	case controlQuery:
 		m.query(c)
 	case hostObserved:
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -32,7 +32,7 @@
 	hosts   *emulator.HostList
 	engine  *emulator.Engine
 	// engines are further engines by address.
-	engines map[string]*emulator.Engine
+	engines map[string]provider.Engine
 	service *emulator.Service
 	ledger  *emulator.Ledger
 	group   conc.WaitGroup
@@ -54,7 +54,7 @@
 func newBed(t *testing.T) *bed {
 	ledger := emulator.NewLedger()
 	b := &bed{
-		t: t, engines: map[string]*emulator.Engine{}, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
+		t: t, engines: map[string]provider.Engine{}, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
 		objects: emulator.NewObjects(emulator.NewFaults(1)),
 		service: emulator.NewService(emulator.ServiceOptions{Name: "ledger-1"}, ledger), ledger: ledger,
 	}
--- a/controller/orders_test.go
+++ b/controller/orders_test.go
@@ -61,8 +61,10 @@
 // exported cache is missing, and against orders about memory that an engine refuses
 // because orders with fencing numbers were sent to it.
 func TestImportBeforeGenerate(t *testing.T) {
+	t.Parallel()
 	for _, exported := range []bool{true, false} {
 		t.Run(fmt.Sprintf("exported=%v", exported), func(t *testing.T) {
+			t.Parallel()
 			b := newBed(t)
 			other := b.addEngine(emulator.EngineOptions{
 				Name: "drafter-2", Models: []string{"quill"}, PrefillPerSec: 500, ChecksFencing: true,
--- a/controller/owner.go
+++ b/controller/owner.go
@@ -24,6 +24,8 @@
 	LeaseValid() bool
 	// Owner returns the owner of a shard, or the host that most probably knows it.
 	Owner(shard string) (host string, epoch int, known bool)
+	// Owned returns the epochs of the shards that this daemon owns.
+	Owned() map[string]int
 	// HostsChanged gives the daemons that are live.
 	HostsChanged(hosts []OwnerHost)
 	// ShardHandedOver says that another daemon has handed a shard to this one.
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -170,6 +170,17 @@
 	return host, epoch, host != ""
 }
 
+// Owned returns the epochs of the shards that are loaded.
+func (o *ownership) Owned() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	owned := map[string]int{}
+	for _, shard := range o.lessor.Owned() {
+		_, owned[shard], _ = o.lessor.Owner(shard)
+	}
+	return owned
+}
+
 // HostsChanged gives the daemons that are live.
 func (o *ownership) HostsChanged(hosts []OwnerHost) {
 	var live []lessor.Host
--- a/controller/send.go
+++ b/controller/send.go
@@ -173,6 +173,7 @@
 			result.Text, result.Usage = a.output.result()
 			result.Targets = []string{m.target}
 			finished.Usage = result.Usage
+			p.d.control.Post(callServed{target: m.target, model: a.request.Model, adapter: a.request.Adapter, took: m.latency})
 		}
 	case kind.NoEffect():
 		finished.Outcome = scheduler.NotRun
--- a/loader/doc.go
+++ b/loader/doc.go
@@ -7,8 +7,8 @@
 // The daemon that is the single issuer of orders for a set of targets keeps a
 // State, reports load and demand and sends the orders:
 //
-//	state := loader.New(loader.DefaultOptions(), epoch)
-//	state.Update(now, loader.TargetsChanged{Targets: names})
+//	state := loader.New(loader.DefaultOptions())
+//	state.Update(now, loader.TargetsChanged{Targets: targets})
 //	state.Update(now, loader.ModelsChanged{Models: models})
 //	state.Update(now, loader.ReportReceived{Report: report})
 //	state.Update(now, loader.DemandObserved{Model: "m", Seconds: 12})
@@ -16,5 +16,5 @@
 //		order := c.(loader.OrderTarget) // send; then OrderFinished
 //	}
 //
-// Call Promoted with a higher epoch when the issuer's role is taken over.
+// A target has the epoch under which the daemon became its issuer.
 package loader
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -19,25 +19,33 @@
 func TestOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		options := loader.DefaultOptions()
-		s := loader.New(options, 1)
+		s := loader.New(options)
 		var targets []loader.Target
 		for i := range 6 {
-			targets = append(targets, loader.Target{Name: fmt.Sprintf("t%d", i), ChecksFencing: i%2 == 0, Slots: 1})
+			targets = append(targets, loader.Target{Name: fmt.Sprintf("t%d", i), Epoch: 1, ChecksFencing: i%2 == 0, Slots: 1})
 		}
 		now := start
 		s.Update(now, loader.TargetsChanged{Targets: targets})
 		s.Update(now, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 1}}})
 		held := map[string][]string{}
 		loadedAt := map[string]time.Time{}
-		loads, last, epoch, quiet := 0, int64(0), int64(1), start
+		loads, last := 0, map[string]int64{}
+		quiet := map[string]time.Time{}
+		for _, target := range targets {
+			quiet[target.Name] = start.Add(options.OrderExpiry)
+		}
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			now = now.Add(time.Second)
 			model := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "model")
 			s.Update(now, loader.DemandObserved{Model: model, Seconds: rapid.Float64Range(0, 6).Draw(t, "seconds")})
 			if rapid.IntRange(0, 40).Draw(t, "takeover") == 0 {
-				epoch++
-				s.Update(now, loader.Promoted{Epoch: epoch})
-				quiet = now.Add(options.OrderExpiry)
+				// The shards of targets change their owners one by one.
+				first := rapid.IntRange(0, len(targets)-1).Draw(t, "first")
+				for i := first; i < len(targets); i++ {
+					targets[i].Epoch++
+					quiet[targets[i].Name] = now.Add(options.OrderExpiry)
+				}
+				s.Update(now, loader.TargetsChanged{Targets: targets})
 			}
 			for _, target := range targets {
 				s.Update(now, loader.ReportReceived{Report: provider.LoadReport{Target: target.Name, Models: held[target.Name]}})
@@ -45,14 +53,18 @@
 			ordered := map[string]bool{}
 			for _, c := range s.Update(now, loader.Tick{}) {
 				o := c.(loader.OrderTarget)
-				if o.Order.FencingNumber <= last {
-					t.Fatalf("fencing number %d after %d", o.Order.FencingNumber, last)
+				if o.Order.FencingNumber <= last[o.Target] {
+					t.Fatalf("fencing number %d for %s after %d", o.Order.FencingNumber, o.Target, last[o.Target])
 				}
-				last = o.Order.FencingNumber
+				last[o.Target] = o.Order.FencingNumber
 				var index int
 				fmt.Sscanf(o.Target, "t%d", &index)
-				if !targets[index].ChecksFencing && now.Before(quiet) {
-					t.Fatalf("order to %s, which checks no fencing number, %v after a takeover", o.Target, now.Sub(quiet))
+				if epoch := o.Order.FencingNumber >> 32; epoch != targets[index].Epoch {
+					t.Fatalf("order to %s under epoch %d, want %d", o.Target, epoch, targets[index].Epoch)
+				}
+				if !targets[index].ChecksFencing && now.Before(quiet[o.Target]) {
+					t.Fatalf("order to %s, which checks no fencing number, %v too soon after a takeover",
+						o.Target, quiet[o.Target].Sub(now))
 				}
 				if ordered[o.Target] {
 					t.Fatalf("two orders at once for %s", o.Target)
@@ -79,7 +91,7 @@
 
 // Guards against a model that is wanted and never gets a runner.
 func TestMinReplicasAreReached(t *testing.T) {
-	s := loader.New(loader.DefaultOptions(), 1)
+	s := loader.New(loader.DefaultOptions())
 	s.Update(start, loader.TargetsChanged{Targets: []loader.Target{{Name: "t0", ChecksFencing: true, Slots: 1}, {Name: "t1", ChecksFencing: true, Slots: 1}}})
 	s.Update(start, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 1}}})
 	s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: "t0"}})
--- a/loader/message.go
+++ b/loader/message.go
@@ -19,13 +19,17 @@
 // Target is a runner that this issuer gives orders to.
 type Target struct {
 	Name string
+	// Epoch is under which the daemon became the issuer; it rises with each change
+	// of the issuer.
+	Epoch int64
 	// ChecksFencing is set when the target refuses stale orders.
 	ChecksFencing bool
 	// Slots is the number of models that fit into the target's memory.
 	Slots int
 }
 
-// TargetsChanged replaces the targets.
+// TargetsChanged replaces the targets. A target that is new or has a new epoch gets
+// no order before OrderExpiry has passed, unless it checks fencing numbers.
 type TargetsChanged struct{ Targets []Target }
 
 // ModelsChanged replaces the models.
@@ -49,9 +53,6 @@
 	Kind   provider.Kind
 }
 
-// Promoted makes this daemon the issuer under a new epoch.
-type Promoted struct{ Epoch int64 }
-
 // Tick lets time pass.
 type Tick struct{}
 
@@ -60,7 +61,6 @@
 func (ReportReceived) message() {}
 func (DemandObserved) message() {}
 func (OrderFinished) message()  {}
-func (Promoted) message()       {}
 func (Tick) message()           {}
 
 // OrderTarget sends an order to a target.
--- a/loader/state.go
+++ b/loader/state.go
@@ -24,6 +24,8 @@
 	MinResidence time.Duration
 	// OrderExpiry bounds how long an order can be under way.
 	OrderExpiry time.Duration
+	// ReportLag is the greatest age of a report on arrival.
+	ReportLag time.Duration
 	// HalfLife is how fast demand is forgotten.
 	HalfLife time.Duration
 }
@@ -32,7 +34,7 @@
 func DefaultOptions() Options {
 	return Options{
 		LoadsPerSec: 0.1, Burst: 2, Utilization: 0.7, Hysteresis: 0.5,
-		MinResidence: 5 * time.Minute, OrderExpiry: 5 * time.Second, HalfLife: time.Minute,
+		MinResidence: 5 * time.Minute, OrderExpiry: 5 * time.Second, ReportLag: 2 * time.Second, HalfLife: time.Minute,
 	}
 }
 
@@ -48,27 +50,28 @@
 	held     []key
 	loadedAt map[key]time.Time
 	pending  time.Time
+	// settled is when reports are certain to be newer than the last order.
+	settled  time.Time
 	reported bool
+	// quietUntil delays the first order under an epoch to a target that does not
+	// check fencing numbers.
+	quietUntil time.Time
 }
 
 // State places models on the targets of one issuer.
 type State struct {
 	options Options
-	epoch   int64
 	counter int64
-	// quietUntil delays the first order after a promotion for targets that do not
-	// check fencing numbers.
-	quietUntil time.Time
-	targets    []*target
-	models     []Model
-	demand     map[key]demand
-	limiter    *rate.Limiter
+	targets []*target
+	models  []Model
+	demand  map[key]demand
+	limiter *rate.Limiter
 }
 
 // New returns a state without targets and models.
-func New(options Options, epoch int64) *State {
+func New(options Options) *State {
 	return &State{
-		options: options, epoch: epoch, demand: map[key]demand{},
+		options: options, demand: map[key]demand{},
 		limiter: rate.NewLimiter(rate.Limit(options.LoadsPerSec), options.Burst),
 	}
 }
@@ -77,9 +80,9 @@
 func (s *State) Update(now time.Time, message Message) []Command {
 	switch m := message.(type) {
 	case TargetsChanged:
-		s.changeTargets(m.Targets)
+		s.changeTargets(now, m.Targets)
 	case ModelsChanged:
-		s.models = slices.Clone(m.Models)
+		s.changeModels(m.Models)
 	case ReportReceived:
 		s.report(now, m.Report)
 	case DemandObserved:
@@ -87,31 +90,44 @@
 		s.demand[k] = demand{seconds: s.rate(now, k) + m.Seconds, at: now}
 	case OrderFinished:
 		s.finish(now, m)
-	case Promoted:
-		if m.Epoch > s.epoch {
-			s.epoch, s.counter = m.Epoch, 0
-			s.quietUntil = now.Add(s.options.OrderExpiry)
-		}
 	case Tick:
 		return s.place(now)
 	}
 	return nil
 }
 
-func (s *State) changeTargets(targets []Target) {
+func (s *State) changeTargets(now time.Time, targets []Target) {
 	old := s.targets
 	s.targets = nil
 	for _, t := range targets {
 		i := slices.IndexFunc(old, func(o *target) bool { return o.Name == t.Name })
 		if i < 0 {
-			s.targets = append(s.targets, &target{Target: t, loadedAt: map[key]time.Time{}})
+			s.targets = append(s.targets, &target{
+				Target: t, loadedAt: map[key]time.Time{}, quietUntil: now.Add(s.options.OrderExpiry),
+			})
 			continue
 		}
+		if t.Epoch > old[i].Epoch {
+			old[i].quietUntil = now.Add(s.options.OrderExpiry)
+		}
+		t.Epoch = max(t.Epoch, old[i].Epoch)
 		old[i].Target = t
 		s.targets = append(s.targets, old[i])
 	}
 }
 
+// changeModels replaces the models. Reports name the models that were known when
+// they came, so that targets are asked again after a new model.
+func (s *State) changeModels(models []Model) {
+	same := func(a, b Model) bool { return a.Name == b.Name && a.Adapter == b.Adapter }
+	if !slices.EqualFunc(s.models, models, same) {
+		for _, t := range s.targets {
+			t.reported = false
+		}
+	}
+	s.models = slices.Clone(models)
+}
+
 func (s *State) find(name string) *target {
 	for _, t := range s.targets {
 		if t.Name == name {
@@ -123,8 +139,8 @@
 
 func (s *State) report(now time.Time, r provider.LoadReport) {
 	t := s.find(r.Target)
-	// A report that was taken before a pending order says nothing about it.
-	if t == nil || now.Before(t.pending) {
+	// A report that was taken before an order took effect says nothing about it.
+	if t == nil || now.Before(t.pending) || now.Before(t.settled) {
 		return
 	}
 	t.held, t.reported = t.held[:0], true
@@ -141,7 +157,7 @@
 	if t == nil {
 		return
 	}
-	t.pending = time.Time{}
+	t.pending, t.settled = time.Time{}, now.Add(s.options.ReportLag)
 	if m.Kind != provider.KindNone {
 		// The target is asked again by a report before the next order to it.
 		t.reported = false
@@ -239,7 +255,7 @@
 	if !t.reported || now.Before(t.pending) {
 		return false
 	}
-	return t.ChecksFencing || !now.Before(s.quietUntil)
+	return t.ChecksFencing || !now.Before(t.quietUntil)
 }
 
 func (s *State) order(now time.Time, t *target, kind string, m Model) Command {
@@ -247,6 +263,6 @@
 	t.pending = now.Add(s.options.OrderExpiry)
 	return OrderTarget{Target: t.Name, Order: provider.Order{
 		Kind: kind, Model: m.Name, Adapter: m.Adapter, Version: m.Version,
-		FencingNumber: s.epoch<<32 | s.counter, ExpiresAfter: s.options.OrderExpiry,
+		FencingNumber: t.Epoch<<32 | s.counter, ExpiresAfter: s.options.OrderExpiry,
 	}}
 }
