--- a/server/answers.go
+++ b/server/answers.go
@@ -35,6 +35,7 @@
 }
 
 func detailOf(answer Answer) errorDetail {
+	answer = withRetry(answer)
 	return errorDetail{
 		Code: answer.Code, Message: answer.Message, Outcome: answer.Outcome,
 		RetryAfterMs: answer.RetryAfterMs, Program: answer.Program, Step: answer.Step,
@@ -58,6 +59,7 @@
 
 func (s *Server) writeError(c *fiber.Ctx, status int, answer Answer) error {
 	s.setHeaders(c, answer)
+	answer = withRetry(answer)
 	if answer.RetryAfterMs > 0 {
 		c.Set(fiber.HeaderRetryAfter, strconv.Itoa((answer.RetryAfterMs+999)/1000))
 	}
