--- a/controller/memory.go
+++ b/controller/memory.go
@@ -99,8 +99,7 @@
 		p.d.effect(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, orderExpiry)
 			defer cancel()
-			order := provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry}
-			err := p.d.orderMemory(ctx, target, t.Address, order)
+			err := p.d.orderMemory(ctx, target, t.Address, provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry})
 			kind := provider.KindOf(err)
 			gone := t.State == detector.Gone && kind == provider.KindUnavailable
 			if kind != provider.KindNone && kind != provider.KindNotFound && !gone {
