Ask an engine that declines a call for its report

A refusal was always taken for overload. The daemon now reads the engine's report after a refusal, so that the scheduler stops sending to one that leaves, and knows the load of one that is full, without waiting for the next poll. The test of a refusal by a leaving engine gets the report with the refusal.

--- a/controller/orders_test.go
+++ b/controller/orders_test.go
@@ -12,6 +12,7 @@
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/scheduler"
+	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
 
@@ -61,8 +62,10 @@
 // exported cache is missing, and against orders about memory that an engine refuses
 // because orders with fencing numbers were sent to it.
 func TestImportBeforeGenerate(t *testing.T) {
+	t.Parallel()
 	for _, exported := range []bool{true, false} {
 		t.Run(fmt.Sprintf("exported=%v", exported), func(t *testing.T) {
+			t.Parallel()
 			b := newBed(t)
 			other := b.addEngine(emulator.EngineOptions{
 				Name: "drafter-2", Models: []string{"quill"}, PrefillPerSec: 500, ChecksFencing: true,
@@ -138,3 +141,16 @@
 		return accepting == 0
 	})
 }
+
+// Guards against a refusal that is taken for overload although the engine leaves.
+func TestRefusalAsksForReport(t *testing.T) {
+	b := newBed(t)
+	d, _ := b.start("ams-1")
+	b.engine.SetFaults(emulator.EngineFaults{Leaving: true})
+	s := &send{d: d, target: "drafter-1", address: "drafter-1", id: "p/1#1.1", output: &output{}}
+	s.request.Kind = sequencer.KindModel
+	finished := s.run(t.Context())
+	if provider.KindOf(finished.err) != provider.KindRefused || finished.report == nil || !finished.report.Leaving {
+		t.Errorf("got error %v and report %+v, want a refusal and a report that says leaving", finished.err, finished.report)
+	}
+}
--- a/controller/send.go
+++ b/controller/send.go
@@ -34,6 +34,8 @@
 	err     error
 	invoke  *provider.InvokeResult
 	latency time.Duration
+	// report is the load of an engine that declined the call.
+	report *provider.LoadReport
 }
 
 func (sendStarted) isProgramMessage()  {}
@@ -85,6 +87,9 @@
 		finished.invoke, finished.err = s.invoke(ctx)
 	} else {
 		finished.err = s.generate(ctx)
+		if provider.KindOf(finished.err) == provider.KindRefused {
+			finished.report = s.askReport(ctx)
+		}
 	}
 	if s.remote {
 		s.d.metrics.link(s.request.Service, s.bytes(finished.invoke))
@@ -97,6 +102,24 @@
 	return finished
 }
 
+// refusalReportTimeout bounds the wait for the report of an engine that has just
+// declined a call; the call is sent elsewhere afterwards.
+const refusalReportTimeout = 200 * time.Millisecond
+
+// askReport asks an engine that declined a call why: it is overloaded, it leaves or
+// it does not hold the model.
+func (s *send) askReport(ctx context.Context) *provider.LoadReport {
+	ctx, cancel := context.WithTimeout(ctx, refusalReportTimeout)
+	defer cancel()
+	report, err := s.d.platform.Engine(s.address).Report(ctx)
+	if err != nil {
+		return nil
+	}
+	s.d.reported(s.target, report)
+	report.Target = s.target
+	return &report
+}
+
 // bytesPerBlock is the size of a block's hash in a request.
 const bytesPerBlock = 21
 
@@ -165,7 +188,7 @@
 		return
 	}
 	a.stop(m.target)
-	finished := scheduler.CallFinished{Ticket: m.ticket, Target: m.target, Latency: m.latency}
+	finished := scheduler.CallFinished{Ticket: m.ticket, Target: m.target, Latency: m.latency, Report: m.report}
 	result := sequencer.Result{Invoke: m.invoke, Cost: a.request.Cost}
 	switch kind := provider.KindOf(m.err); {
 	case kind == provider.KindNone:
@@ -177,7 +200,8 @@
 		}
 	case kind.NoEffect():
 		finished.Outcome = scheduler.NotRun
-		finished.Busy = kind == provider.KindRefused
+		finished.Leaving = m.report != nil && m.report.Leaving
+		finished.Busy = kind == provider.KindRefused && !finished.Leaving
 	default:
 		finished.Outcome = scheduler.Unknown
 	}
