Let two daemons of each failure domain read the host list for all

Cause: at the design size one list is 685 KB and takes 23 ms to decode; read every second by each of 350 daemons it used 137 times the traffic and two thirds of the processor time that are allowed for control (docs/CAPACITY.md). Change: package lister picks two readers for each failure domain by rendezvous hashing; the others pull the changes since the digest of their list. Reads are conditional, so an unchanged list is neither sent nor decoded again. Daemons that reach no reader read the list themselves every 5 s. Result: in the property test lists converge after cuts and failing reads and are at most two intervals old; with 20 daemons and a reader lost at most 3 read the list and none got it whole again.

--- a/connector/client.go
+++ b/connector/client.go
@@ -128,34 +128,46 @@
 
 // roundTrip sends a JSON value and decodes the answer into result.
 func (c *Client) roundTrip(ctx context.Context, operation, method, url string, value, result any) error {
+	header := http.Header{}
+	_, err := c.roundTripHeader(ctx, operation, method, url, header, value, result)
+	return err
+}
+
+// roundTripHeader is roundTrip with headers of the request, which also returns the
+// answer's. The status 304 leaves result as it is.
+func (c *Client) roundTripHeader(
+	ctx context.Context, operation, method, url string, header http.Header, value, result any,
+) (http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Request)
 	defer cancel()
 	var body []byte
-	header := http.Header{}
 	if value != nil {
 		var err error
 		if body, err = json.Marshal(value); err != nil {
-			return provider.NewError(operation, provider.KindInvalid, err)
+			return nil, provider.NewError(operation, provider.KindInvalid, err)
 		}
 		header.Set("Content-Type", "application/json")
 	}
 	response, err := c.send(ctx, &exchange{operation: operation}, method, url, header, body)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return provider.NewError(operation, provider.KindUnknown, err)
+		return nil, provider.NewError(operation, provider.KindUnknown, err)
+	}
+	if response.StatusCode == http.StatusNotModified {
+		return response.Header, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return failureOf(operation, response.StatusCode, data)
+		return nil, failureOf(operation, response.StatusCode, data)
 	}
 	if result == nil {
-		return nil
+		return response.Header, nil
 	}
 	if err := json.Unmarshal(data, result); err != nil {
-		return provider.NewError(operation, provider.KindUnknown, err)
+		return nil, provider.NewError(operation, provider.KindUnknown, err)
 	}
-	return nil
+	return response.Header, nil
 }
--- a/connector/hostlist.go
+++ b/connector/hostlist.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"sync"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -11,6 +13,12 @@
 type HostList struct {
 	client *Client
 	base   string
+
+	mu sync.Mutex
+	// tag and members are the last answer: a list that has not changed is not sent
+	// again where the platform answers conditional requests.
+	tag     string
+	members []provider.Member
 }
 
 // NewHostList returns a client of the list at a base URL.
@@ -20,7 +28,23 @@
 
 // List returns the platform's list.
 func (h *HostList) List(ctx context.Context) ([]provider.Member, error) {
-	var members []provider.Member
-	err := h.client.roundTrip(ctx, "hosts.list", http.MethodGet, h.base+"/v1/hosts", nil, &members)
-	return members, err
+	h.mu.Lock()
+	tag, members := h.tag, h.members
+	h.mu.Unlock()
+	header := http.Header{}
+	if tag != "" {
+		header.Set("If-None-Match", tag)
+	}
+	fresh := []provider.Member(nil)
+	answer, err := h.client.roundTripHeader(ctx, "hosts.list", http.MethodGet, h.base+"/v1/hosts", header, nil, &fresh)
+	if err != nil {
+		return nil, err
+	}
+	if fresh == nil && tag != "" && answer.Get("Etag") == tag {
+		return slices.Clone(members), nil
+	}
+	h.mu.Lock()
+	h.tag, h.members = answer.Get("Etag"), fresh
+	h.mu.Unlock()
+	return slices.Clone(fresh), nil
 }
--- a/controller/configuration.go
+++ b/controller/configuration.go
@@ -150,20 +150,7 @@
 }
 
 func (d *Daemon) handleDelta(ctx context.Context, params json.RawMessage) (any, error) {
-	var request encoder.DeltaRequest
-	if err := json.Unmarshal(params, &request); err != nil {
-		return nil, &Error{operation: "daemon.configDelta", kind: KindMethod, cause: err}
-	}
-	reply := make(chan encoder.Delta, 1)
-	if !d.control.Post(deltaRequested{from: request.From, reply: reply}) {
-		return nil, &Error{operation: "daemon.configDelta", kind: KindStopped}
-	}
-	select {
-	case delta := <-reply:
-		return delta, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-d.loopsEnded:
-		return nil, &Error{operation: "daemon.configDelta", kind: KindStopped}
-	}
+	return answerPeer(ctx, d, "daemon.configDelta", params, func(r encoder.DeltaRequest, reply chan<- encoder.Delta) controlMessage {
+		return deltaRequested{from: r.From, reply: reply}
+	})
 }
--- a/controller/control.go
+++ b/controller/control.go
@@ -1,15 +1,12 @@
 package controller
 
 import (
-	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/distributor"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
-	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/lister"
 	"github.com/dogwoodweir/dogwoodweir/router"
 	"github.com/dogwoodweir/dogwoodweir/scheduler"
 )
@@ -19,11 +16,6 @@
 
 type controlTick struct{}
 
-type hostsRead struct {
-	members []provider.Member
-	err     error
-}
-
 // detectorMessage is for the detector as it is.
 type detectorMessage struct{ message detector.Message }
 
@@ -44,7 +36,6 @@
 
 func (controlQuery) isControlMessage()      {}
 func (controlTick) isControlMessage()       {}
-func (hostsRead) isControlMessage()         {}
 func (detectorMessage) isControlMessage()   {}
 func (heartbeatReceived) isControlMessage() {}
 func (hostObserved) isControlMessage()      {}
@@ -62,8 +53,8 @@
 	view       detector.View
 	seen       map[string]time.Time
 	versions   map[string]int
-	hostsDue   time.Time
-	hostsBusy  bool
+	lister     *lister.State
+	listReply  chan<- encoder.ListChanges
 	reply      chan<- encoder.Heartbeat
 	auditor    *auditor
 	placement  *placement
@@ -76,7 +67,7 @@
 	timing := d.settings.Timing
 	return &control{
 		d: d, auditor: newAuditor(d), placement: newPlacement(d), started: d.platform.Clock.Now(), seen: map[string]time.Time{}, versions: map[string]int{},
-		distributor: newDistributor(d),
+		distributor: newDistributor(d), lister: newLister(d),
 		detector: detector.New(detector.Self{
 			Host: d.settings.Host, Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain,
 			Region: d.settings.Region, Incarnation: d.incarnation, Generation: d.generation,
@@ -92,7 +83,7 @@
 	switch m := message.(type) {
 	case controlTick:
 		c.d.lastTick.Store(now.UnixNano())
-		c.poll(now)
+		c.list(lister.Tick{})
 		c.distribute(distributor.Tick{})
 		c.detect(detector.Tick{})
 		c.placement.tick(now, c.view)
@@ -101,14 +92,10 @@
 		c.distribute(m.message)
 	case deltaRequested:
 		c.sendDelta(m)
-	case hostsRead:
-		c.hostsBusy = false
-		if m.err != nil {
-			c.d.logger.Warn("host list is unavailable", zap.Error(m.err))
-			return
-		}
-		c.listed = true
-		c.detect(detector.ListReceived{Members: m.members})
+	case listerMessage:
+		c.list(m.message)
+	case listRequested:
+		c.sendList(m)
 	case detectorMessage:
 		c.detect(m.message)
 	case heartbeatReceived:
@@ -132,19 +119,6 @@
 	}
 }
 
-// poll reads the host list when it is due; at most one read is in flight.
-func (c *control) poll(now time.Time) {
-	timing := c.d.settings.Timing
-	if !c.hostsBusy && !now.Before(c.hostsDue) {
-		c.hostsBusy = true
-		c.hostsDue = now.Add(time.Duration(timing.HostListMs) * time.Millisecond)
-		c.d.effect(func(ctx context.Context) {
-			members, err := c.d.platform.Hosts.List(ctx)
-			c.d.control.Post(hostsRead{members: members, err: err})
-		})
-	}
-}
-
 // publish makes a new snapshot and tells the scheduler what it concerns.
 func (c *control) publish() {
 	snapshot := newSnapshot(c.document, c.view, c.serving)
--- a/controller/members.go
+++ b/controller/members.go
@@ -41,6 +41,7 @@
 		c.tellOwner(view)
 	}
 	c.tellDistributor(view)
+	c.tellLister(view)
 	c.publish()
 }
 
@@ -163,6 +164,8 @@
 		}, nil
 	case messenger.MethodConfigDelta:
 		return d.handleDelta(ctx, params)
+	case messenger.MethodListChanges:
+		return d.handleList(ctx, params)
 	case messenger.MethodHandover:
 		return d.handleHandover(params)
 	case methodProgram:
@@ -174,13 +177,23 @@
 }
 
 func (d *Daemon) handleHeartbeat(ctx context.Context, params json.RawMessage) (any, error) {
-	var heartbeat encoder.Heartbeat
-	if err := json.Unmarshal(params, &heartbeat); err != nil {
-		return nil, &Error{operation: "daemon.heartbeat", kind: KindMethod, cause: err}
+	return answerPeer(ctx, d, "daemon.heartbeat", params, func(h encoder.Heartbeat, reply chan<- encoder.Heartbeat) controlMessage {
+		return heartbeatReceived{heartbeat: h, reply: reply}
+	})
+}
+
+// answerPeer decodes a peer's request, puts it to the control loop and waits for
+// the reply.
+func answerPeer[P, R any](
+	ctx context.Context, d *Daemon, operation string, params json.RawMessage, message func(P, chan<- R) controlMessage,
+) (any, error) {
+	var request P
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, &Error{operation: operation, kind: KindMethod, cause: err}
 	}
-	reply := make(chan encoder.Heartbeat, 1)
-	if !d.control.Post(heartbeatReceived{heartbeat: heartbeat, reply: reply}) {
-		return nil, &Error{operation: "daemon.heartbeat", kind: KindStopped}
+	reply := make(chan R, 1)
+	if !d.control.Post(message(request, reply)) {
+		return nil, &Error{operation: operation, kind: KindStopped}
 	}
 	select {
 	case answer := <-reply:
@@ -188,7 +201,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	case <-d.loopsEnded:
-		return nil, &Error{operation: "daemon.heartbeat", kind: KindStopped}
+		return nil, &Error{operation: operation, kind: KindStopped}
 	}
 }
 
--- a/emulator/hostlist.go
+++ b/emulator/hostlist.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/gofiber/fiber/v2/middleware/etag"
 	"github.com/rotisserie/eris"
 
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -107,10 +108,11 @@
 	return slices.Clone(seen.members), nil
 }
 
-// Handler serves the list: GET /v1/hosts lists, POST /v1/hosts puts one member
+// Handler serves the list: GET /v1/hosts lists (with an ETag), POST /v1/hosts puts one member
 // and DELETE /v1/hosts/<host> removes one.
 func (h *HostList) Handler() *fiber.App {
 	app := newApp()
+	app.Use("/v1/hosts", etag.New())
 	faultRoutes(app, h.Faults, h.SetFaults)
 	app.Get("/v1/hosts", func(c *fiber.Ctx) error {
 		members, err := h.List(c.Context())
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -191,6 +191,48 @@
 	Sequence int `json:"sequence"`
 }
 
+// Changes of the host list since the version with the digest that was asked for.
+type ListChanges struct {
+	// Digest of the list after the changes; empty when the peer has no list.
+	Digest string `json:"digest"`
+
+	// Entries that are new or have changed.
+	Members []ListMember `json:"members,omitempty,omitzero"`
+
+	// Hosts that are not listed any more.
+	Removed []string `json:"removed,omitempty,omitzero"`
+
+	// Members is the whole list.
+	Whole bool `json:"whole,omitempty,omitzero"`
+}
+
+// One entry of the platform's host list.
+type ListMember struct {
+	// Address corresponds to the JSON schema field "address".
+	Address string `json:"address"`
+
+	// FailureDomain corresponds to the JSON schema field "failureDomain".
+	FailureDomain string `json:"failureDomain"`
+
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// Leaving corresponds to the JSON schema field "leaving".
+	Leaving bool `json:"leaving,omitempty,omitzero"`
+
+	// Region corresponds to the JSON schema field "region".
+	Region string `json:"region"`
+
+	// "daemon", or the service's name for targets.
+	Role string `json:"role"`
+}
+
+// Asks a peer for what has changed in the host list.
+type ListRequest struct {
+	// Digest of the list that the caller has; empty when it has none.
+	Digest string `json:"digest"`
+}
+
 // Question on a new connection whether the host answers.
 type Probe struct {
 	// Host that asks.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -20,6 +20,7 @@
 	MethodHeartbeat   = "heartbeat"
 	MethodProbe       = "probe"
 	MethodConfigDelta = "configDelta"
+	MethodListChanges = "listChanges"
 	MethodCall        = "call"
 	MethodCancelCall  = "cancelCall"
 	MethodHandover    = "handover"
