--- a/controller/memory.go
+++ b/controller/memory.go
@@ -9,7 +9,6 @@
 
 	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/provider"
-	"github.com/dogwoodweir/dogwoodweir/scheduler"
 	"github.com/dogwoodweir/dogwoodweir/sequencer"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
@@ -100,7 +99,7 @@
 		p.d.effect(func(ctx context.Context) {
 			ctx, cancel := context.WithTimeout(ctx, orderExpiry)
 			defer cancel()
-			err := p.d.platform.Engine(t.Address).Order(ctx, provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry})
+			err := p.d.orderMemory(ctx, target, t.Address, provider.Order{Kind: "release", Program: c.Program, ExpiresAfter: orderExpiry})
 			kind := provider.KindOf(err)
 			gone := t.State == detector.Gone && kind == provider.KindUnavailable
 			if kind != provider.KindNone && kind != provider.KindNotFound && !gone {
@@ -112,26 +111,6 @@
 	}
 }
 
-// orderExpiry bounds the time that an order is under way.
-const orderExpiry = 5 * time.Second
-
-// order sends an order about a program's memory. It names the program, whose id is
-// never used again, so it needs no fencing number.
-func (p *programs) order(c scheduler.OrderTarget) {
-	node := p.scheduler.Fleet().Node(c.Target)
-	if node == nil {
-		return
-	}
-	address, order := node.Target().Address, c.Order
-	p.d.effect(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, orderExpiry)
-		defer cancel()
-		if err := p.d.platform.Engine(address).Order(ctx, order); err != nil {
-			p.d.logger.Debug("order failed", zap.String("target", c.Target), zap.String("order", order.Kind), zap.Error(err))
-		}
-	})
-}
-
 // lookup asks a target of the service for the result of a call that an earlier
 // owner may have run. It never runs the call.
 func (p *programs) lookup(c sequencer.LookupAttempt) {
--- a/soaker/bed.go
+++ b/soaker/bed.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -50,6 +51,8 @@
 	engines   []*emulator.Engine
 	services  []*emulator.Service
 	machines  []*host
+	noEngine  *emulator.Engine
+	noService *emulator.Service
 
 	mu        sync.Mutex
 	atEnd     []func()
@@ -64,6 +67,10 @@
 		objects: emulator.NewObjects(emulator.NewFaults(options.Seed)),
 		hosts:   emulator.NewHostList(nil), processes: map[int]int{},
 	}
+	b.noEngine = emulator.NewEngine(emulator.EngineOptions{Name: "none"})
+	b.noEngine.SetFaults(emulator.EngineFaults{Dead: true})
+	b.noService = emulator.NewService(emulator.ServiceOptions{Name: "none"}, ledger)
+	b.noService.SetFaults(emulator.ServiceFaults{Dead: true})
 	for n := range 4 {
 		name := fmt.Sprintf("drafter-%d", n)
 		b.engines = append(b.engines, emulator.NewEngine(emulator.EngineOptions{
@@ -94,13 +101,15 @@
 	b.hosts.Put(provider.Member{Host: name, Address: address, FailureDomain: domain.Name, Region: domain.Region, Role: role})
 }
 
+// engine returns the engine at an address. Any other address answers like a host
+// that serves something else.
 func (b *bed) engine(name string) *emulator.Engine {
 	for _, engine := range b.engines {
 		if engine.Name() == name {
 			return engine
 		}
 	}
-	return nil
+	return b.noEngine
 }
 
 func (b *bed) service(name string) *emulator.Service {
@@ -109,7 +118,7 @@
 			return service
 		}
 	}
-	return nil
+	return b.noService
 }
 
 func (b *bed) publish() error {
@@ -154,12 +163,11 @@
 		},
 	}
 	for _, address := range []*string{&settings.CallerAddress, &settings.PeerAddress, &settings.MetricsAddress} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := freeAddress()
 		if err != nil {
 			return nil, err
 		}
-		*address = listener.Addr().String()
-		_ = listener.Close()
+		*address = free
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -170,6 +178,25 @@
 	return h, err
 }
 
+// Ports of daemons lie below those that the system gives to outgoing connections,
+// which could otherwise take the port of a host that is down.
+const (
+	firstPort = 15_000
+	lastPort  = 30_000
+)
+
+func freeAddress() (string, error) {
+	var err error
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", address); err == nil {
+			return address, listener.Close()
+		}
+	}
+	return "", err
+}
+
 func hashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
@@ -200,7 +227,8 @@
 		h.kill()
 		h.group.Wait()
 	}
-	for _, engine := range b.engines {
+	for _, engine := range append(b.engines, b.noEngine) {
 		engine.Close()
 	}
+	b.noService.Close()
 }
