--- a/connector/client.go
+++ b/connector/client.go
@@ -128,46 +128,45 @@
 
 // roundTrip sends a JSON value and decodes the answer into result.
 func (c *Client) roundTrip(ctx context.Context, operation, method, url string, value, result any) error {
-	header := http.Header{}
-	_, err := c.roundTripHeader(ctx, operation, method, url, header, value, result)
+	_, _, err := c.roundTripHeader(ctx, operation, method, url, http.Header{}, value, result)
 	return err
 }
 
 // roundTripHeader is roundTrip with headers of the request, which also returns the
-// answer's. The status 304 leaves result as it is.
+// answer's status and headers. The status 304 leaves result as it is.
 func (c *Client) roundTripHeader(
 	ctx context.Context, operation, method, url string, header http.Header, value, result any,
-) (http.Header, error) {
+) (int, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Request)
 	defer cancel()
 	var body []byte
 	if value != nil {
 		var err error
 		if body, err = json.Marshal(value); err != nil {
-			return nil, provider.NewError(operation, provider.KindInvalid, err)
+			return 0, nil, provider.NewError(operation, provider.KindInvalid, err)
 		}
 		header.Set("Content-Type", "application/json")
 	}
 	response, err := c.send(ctx, &exchange{operation: operation}, method, url, header, body)
 	if err != nil {
-		return nil, err
+		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return nil, provider.NewError(operation, provider.KindUnknown, err)
+		return 0, nil, provider.NewError(operation, provider.KindUnknown, err)
 	}
 	if response.StatusCode == http.StatusNotModified {
-		return response.Header, nil
+		return response.StatusCode, response.Header, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, failureOf(operation, response.StatusCode, data)
+		return 0, nil, failureOf(operation, response.StatusCode, data)
 	}
 	if result == nil {
-		return response.Header, nil
+		return response.StatusCode, response.Header, nil
 	}
 	if err := json.Unmarshal(data, result); err != nil {
-		return nil, provider.NewError(operation, provider.KindUnknown, err)
+		return 0, nil, provider.NewError(operation, provider.KindUnknown, err)
 	}
-	return response.Header, nil
+	return response.StatusCode, response.Header, nil
 }
--- a/connector/hostlist.go
+++ b/connector/hostlist.go
@@ -36,11 +36,11 @@
 		header.Set("If-None-Match", tag)
 	}
 	fresh := []provider.Member(nil)
-	answer, err := h.client.roundTripHeader(ctx, "hosts.list", http.MethodGet, h.base+"/v1/hosts", header, nil, &fresh)
+	status, answer, err := h.client.roundTripHeader(ctx, "hosts.list", http.MethodGet, h.base+"/v1/hosts", header, nil, &fresh)
 	if err != nil {
 		return nil, err
 	}
-	if fresh == nil && tag != "" && answer.Get("Etag") == tag {
+	if status == http.StatusNotModified {
 		return slices.Clone(members), nil
 	}
 	h.mu.Lock()
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -63,7 +63,6 @@
 	b.engine = emulator.NewEngine(emulator.EngineOptions{
 		Name: "drafter-1", Models: []string{"quill"}, Objects: b.objects.For("drafter-1"),
 	})
-	b.target = b.engine
 	b.hosts = emulator.NewHostList([]provider.Member{
 		{Host: "drafter-1", Address: "drafter-1", FailureDomain: "nl-ams", Region: "nl", Role: "drafter"},
 		{Host: "ledger-1", Address: "ledger-1", FailureDomain: "nl-ams", Region: "nl", Role: "ledger"},
@@ -171,10 +170,13 @@
 	d, err := New(settings, Platform{
 		Tables: tables, Objects: b.objects.For(host), Hosts: b.hosts,
 		Engine: func(address string) provider.Engine {
+			if b.target != nil {
+				return b.target
+			}
 			if engine := b.engines[address]; engine != nil {
 				return engine
 			}
-			return b.target
+			return b.engine
 		},
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
