--- a/connector/client.go
+++ b/connector/client.go
@@ -119,39 +119,54 @@
 	if json.Unmarshal(body, &f) == nil && f.Kind != "" {
 		kind = provider.ParseKind(f.Kind)
 	}
+	if kind == provider.KindNone {
+		// An error status that calls itself a success says nothing.
+		kind = provider.KindUnknown
+	}
 	return provider.NewError(operation, kind, eris.Errorf("status %d: %s", status, f.Message))
 }
 
 // roundTrip sends a JSON value and decodes the answer into result.
 func (c *Client) roundTrip(ctx context.Context, operation, method, url string, value, result any) error {
+	_, _, err := c.roundTripHeader(ctx, operation, method, url, http.Header{}, value, result)
+	return err
+}
+
+// roundTripHeader is roundTrip with headers of the request, which also returns the
+// answer's status and headers. The status 304 leaves result as it is.
+func (c *Client) roundTripHeader(
+	ctx context.Context, operation, method, url string, header http.Header, value, result any,
+) (int, http.Header, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Request)
 	defer cancel()
 	var body []byte
-	header := http.Header{}
 	if value != nil {
 		var err error
 		if body, err = json.Marshal(value); err != nil {
-			return provider.NewError(operation, provider.KindInvalid, err)
+			return 0, nil, provider.NewError(operation, provider.KindInvalid, err)
 		}
 		header.Set("Content-Type", "application/json")
 	}
 	response, err := c.send(ctx, &exchange{operation: operation}, method, url, header, body)
 	if err != nil {
-		return err
+		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
 	if err != nil {
-		return provider.NewError(operation, provider.KindUnknown, err)
+		return 0, nil, provider.NewError(operation, provider.KindUnknown, err)
+	}
+	if response.StatusCode == http.StatusNotModified {
+		return response.StatusCode, response.Header, nil
 	}
 	if response.StatusCode != http.StatusOK {
-		return failureOf(operation, response.StatusCode, data)
+		return 0, nil, failureOf(operation, response.StatusCode, data)
 	}
 	if result == nil {
-		return nil
+		return response.StatusCode, response.Header, nil
 	}
 	if err := json.Unmarshal(data, result); err != nil {
-		return provider.NewError(operation, provider.KindUnknown, err)
+		return 0, nil, provider.NewError(operation, provider.KindUnknown, err)
 	}
-	return nil
+	return response.StatusCode, response.Header, nil
 }
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -32,13 +32,15 @@
 	hosts   *emulator.HostList
 	engine  *emulator.Engine
 	// engines are further engines by address.
-	engines map[string]*emulator.Engine
+	engines map[string]provider.Engine
 	service *emulator.Service
 	ledger  *emulator.Ledger
 	group   conc.WaitGroup
 	// timing and wrap apply to daemons that are started later.
 	timing parser.Timing
 	wrap   func(host string, tables provider.Tables) provider.Tables
+	// target replaces the engine.
+	target provider.Engine
 }
 
 func freeAddress(t *testing.T) string {
@@ -54,7 +56,7 @@
 func newBed(t *testing.T) *bed {
 	ledger := emulator.NewLedger()
 	b := &bed{
-		t: t, engines: map[string]*emulator.Engine{}, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
+		t: t, engines: map[string]provider.Engine{}, tables: emulator.NewTables(emulator.TablesOptions{}, emulator.NewFaults(1)),
 		objects: emulator.NewObjects(emulator.NewFaults(1)),
 		service: emulator.NewService(emulator.ServiceOptions{Name: "ledger-1"}, ledger), ledger: ledger,
 	}
@@ -168,6 +170,9 @@
 	d, err := New(settings, Platform{
 		Tables: tables, Objects: b.objects.For(host), Hosts: b.hosts,
 		Engine: func(address string) provider.Engine {
+			if b.target != nil {
+				return b.target
+			}
 			if engine := b.engines[address]; engine != nil {
 				return engine
 			}
