Share the weight store's rate between the issuers

Each loader had a fixed rate, whatever the number of daemons. The rate for all is now a setting (store.loadsPerSec) that is divided by the live hosts and the roles.

--- a/controller/placement.go
+++ b/controller/placement.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -121,10 +120,25 @@
 	}
 	wanted, checks := p.configured()
 	p.models = wanted
+	maps.DeleteFunc(p.loaders, func(role string, _ *loader.State) bool { return wanted[role] == nil })
 	for _, role := range slices.Sorted(maps.Keys(wanted)) {
 		p.place(now, role, usable[role], owned, checks[role])
 	}
-	maps.DeleteFunc(p.loaders, func(role string, _ *loader.State) bool { return wanted[role] == nil })
+	p.limit(now, view)
+}
+
+// limit gives each loader its share of the weight store's rate.
+func (p *placement) limit(now time.Time, view detector.View) {
+	hosts := 0
+	for _, host := range view.Hosts {
+		if host.State != detector.Gone && host.State != detector.Unreachable {
+			hosts++
+		}
+	}
+	share := p.d.settings.Store.LoadsPerSec / float64(max(hosts*len(p.loaders), 1))
+	for _, state := range p.loaders {
+		state.Update(now, loader.RateChanged{LoadsPerSec: share})
+	}
 }
 
 // configured returns the models and adapters of each role, with the replicas that
@@ -189,21 +203,33 @@
 // daemons rank the targets alike, and the first ones should hold the model unless
 // enough others are known to.
 func (p *placement) share(m loader.Model, usable []detector.TargetView) int {
-	ranked := slices.Clone(usable)
-	rank := func(t detector.TargetView) uint64 { return xxhash.Sum64String(m.Name + "\x00" + t.Name) }
-	slices.SortFunc(ranked, func(a, b detector.TargetView) int {
-		return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.Name, b.Name))
-	})
-	mine, elsewhere := 0, 0
-	for i, t := range ranked {
-		if p.issues(t.Name) {
-			if i < m.MinReplicas {
-				mine++
-			}
-		} else if p.loads[t.Name].holds(m.Name, m.Adapter) {
+	elsewhere := 0
+	ranks := make([]uint64, len(usable))
+	var digest xxhash.Digest
+	for i, t := range usable {
+		digest.Reset()
+		_, _ = digest.WriteString(m.Name)
+		_, _ = digest.WriteString(t.Name)
+		ranks[i] = digest.Sum64()
+		if !p.issues(t.Name) && p.loads[t.Name].holds(m.Name, m.Adapter) {
 			elsewhere++
 		}
 	}
+	mine := 0
+	for i, t := range usable {
+		if !p.issues(t.Name) {
+			continue
+		}
+		before := 0
+		for j, rank := range ranks {
+			if rank < ranks[i] || rank == ranks[i] && j < i {
+				before++
+			}
+		}
+		if before < m.MinReplicas {
+			mine++
+		}
+	}
 	return max(0, min(mine, m.MinReplicas-elsewhere))
 }
 
--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/loader"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -163,3 +166,30 @@
 	report, err := engine.Report(context.Background())
 	return err == nil && slices.Contains(report.Models, model)
 }
+
+// Guards against a replica that every daemon leaves to another one and against more
+// replicas than are wanted.
+func TestSharesOfAllDaemons(t *testing.T) {
+	const daemons, targets = 350, 5_600
+	usable := make([]detector.TargetView, targets)
+	for i := range usable {
+		usable[i] = detector.TargetView{Name: fmt.Sprintf("t%04d", i)}
+	}
+	for _, replicas := range []int{1, 40, targets} {
+		total := 0
+		var slowest time.Duration
+		for daemon := range daemons {
+			p := newPlacement(nil)
+			for i := daemon; i < targets; i += daemons {
+				p.issued[usable[i].Name] = usable[i]
+			}
+			started := time.Now()
+			total += p.share(loader.Model{Name: "quill", MinReplicas: replicas}, usable)
+			slowest = max(slowest, time.Since(started))
+		}
+		if total != replicas {
+			t.Errorf("the daemons' shares add up to %d, want %d", total, replicas)
+		}
+		t.Logf("%d replicas: slowest share %v", replicas, slowest)
+	}
+}
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -109,3 +109,26 @@
 		t.Fatalf("loaded %v, want a and b", loaded)
 	}
 }
+
+// Guards against loads at the old rate after the share of the issuer has shrunk.
+func TestRateChangeLimitsLoads(t *testing.T) {
+	options := loader.DefaultOptions()
+	s := loader.New(options)
+	var targets []loader.Target
+	for i := range 20 {
+		targets = append(targets, loader.Target{Name: fmt.Sprintf("t%d", i), ChecksFencing: true, Slots: 1})
+	}
+	s.Update(start, loader.TargetsChanged{Targets: targets})
+	s.Update(start, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 20}}})
+	s.Update(start, loader.RateChanged{LoadsPerSec: 0.01})
+	for _, target := range targets {
+		s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: target.Name}})
+	}
+	loads := 0
+	for i := range 100 {
+		loads += len(s.Update(start.Add(time.Duration(i)*time.Second), loader.Tick{}))
+	}
+	if most := options.Burst + 1; loads > most {
+		t.Errorf("%d loads in 100 s, at most %d", loads, most)
+	}
+}
--- a/loader/message.go
+++ b/loader/message.go
@@ -53,6 +53,9 @@
 	Kind   provider.Kind
 }
 
+// RateChanged changes this issuer's share of the weight store's rate.
+type RateChanged struct{ LoadsPerSec float64 }
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -61,6 +64,7 @@
 func (ReportReceived) message() {}
 func (DemandObserved) message() {}
 func (OrderFinished) message()  {}
+func (RateChanged) message()    {}
 func (Tick) message()           {}
 
 // OrderTarget sends an order to a target.
--- a/loader/state.go
+++ b/loader/state.go
@@ -90,6 +90,10 @@
 		s.demand[k] = demand{seconds: s.rate(now, k) + m.Seconds, at: now}
 	case OrderFinished:
 		s.finish(now, m)
+	case RateChanged:
+		if limit := rate.Limit(m.LoadsPerSec); limit != s.limiter.Limit() {
+			s.limiter.SetLimitAt(now, limit)
+		}
 	case Tick:
 		return s.place(now)
 	}
--- a/parser/settings.go
+++ b/parser/settings.go
@@ -80,6 +80,8 @@
 type Store struct {
 	WritesPerSec float64 `json:"writesPerSec,omitempty"`
 	ReadsPerSec  float64 `json:"readsPerSec,omitempty"`
+	// LoadsPerSec is the rate at which models may be read from the weight store.
+	LoadsPerSec float64 `json:"loadsPerSec,omitempty"`
 	// MaxPendingRecords and MaxPendingBytes bound what one daemon holds that is
 	// not yet committed.
 	MaxPendingRecords int `json:"maxPendingRecords,omitempty"`
@@ -102,6 +104,7 @@
 	DefaultShardsPerDomain   = 32
 	DefaultWritesPerSec      = 400
 	DefaultReadsPerSec       = 1_500
+	DefaultLoadsPerSec       = 2
 	DefaultMaxPendingRecords = 4_096
 	DefaultMaxPendingBytes   = 16 << 20
 	DefaultLeaseMs           = 6_000
@@ -141,6 +144,7 @@
 	orDefault(&s.ShardsPerDomain, DefaultShardsPerDomain)
 	orDefault(&s.Store.WritesPerSec, DefaultWritesPerSec)
 	orDefault(&s.Store.ReadsPerSec, DefaultReadsPerSec)
+	orDefault(&s.Store.LoadsPerSec, DefaultLoadsPerSec)
 	orDefault(&s.Store.MaxPendingRecords, DefaultMaxPendingRecords)
 	orDefault(&s.Store.MaxPendingBytes, DefaultMaxPendingBytes)
 	orDefault(&s.Timing.LeaseMs, DefaultLeaseMs)
