--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -39,6 +39,8 @@
 	// timing and wrap apply to daemons that are started later.
 	timing parser.Timing
 	wrap   func(host string, tables provider.Tables) provider.Tables
+	// target replaces the engine.
+	target provider.Engine
 }
 
 func freeAddress(t *testing.T) string {
@@ -61,6 +63,7 @@
 	b.engine = emulator.NewEngine(emulator.EngineOptions{
 		Name: "drafter-1", Models: []string{"quill"}, Objects: b.objects.For("drafter-1"),
 	})
+	b.target = b.engine
 	b.hosts = emulator.NewHostList([]provider.Member{
 		{Host: "drafter-1", Address: "drafter-1", FailureDomain: "nl-ams", Region: "nl", Role: "drafter"},
 		{Host: "ledger-1", Address: "ledger-1", FailureDomain: "nl-ams", Region: "nl", Role: "ledger"},
@@ -171,7 +174,7 @@
 			if engine := b.engines[address]; engine != nil {
 				return engine
 			}
-			return b.engine
+			return b.target
 		},
 		Service: func(string) provider.Service { return b.service },
 	}, zaptest.NewLogger(b.t))
