List targets with the models that they report

The list of targets named the configured models of a service as those of each target, loaded or not. It now has the models and the load of the last report.

--- a/controller/admin.go
+++ b/controller/admin.go
@@ -6,6 +6,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/distributor"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/publisher"
 	"github.com/dogwoodweir/dogwoodweir/server"
 )
@@ -78,7 +79,8 @@
 	return hosts
 }
 
-// Targets lists the targets of a service, of all services for "".
+// Targets lists the targets of a service, of all services for "". Load and models are
+// those of the last report, if there is one.
 func (d *Daemon) Targets(service string) []server.TargetInfo {
 	ctx, cancel := context.WithTimeout(context.Background(), queryTimeout)
 	defer cancel()
@@ -93,6 +95,7 @@
 		}
 		return loads
 	})
+	reports, _ := askControl(ctx, d, func(c *control) map[string]provider.LoadReport { return c.placement.reports() })
 	var targets []server.TargetInfo
 	for _, s := range snapshot.Services() {
 		if service != "" && s.Name != service {
@@ -106,8 +109,8 @@
 				Target: t.Name, Service: s.Name, FailureDomain: t.FailureDomain, Region: t.Region,
 				Address: t.Address, State: t.State, InFlight: loads[t.Name].inFlight, Running: loads[t.Name].running,
 			}
-			for _, model := range s.Models {
-				info.Models = append(info.Models, model.Name)
+			if report, ok := reports[t.Name]; ok {
+				info.Running, info.Waiting, info.Models = report.Running, report.Waiting, report.Models
 			}
 			targets = append(targets, info)
 		}
--- a/controller/placement.go
+++ b/controller/placement.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// reports returns the last reports of targets.
+func (p *placement) reports() map[string]provider.LoadReport {
+	reports := make(map[string]provider.LoadReport, len(p.loads))
+	for target, load := range p.loads {
+		reports[target] = load.report
+	}
+	return reports
+}
+
 // tick places models when that is due.
 func (p *placement) tick(now time.Time, view detector.View) {
 	if now.Before(p.due) {
--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -35,7 +35,7 @@
 func TestPublishedModelIsLoaded(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	_, url := b.start("ams-1")
+	d, url := b.start("ams-1")
 	b.publish(modelService("drafter", false, "quill", "sable"))
 	call := `{"model":"drafter/sable","max_tokens":20,"messages":[{"role":"user","content":"A note."}]}`
 	b.wait("load of the published model", 20*time.Second, func() bool { return len(ordersOf(b.engine, "load")) > 0 })
@@ -43,6 +43,11 @@
 		response, _ := b.post(url+"/v1/chat/completions", call)
 		return response.StatusCode == http.StatusOK
 	})
+	b.wait("model in the list of targets", 3*time.Second, func() bool {
+		targets := d.Targets("drafter")
+		return len(targets) == 1 && slices.Equal(targets[0].Models, []string{"quill", "sable"})
+	})
+	// A second load would come with the first report after the order.
 	time.Sleep(3 * time.Second)
 	if loads := ordersOf(b.engine, "load"); len(loads) != 1 || loads[0].Model != "sable" {
 		t.Errorf("the engine got the orders %v, want one load of sable", loads)
