--- a/controller/placement_test.go
+++ b/controller/placement_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/dogwoodweir/dogwoodweir/detector"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/loader"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -32,7 +35,7 @@
 func TestPublishedModelIsLoaded(t *testing.T) {
 	t.Parallel()
 	b := newBed(t)
-	_, url := b.start("ams-1")
+	d, url := b.start("ams-1")
 	b.publish(modelService("drafter", false, "quill", "sable"))
 	call := `{"model":"drafter/sable","max_tokens":20,"messages":[{"role":"user","content":"A note."}]}`
 	b.wait("load of the published model", 20*time.Second, func() bool { return len(ordersOf(b.engine, "load")) > 0 })
@@ -40,6 +43,11 @@
 		response, _ := b.post(url+"/v1/chat/completions", call)
 		return response.StatusCode == http.StatusOK
 	})
+	b.wait("model in the list of targets", 3*time.Second, func() bool {
+		targets := d.Targets("drafter")
+		return len(targets) == 1 && slices.Equal(targets[0].Models, []string{"quill", "sable"})
+	})
+	// A second load would come with the first report after the order.
 	time.Sleep(3 * time.Second)
 	if loads := ordersOf(b.engine, "load"); len(loads) != 1 || loads[0].Model != "sable" {
 		t.Errorf("the engine got the orders %v, want one load of sable", loads)
@@ -163,3 +171,30 @@
 	report, err := engine.Report(context.Background())
 	return err == nil && slices.Contains(report.Models, model)
 }
+
+// Guards against a replica that every daemon leaves to another one and against more
+// replicas than are wanted.
+func TestSharesOfAllDaemons(t *testing.T) {
+	const daemons, targets = 350, 5_600
+	usable := make([]detector.TargetView, targets)
+	for i := range usable {
+		usable[i] = detector.TargetView{Name: fmt.Sprintf("t%04d", i)}
+	}
+	for _, replicas := range []int{1, 40, targets} {
+		total := 0
+		var slowest time.Duration
+		for daemon := range daemons {
+			p := newPlacement(nil)
+			for i := daemon; i < targets; i += daemons {
+				p.issued[usable[i].Name] = usable[i]
+			}
+			started := time.Now()
+			total += p.share(loader.Model{Name: "quill", MinReplicas: replicas}, usable)
+			slowest = max(slowest, time.Since(started))
+		}
+		if total != replicas {
+			t.Errorf("the daemons' shares add up to %d, want %d", total, replicas)
+		}
+		t.Logf("%d replicas: slowest share %v", replicas, slowest)
+	}
+}
