--- a/controller/calls.go
+++ b/controller/calls.go
@@ -168,7 +168,7 @@
 		if answer != nil {
 			return *answer
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || d.platform.Clock.Now().After(request.Deadline.Add(answerGrace)) {
 			d.programs.Post(sequencerMessage{sequencer.CallerLeft{Request: call.ID}})
 			return server.Answer{Outcome: server.OutcomeUnknown, Code: codeOwnerLost, Program: call.Program, Step: call.Step}
 		}
@@ -181,6 +181,10 @@
 	}
 }
 
+// answerGrace is how long after its deadline a call is answered at the latest: the
+// cancellation of the attempt and the wait for durability, with some to spare.
+const answerGrace = 20 * time.Second
+
 // serveCheckEvery is the period at which a waiting call looks whether its caller or
 // the loops have gone.
 const serveCheckEvery = 200 * time.Millisecond
