--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -43,6 +43,8 @@
 	flag.DurationVar(&o.drainAfter, "drain-after", 14*time.Second, "when another daemon is drained; 0 for never")
 	flag.BoolVar(&o.keepLogs, "keep-logs", false, "keep the logs of the processes")
 	flag.Parse()
+	// A closed output must not end the demonstration before its processes.
+	signal.Ignore(syscall.SIGPIPE)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, 2*time.Minute)
