Never send a call to a target that is not listed any more

Cause: a target that left the list kept its entries in the cache estimate and was still taken as a candidate. Change: targets that are taken off the list are retired (state gone, no services, no cache entries), and the daemon reports a send without a target to the scheduler as not run, so that the call is sent elsewhere.

--- a/controller/send.go
+++ b/controller/send.go
@@ -45,7 +45,13 @@
 func (p *programs) send(c scheduler.SendCall) {
 	a := p.attempts[c.Ticket]
 	node := p.scheduler.Fleet().Node(c.Target)
-	if a == nil || node == nil {
+	if a == nil {
+		return
+	}
+	if node == nil {
+		// The scheduler must hear of every send, or the call would wait for ever.
+		p.d.metrics.count("sends_without_target", 1)
+		p.schedule(scheduler.CallFinished{Ticket: c.Ticket, Target: c.Target, Outcome: scheduler.NotRun})
 		return
 	}
 	a.sends++
--- a/router/cache_test.go
+++ b/router/cache_test.go
@@ -176,3 +176,26 @@
 		}
 	}
 }
+
+// Guards against a call that is sent to a target that is not listed any more because
+// its cache is remembered: nobody carries out such a send, and the call never ends.
+func TestUnlistedTargetIsNotChosen(t *testing.T) {
+	fleet := newFleet(2)
+	blocks := chain(1, 40)
+	gone, stays := fleet.Node("t0"), fleet.Node("t1").Target()
+	fleet.Cache().Stored(start, gone, "p", blocks)
+	policy := router.NewCost(fleet, router.DefaultWeights(), 1, router.Options{})
+	request := &router.Request{Service: "m", Program: "p", Blocks: blocks, PromptTokens: 40 * provider.BlockTokens, MaxTokens: 100}
+	if got := policy.Decide(start, request).Node.Name(); got != "t0" {
+		t.Fatalf("the call goes to %s, want t0 that has its cache", got)
+	}
+	fleet.SetTargets(start, []router.Target{stays})
+	if got := policy.Decide(start, request).Node.Name(); got != "t1" {
+		t.Errorf("the call goes to %s, which is not listed", got)
+	}
+	// A call that was in flight ends at the target after it was taken off the list.
+	fleet.Cache().Stored(start, gone, "p", blocks)
+	if got := policy.Decide(start, request).Node.Name(); got != "t1" {
+		t.Errorf("the call goes to %s, which is not listed", got)
+	}
+}
--- a/router/fleet.go
+++ b/router/fleet.go
@@ -85,6 +85,19 @@
 		}
 		f.add(n, t.Service, pools[t.Service])
 	}
+	for name, n := range old {
+		if f.nodes[name] == nil {
+			f.retire(n)
+		}
+	}
+}
+
+// retire makes a target that is not listed any more useless as a candidate: the
+// cache estimate and calls in flight may still refer to it.
+func (f *Fleet) retire(n *Node) {
+	n.target.State = StateGone
+	clear(n.services)
+	f.cache.Forget(n)
 }
 
 func (f *Fleet) renew(now time.Time, n *Node, t Target) *Node {
