Choose ports below the ephemeral range in tests and the demonstration

Cause: a port that was free when it was chosen was sometimes taken by an outgoing connection before the daemon listened on it: one test of controller and one of four demonstrations that ran at once failed that way. Change: one function, emulator.FreeAddress, gives addresses from 15000 to 29999 and none twice; it replaces four copies.

--- a/cmd/demo/layout.go
+++ b/cmd/demo/layout.go
@@ -8,12 +8,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
+
 	"net/http"
 	"os"
 	"path/filepath"
 	"time"
 
+	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/parser"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -66,29 +67,8 @@
 	{role: "workshop-app", count: 5},
 }
 
-// ports hands out free loopback addresses; they are kept open until all are known,
-// so that none is given twice.
-type ports struct{ open []net.Listener }
-
-func (p *ports) next() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	p.open = append(p.open, l)
-	return l.Addr().String(), nil
-}
-
-func (p *ports) close() {
-	for _, l := range p.open {
-		_ = l.Close()
-	}
-}
-
 func newLayout(directory string) (*layout, error) {
 	l := &layout{standinsFile: filepath.Join(directory, "standins.json")}
-	p := &ports{}
-	defer p.close()
 	addresses := []*string{&l.store, &l.hostList}
 	for _, domain := range domains {
 		l.daemons = append(l.daemons, daemon{
@@ -104,7 +84,7 @@
 		addresses = append(addresses, &l.targets[i].Address)
 	}
 	for _, address := range addresses {
-		next, err := p.next()
+		next, err := emulator.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
--- a/controller/daemon_test.go
+++ b/controller/daemon_test.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -45,12 +44,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := emulator.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func newBed(t *testing.T) *bed {
--- a/measurer/flow.go
+++ b/measurer/flow.go
@@ -60,15 +60,6 @@
 	close   []func()
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 func newFlowBed(ctx context.Context) (*flowBed, error) {
 	b := &flowBed{engine: emulator.NewEngine(emulator.EngineOptions{
 		Name: flowEngine, Models: []string{"quill"}, MaxConcurrency: 512, TokensPerSec: 2_000, PrefillPerSec: 4e6,
@@ -88,7 +79,7 @@
 	sum := sha256.Sum256([]byte(flowKey))
 	var addresses [3]string
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := emulator.FreeAddress()
 		if err != nil {
 			return err
 		}
--- a/soaker/bed.go
+++ b/soaker/bed.go
@@ -6,8 +6,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -163,7 +161,7 @@
 		},
 	}
 	for _, address := range []*string{&settings.CallerAddress, &settings.PeerAddress, &settings.MetricsAddress} {
-		free, err := freeAddress()
+		free, err := emulator.FreeAddress()
 		if err != nil {
 			return nil, err
 		}
@@ -178,25 +176,6 @@
 	return h, err
 }
 
-// Ports of daemons lie below those that the system gives to outgoing connections,
-// which could otherwise take the port of a host that is down.
-const (
-	firstPort = 15_000
-	lastPort  = 30_000
-)
-
-func freeAddress() (string, error) {
-	var err error
-	for range 100 {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
-		var listener net.Listener
-		if listener, err = net.Listen("tcp", address); err == nil {
-			return address, listener.Close()
-		}
-	}
-	return "", err
-}
-
 func hashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
