--- a/lessor/shards.go
+++ b/lessor/shards.go
@@ -67,7 +67,12 @@
 				continue
 			}
 		}
-		shard.row, shard.version, shard.receivedAt = row, read.Version, now
+		if read.Version != shard.version || shard.receivedAt.IsZero() {
+			// An unchanged row keeps its time: a lease row that was requested after the
+			// first receipt proves as much as one requested after the last.
+			shard.receivedAt = now
+		}
+		shard.row, shard.version = row, read.Version
 		shard.known, shard.invited = true, false
 	}
 }
