--- a/controller/bounded.go
+++ b/controller/bounded.go
@@ -6,9 +6,9 @@
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
-// boundedTables and boundedObjects end each read after readTimeout, so that a
-// connection that went silent fails the read instead of holding a takeover for
-// ever.
+// boundedTables and boundedObjects end each request after readTimeout, so that a
+// connection that went silent fails the request instead of holding a takeover or a
+// handover for ever.
 type boundedTables struct{ provider.Tables }
 
 // Read reads one row within the bound.
@@ -27,9 +27,30 @@
 
 type boundedObjects struct{ provider.Objects }
 
+// Put writes one object within the bound.
+func (o boundedObjects) Put(ctx context.Context, name string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return o.Objects.Put(ctx, name, value)
+}
+
 // Get reads one object within the bound.
 func (o boundedObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	return o.Objects.Get(ctx, name)
 }
+
+// List lists objects within the bound.
+func (o boundedObjects) List(ctx context.Context, prefix string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return o.Objects.List(ctx, prefix)
+}
+
+// Delete deletes one object within the bound.
+func (o boundedObjects) Delete(ctx context.Context, name string) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	return o.Objects.Delete(ctx, name)
+}
--- a/controller/daemon.go
+++ b/controller/daemon.go
@@ -76,6 +76,7 @@
 	if platform.Clock == nil {
 		platform.Clock = systemClock{}
 	}
+	platform.Objects = boundedObjects{platform.Objects}
 	now := platform.Clock.Now()
 	d := &Daemon{
 		settings: settings, platform: platform, incarnation: uuid.NewString(), generation: int(now.UnixMilli()),
--- a/controller/ownership.go
+++ b/controller/ownership.go
@@ -93,7 +93,7 @@
 func newOwner(d *Daemon) Owner {
 	settings := d.settings
 	milliseconds := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	stores := committer.Stores{Tables: boundedTables{d.platform.Tables}, Objects: boundedObjects{d.platform.Objects}}
+	stores := committer.Stores{Tables: boundedTables{d.platform.Tables}, Objects: d.platform.Objects}
 	limit := rate.NewLimiter(rate.Limit(settings.Store.ReadsPerSec/replayShare), maxReadBurst)
 	o := &ownership{
 		d: d, port: d, loop: NewLoop[ownerMessage](), incarnation: d.incarnation,
--- a/controller/ownership_shards.go
+++ b/controller/ownership_shards.go
@@ -132,10 +132,10 @@
 			o.loop.Post(shardRead{shard: c.Shard, incarnation: incarnation, failed: true})
 			return
 		}
-		if err := o.loader.DeleteSnapshots(ctx, c.Row); err != nil {
+		o.loop.Post(shardRead{shard: c.Shard, epoch: c.Row.Epoch, loaded: loaded, incarnation: incarnation})
+		if err := o.loader.DeleteSnapshots(ctx, c.Row); err != nil && ctx.Err() == nil {
 			o.d.logger.Info("old snapshots cannot be deleted", zap.String("shard", c.Shard), zap.Error(err))
 		}
-		o.loop.Post(shardRead{shard: c.Shard, epoch: c.Row.Epoch, loaded: loaded, incarnation: incarnation})
 	})
 }
 
