Read the lease of a restarted host at once

Cause: a trace of TestSoak/4 under the race detector shows a shard whose owner had restarted: the host is not ranked for the shard and does not look for it, and the ranked hosts read the lease of a live host only every two check intervals. Change: a new incarnation in the view of the hosts makes its lease be read at once and more often for two lease durations. Result: the new test fails for 5 of 6 owners without the change and passes with it.

--- a/lessor/claim_test.go
+++ b/lessor/claim_test.go
@@ -64,3 +64,67 @@
 		t.Error("the shard of a restarted owner was not claimed within 30 s")
 	}
 }
+
+// Guards against a restart that is noticed only by the rare reads of live hosts'
+// leases: the restarted host does not look for shards that it is not ranked for, so
+// they had no owner for about ten seconds.
+func TestRestartIsReadAtOnce(t *testing.T) {
+	// Some of the owners are watched by this daemon anyway, most are not.
+	for _, owner := range []string{"b", "c", "d", "e", "f", "g"} {
+		t.Run(owner, func(t *testing.T) { checkRestart(t, owner) })
+	}
+}
+
+func checkRestart(t *testing.T, owner string) {
+	live := []lessor.Host{{Name: "a", FailureDomain: "d", Region: "r"}}
+	index := 0
+	for i, name := range []string{"b", "c", "d", "e", "f", "g"} {
+		live = append(live, lessor.Host{Name: name, FailureDomain: "e", Region: "r", Incarnation: "old"})
+		if name == owner {
+			index = i + 1
+		}
+	}
+	state := lessor.New(lessor.Options{
+		Self: live[0], Domains: []lessor.Domain{{Name: "d", Region: "r"}}, ShardsPerDomain: 1, Lease: 6 * time.Second,
+		CheckEvery: time.Minute, ReadsPerSec: 1e6, Watchers: 1, Seed: 1,
+	})
+	shardName := lessor.ShardName("d", 0)
+	shard, _ := json.Marshal(encoder.ShardRow{Shard: shardName, Owner: owner, Incarnation: "old", Epoch: 1})
+	now := time.Unix(1_700_000_000, 0)
+	var readAt time.Time
+	var send func(lessor.Message)
+	send = func(message lessor.Message) {
+		for _, command := range state.Update(now, message) {
+			switch c := command.(type) {
+			case lessor.ScanLeases:
+				var rows []provider.Row
+				for _, host := range c.Hosts {
+					lease, _ := json.Marshal(encoder.LeaseRow{Host: host, Incarnation: "old", State: committer.RowActive})
+					rows = append(rows, provider.Row{Table: committer.TableLeases, Key: host, Version: 3, Value: lease})
+					if host == owner {
+						readAt = now
+					}
+				}
+				send(lessor.LeaseRowsRead{Rows: rows})
+			case lessor.ScanShards:
+				send(lessor.ShardRowsRead{Rows: []provider.Row{{Table: committer.TableShards, Key: shardName, Version: 3, Value: shard}}})
+			}
+		}
+	}
+	run := func(wait time.Duration) {
+		for end := now.Add(wait); now.Before(end); now = now.Add(100 * time.Millisecond) {
+			send(lessor.LeaseRenewed{SentAt: now, Incarnation: "x"})
+			send(lessor.Tick{})
+		}
+	}
+	send(lessor.HostsChanged{Live: live})
+	run(5 * time.Second)
+	restarted := now
+	changed := append([]lessor.Host(nil), live...)
+	changed[index].Incarnation = "new"
+	send(lessor.HostsChanged{Live: changed})
+	run(time.Second)
+	if readAt.Before(restarted) {
+		t.Errorf("the lease of a restarted owner was last read %v before its restart", restarted.Sub(readAt))
+	}
+}
--- a/lessor/hosts.go
+++ b/lessor/hosts.go
@@ -25,6 +25,10 @@
 		if !view.live {
 			view.live, view.since = true, now
 		}
+		if before := view.host.Incarnation; before != "" && host.Incarnation != before {
+			// A restarted owner does not know of shards that it is not ranked for.
+			view.restartedAt, view.readAt = now, now
+		}
 		view.host = host
 	}
 	for _, view := range s.views {
@@ -242,7 +246,7 @@
 		if older := view.known && shard.row.Incarnation != view.row.Incarnation && view.sentAt.Before(shard.receivedAt); older {
 			view.wanted = true
 			view.readAt = earlier(view.readAt, now)
-		} else if !view.known || s.mayHold(view) && (stale || !view.live) {
+		} else if !view.known || s.mayHold(view) && (stale || !view.live || s.restarted(now, view)) {
 			view.wanted = true
 		}
 		// The first-ranked host of a shard reads often; a second-ranked one that read as
@@ -251,6 +255,12 @@
 	}
 }
 
+// restarted reports whether the host has recently begun a new run; its lease row may
+// still be that of the run before.
+func (s *State) restarted(now time.Time, view *hostView) bool {
+	return !view.restartedAt.IsZero() && now.Sub(view.restartedAt) < 2*s.options.Lease
+}
+
 // fence fences leases that have been unchanged for long enough. The watchers take
 // turns, so that usually only one writes.
 func (s *State) fence(now time.Time) {
--- a/lessor/state.go
+++ b/lessor/state.go
@@ -70,6 +70,8 @@
 	// endedAt is when the lease was first seen to have ended.
 	endedAt  time.Time
 	excluded bool
+	// restartedAt is when the host was last seen to have begun a new run.
+	restartedAt time.Time
 }
 
 // State decides on the ownership of shards. It has no I/O.
