Wait for the replies of loops in one place

Cause: the wait for a reply, the caller's end and the loop's end stood three times in package controller: for operators' questions to each loop and for requests of peers. Change: one function, await, which the three call. Result: lint and the tests of controller pass; behaviour is unchanged.

--- a/controller/admin.go
+++ b/controller/admin.go
@@ -38,18 +38,9 @@
 // askControl runs a query in the control loop and waits for its result.
 func askControl[T any](ctx context.Context, d *Daemon, query func(*control) T) (T, bool) {
 	result := make(chan T, 1)
-	var zero T
-	if !d.control.Post(controlQuery{func(c *control) { result <- query(c) }}) {
-		return zero, false
-	}
-	select {
-	case value := <-result:
-		return value, true
-	case <-ctx.Done():
-		return zero, false
-	case <-d.loopsEnded:
-		return zero, false
-	}
+	posted := d.control.Post(controlQuery{func(c *control) { result <- query(c) }})
+	value, err := await(ctx, d, "daemon.query", posted, result)
+	return value, err == nil
 }
 
 // Hosts lists the hosts as the daemon sees them.
--- a/controller/lookup.go
+++ b/controller/lookup.go
@@ -160,18 +160,9 @@
 // ask runs a query in the program loop and waits for its result.
 func ask[T any](ctx context.Context, d *Daemon, query func(*programs) T) (T, bool) {
 	result := make(chan T, 1)
-	var zero T
-	if !d.programs.Post(programQuery{func(p *programs) { result <- query(p) }}) {
-		return zero, false
-	}
-	select {
-	case value := <-result:
-		return value, true
-	case <-ctx.Done():
-		return zero, false
-	case <-d.loopsEnded:
-		return zero, false
-	}
+	posted := d.programs.Post(programQuery{func(p *programs) { result <- query(p) }})
+	value, err := await(ctx, d, "daemon.query", posted, result)
+	return value, err == nil
 }
 
 // describe returns a program as its client or an operator may see it.
--- a/controller/members.go
+++ b/controller/members.go
@@ -192,17 +192,12 @@
 		return nil, &Error{operation: operation, kind: KindMethod, cause: err}
 	}
 	reply := make(chan R, 1)
-	if !d.control.Post(message(request, reply)) {
-		return nil, &Error{operation: operation, kind: KindStopped}
-	}
-	select {
-	case answer := <-reply:
-		return answer, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-d.loopsEnded:
-		return nil, &Error{operation: operation, kind: KindStopped}
+	posted := d.control.Post(message(request, reply))
+	answer, err := await(ctx, d, operation, posted, reply)
+	if err != nil {
+		return nil, err
 	}
+	return answer, nil
 }
 
 func (d *Daemon) handleHandover(params json.RawMessage) (any, error) {
--- a/controller/tasks.go
+++ b/controller/tasks.go
@@ -50,3 +50,20 @@
 		}
 	})
 }
+
+// await waits for the reply of a loop to a message. posted is false when the loop
+// did not take the message.
+func await[T any](ctx context.Context, d *Daemon, operation string, posted bool, reply <-chan T) (T, error) {
+	var zero T
+	if !posted {
+		return zero, &Error{operation: operation, kind: KindStopped}
+	}
+	select {
+	case value := <-reply:
+		return value, nil
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	case <-d.loopsEnded:
+		return zero, &Error{operation: operation, kind: KindStopped}
+	}
+}
