Refuse at once while the store is down and find its return sooner

Change: no new budget entry while the store is down; feed answers end the pause; Retry-After a third of the caller's time; grants ahead while 35% of the budget and two turns stay for others; spare tokens of other daemons give 503, not 402.

--- a/accountant/message.go
+++ b/accountant/message.go
@@ -69,6 +69,9 @@
 	Admitted Verdict = iota + 1
 	// Spent means that the budget does not hold the turn.
 	Spent
+	// Contended means that the budget holds the turn only if other daemons return what
+	// they were granted and do not need.
+	Contended
 	// Unavailable means that the store did not answer, so nobody can tell.
 	Unavailable
 )
@@ -80,6 +83,8 @@
 		return "admitted"
 	case Spent:
 		return "spent"
+	case Contended:
+		return "contended"
 	}
 	return "unavailable"
 }
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -10,11 +10,13 @@
 
 // Options configure a State.
 type Options struct {
-	// AheadTurns is the number of turns beyond the present one that are granted at
-	// once while the budget is ample.
+	// AheadTurns is the largest number of turns beyond the present one that are granted
+	// at once while the budget is ample.
 	AheadTurns int
-	// AmpleShare is the share of a budget that must be left after a grant ahead.
+	// AmpleShare is the share of a budget, and AmpleTurns the number of turns, that must
+	// be left for other daemons after a grant ahead.
 	AmpleShare float64
+	AmpleTurns int
 	// IdleAfter is the time after a program's last turn at which what is left of an
 	// ample budget's grant is returned.
 	IdleAfter time.Duration
@@ -27,8 +29,8 @@
 // DefaultOptions returns the options of a daemon.
 func DefaultOptions() Options {
 	return Options{
-		AheadTurns: 4, AmpleShare: 0.5, IdleAfter: 3 * time.Second, ForgetAfter: 60 * time.Second,
-		Retention: 10 * time.Minute,
+		AheadTurns: 24, AmpleShare: 0.35, AmpleTurns: 2, IdleAfter: 3 * time.Second,
+		ForgetAfter: time.Minute, Retention: 10 * time.Minute,
 	}
 }
 
@@ -46,6 +48,10 @@
 	version int64
 	left    int
 	known   bool
+	// spare is what other daemons had beyond their turns when they last wrote.
+	spare map[string]int
+	// largest is the most that one turn has asked for.
+	largest int
 	// fresh means that the row was read since the last request.
 	fresh bool
 	// sequence counts this daemon's writes, so that it recognises its own row.
@@ -107,6 +113,7 @@
 		s.programs[m.Program] = p
 	}
 	p.budget, p.touched, p.fresh = m.Budget, s.now, false
+	p.largest = max(p.largest, m.Tokens)
 	p.waiters = append(p.waiters, waiter{ticket: m.Ticket, tokens: m.Tokens})
 	s.serve(m.Program, p)
 }
@@ -159,7 +166,8 @@
 			return
 		}
 	}
-	s.grant(name, p, need+s.ahead(p, need), false)
+	ahead := s.ahead(p, need)
+	s.grant(name, p, need+ahead, ahead, false)
 }
 
 // admit starts the waiters that the grant holds, in their order.
@@ -195,36 +203,58 @@
 			kept = append(kept, w)
 			continue
 		}
-		s.decide(p, w, Spent)
+		verdict := Spent
+		if need+w.tokens <= free+s.spareElsewhere(p) {
+			verdict = Contended
+		}
+		s.decide(p, w, verdict)
 	}
 	p.waiters = kept
 	return need - max(0, p.left)
 }
 
+// spareElsewhere returns the tokens that other daemons may still return.
+func (s *State) spareElsewhere(p *program) int {
+	total := 0
+	for holder, tokens := range p.spare {
+		if holder != s.holder {
+			total += max(0, tokens)
+		}
+	}
+	return total
+}
+
 // ample reports whether a grant leaves enough of the budget.
 func (s *State) ample(p *program, grant int) bool {
-	return float64(p.budget-p.granted-grant) >= s.options.AmpleShare*float64(p.budget)
+	rest := p.budget - p.granted - grant
+	return float64(rest) >= s.options.AmpleShare*float64(p.budget) && rest >= s.options.AmpleTurns*p.largest
 }
 
 // ahead returns the tokens to be granted beyond the need.
 func (s *State) ahead(p *program, need int) int {
-	largest := 0
-	for _, w := range p.waiters {
-		largest = max(largest, w.tokens)
-	}
 	for turns := s.options.AheadTurns; turns > 0; turns-- {
-		if extra := turns * largest; s.ample(p, need+extra) {
+		if extra := turns * p.largest; s.ample(p, need+extra) {
 			return extra
 		}
 	}
 	return 0
 }
 
-func (s *State) grant(name string, p *program, tokens int, background bool) {
+// grant writes the row with more tokens for this daemon, or fewer. Spare is what the
+// daemon then has beyond its turns.
+func (s *State) grant(name string, p *program, tokens, spare int, background bool) {
 	p.sequence++
 	p.pending = &encoder.ProgramBudget{
 		Granted: p.granted + tokens, Holder: s.holder, Sequence: int(p.sequence),
-		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()),
+		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{},
+	}
+	for holder, other := range p.spare {
+		if holder != s.holder {
+			p.pending.Spare[holder] = other
+		}
+	}
+	if spare > 0 {
+		p.pending.Spare[s.holder] = spare
 	}
 	// The type has only numbers and strings, so encoding cannot fail.
 	value, _ := json.Marshal(p.pending)
@@ -238,7 +268,7 @@
 	}
 	unused := p.left
 	p.left = 0
-	s.grant(name, p, -unused, true)
+	s.grant(name, p, -unused, 0, true)
 }
 
 func (s *State) written(m Written) {
@@ -266,8 +296,8 @@
 // already been taken off what is left.
 func (s *State) own(p *program, version int64) {
 	p.left += max(0, p.pending.Granted-p.granted)
-	p.granted, p.version, p.known, p.fresh = p.pending.Granted, version, true, true
-	p.pending = nil
+	p.granted, p.version, p.spare = p.pending.Granted, version, p.pending.Spare
+	p.known, p.fresh, p.pending = true, true, nil
 }
 
 // undo forgets a pending row that was certainly not written; tokens that it was to
@@ -296,7 +326,8 @@
 		}
 		p.pending = nil
 	}
-	p.granted, p.version, p.known, p.fresh = stored.Granted, version, true, true
+	p.granted, p.version, p.spare = stored.Granted, version, stored.Spare
+	p.known, p.fresh = true, true
 }
 
 // refuse answers all waiters that the grant does not hold.
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -110,7 +110,7 @@
 			d.callers.setLimits(c.Limits)
 		},
 		dispatch: func(m dispatcher.Message) { d.receiver.Decide(m) },
-		targets:  d.publishTargets,
+		targets:  d.publishTargets, reached: d.recorder.Reached,
 	}
 	return d
 }
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -15,6 +15,8 @@
 	// feedWait is how long a feed waits for a change. A connection that has gone silent
 	// shows after that, within the time in which changes must be in force.
 	feedWait = 1500 * time.Millisecond
+	// lostFeedWait applies until a feed has been answered again.
+	lostFeedWait = 20 * time.Millisecond
 	// listTimeout bounds the reading of a whole table.
 	listTimeout = time.Second
 	// feedPause is the pause after a failure, doubled up to longestFeedPause.
@@ -44,6 +46,8 @@
 	// whole gets all rows of the table, changed those that have changed since.
 	whole   func(rows []provider.VersionedRow)
 	changed func(rows []provider.VersionedRow)
+	// answered is told of each answer.
+	answered func()
 	// reach is told when the table cannot be read, and when it can be read again.
 	reach func(ok bool)
 }
@@ -118,10 +122,16 @@
 }
 
 func (f *feed) follow(ctx context.Context) error {
-	page, err := f.store.Feed(ctx, f.table, f.version, feedWait)
+	wait := feedWait
+	if f.lost {
+		// A short wait shows soon that the store is back.
+		wait = lostFeedWait
+	}
+	page, err := f.store.Feed(ctx, f.table, f.version, wait)
 	if err != nil {
 		return err
 	}
+	f.answered()
 	f.version = max(f.version, page.Version)
 	if len(page.Rows) > 0 {
 		f.changed(page.Rows)
@@ -141,6 +151,8 @@
 	// targets publishes the IDs in use, for the pool of connections.
 	targets func(ids map[string]follower.Target)
 	beliefs *beliefs
+	// reached is told when the store answers.
+	reached func()
 }
 
 func (c *control) run(ctx context.Context) {
@@ -207,7 +219,7 @@
 	}
 	return &feed{
 		store: store, table: c.catalog.ConfigurationTable(), log: c.log, whole: take, changed: take,
-		reach: func(bool) {},
+		reach: func(bool) {}, answered: c.reached,
 	}
 }
 
@@ -221,7 +233,7 @@
 		return t, err == nil
 	}
 	return &feed{
-		store: store, table: c.catalog.TargetTable(), log: c.log,
+		store: store, table: c.catalog.TargetTable(), log: c.log, answered: c.reached,
 		whole: func(rows []provider.VersionedRow) {
 			targets := make([]follower.Target, 0, len(rows))
 			for i := range rows {
--- a/batcher/message.go
+++ b/batcher/message.go
@@ -49,6 +49,9 @@
 	Kind  provider.Kind
 }
 
+// Reached says that another call to the store was answered.
+type Reached struct{}
+
 // Tick lets time pass: deadlines end and pauses are over.
 type Tick struct{}
 
@@ -56,6 +59,7 @@
 func (Applied) message()    {}
 func (Conflicted) message() {}
 func (Failed) message()     {}
+func (Reached) message()    {}
 func (Tick) message()       {}
 
 // Command is an output of State.
--- a/batcher/state.go
+++ b/batcher/state.go
@@ -15,9 +15,11 @@
 	MaxBytes   int
 	// MaxFlights is the number of transactions under way at once.
 	MaxFlights int
-	// MinTimeout and MaxTimeout bound the time that an answer is waited for.
-	MinTimeout time.Duration
-	MaxTimeout time.Duration
+	// FirstTimeout applies until an answer has been timed; MinTimeout and MaxTimeout
+	// bound the time that an answer is waited for.
+	FirstTimeout time.Duration
+	MinTimeout   time.Duration
+	MaxTimeout   time.Duration
 	// FirstPause and LongestPause bound the pause after a failed transaction.
 	FirstPause   time.Duration
 	LongestPause time.Duration
@@ -33,7 +35,7 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxEntries: 96, MaxBytes: 600_000, MaxFlights: 3,
-		MinTimeout: 150 * time.Millisecond, MaxTimeout: 1500 * time.Millisecond,
+		FirstTimeout: 400 * time.Millisecond, MinTimeout: 150 * time.Millisecond, MaxTimeout: 1200 * time.Millisecond,
 		FirstPause: 40 * time.Millisecond, LongestPause: 320 * time.Millisecond,
 		DownAfter: 250 * time.Millisecond, Seed: 1,
 	}
@@ -66,7 +68,7 @@
 func New(options Options) *State {
 	return &State{
 		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)),
-		flights: map[uint64]*flight{}, timeout: options.MaxTimeout,
+		flights: map[uint64]*flight{}, timeout: options.FirstTimeout,
 	}
 }
 
@@ -88,6 +90,8 @@
 		s.conflicted(now, m)
 	case Failed:
 		s.failed(now, m)
+	case Reached:
+		s.recover()
 	case Tick:
 		s.expire(now)
 	}
@@ -107,11 +111,7 @@
 
 // answered notes that the store has answered, and how fast.
 func (s *State) answered(now time.Time, f *flight) {
-	s.failures, s.pause, s.resume = 0, 0, time.Time{}
-	if s.down {
-		s.down = false
-		s.emit(StoreChanged{Up: true})
-	}
+	s.recover()
 	took := now.Sub(f.sent)
 	if s.smoothed == 0 {
 		s.smoothed = took
@@ -120,6 +120,16 @@
 	s.timeout = min(max(4*s.smoothed, s.options.MinTimeout), s.options.MaxTimeout)
 }
 
+// recover ends the pause after failures. If writes still fail, the store counts as down
+// again soon.
+func (s *State) recover() {
+	s.failures, s.pause, s.resume = 0, 0, time.Time{}
+	if s.down {
+		s.down = false
+		s.emit(StoreChanged{Up: true})
+	}
+}
+
 func (s *State) applied(now time.Time, m Applied) {
 	f := s.land(m.Batch)
 	if f == nil {
@@ -244,10 +254,13 @@
 	}
 }
 
-// flightLimit lets one transaction at a time probe a store that fails.
+// probeFlights is the number of transactions under way before a store that fails: a
+// second one finds out that the store is back while the first one still hangs.
+const probeFlights = 2
+
 func (s *State) flightLimit() int {
 	if s.failures > 0 {
-		return 1
+		return probeFlights
 	}
 	return s.options.MaxFlights
 }
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -16,4 +16,12 @@
 
 	// Rises by 1 with each write of the holder.
 	Sequence int `json:"sequence"`
+
+	// Tokens that holders had been granted beyond the turns that they ran, by the
+	// holders' names. A budget is only spent when nobody has spare tokens.
+	Spare ProgramBudgetSpare `json:"spare,omitempty,omitzero"`
 }
+
+// Tokens that holders had been granted beyond the turns that they ran, by the
+// holders' names. A budget is only spent when nobody has spare tokens.
+type ProgramBudgetSpare map[string]int
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -30,7 +30,7 @@
 	runs int
 	// targets are those that may have run the call and are still there.
 	targets []string
-	last   error
+	last    error
 }
 
 // run sends the call to targets until one answers it.
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -13,11 +13,16 @@
 	// ChainPatience bounds the time for which a chain is read from the store.
 	ChainPatience time.Duration
 	// CommitPatience bounds the time for which the end of a stream waits for the store;
-	// callers leave a silent stream after two seconds.
+	// callers leave a silent stream after two seconds. CommitMargin is kept before the
+	// caller's deadline, so that the broken end still reaches it.
 	CommitPatience time.Duration
-	// StoreRetryAfter is when a caller may come back after a refusal because of the
-	// store; up to as much again is added at random.
+	CommitMargin   time.Duration
+	// StoreRetryAfter is the earliest that a caller may come back after a refusal because
+	// of the store.
 	StoreRetryAfter time.Duration
+	// ContendedRetryAfter is when a caller may come back while another daemon returns
+	// tokens that its program needs.
+	ContendedRetryAfter time.Duration
 	// StartRetryAfter is when a caller may come back to a daemon that knows no
 	// configuration yet.
 	StartRetryAfter time.Duration
@@ -37,8 +42,10 @@
 	return Options{
 		DefaultDeadline: 30 * time.Second, DefaultTokens: 1024, MaxRefusals: 4,
 		ChainPatience: 900 * time.Millisecond, CommitPatience: 2200 * time.Millisecond,
-		StoreRetryAfter: 500 * time.Millisecond, StartRetryAfter: 400 * time.Millisecond,
-		SilenceFactor: 6, ShortestSilence: 700 * time.Millisecond,
+		CommitMargin:    60 * time.Millisecond,
+		StoreRetryAfter: 300 * time.Millisecond, ContendedRetryAfter: 250 * time.Millisecond,
+		StartRetryAfter: 400 * time.Millisecond,
+		SilenceFactor:   6, ShortestSilence: 700 * time.Millisecond,
 		MaxBodyBytes: 4 << 20, WholeAnswerBytes: 1 << 20,
 	}
 }
--- a/receiver/relay.go
+++ b/receiver/relay.go
@@ -176,7 +176,8 @@
 	if !v.route.KeepsHistory || v.call.ID == "" {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(v.request.Context(), v.receiver.options.CommitPatience)
+	patience := min(v.receiver.options.CommitPatience, v.left()-v.receiver.options.CommitMargin)
+	ctx, cancel := context.WithTimeout(v.request.Context(), patience)
 	defer cancel()
 	text := make([]byte, 0, len(v.input)+len(v.output))
 	text = append(append(text, v.input...), v.output...)
--- a/receiver/visit.go
+++ b/receiver/visit.go
@@ -177,9 +177,12 @@
 	return nil
 }
 
+// storeRetryAfter is when a caller may come back after a refusal because of the store.
+// Outages last for seconds, and callers wait for at most a third of their time: coming
+// back late finds the store up more often. Jitter keeps them apart.
 func (v *visit) storeRetryAfter() time.Duration {
-	wait := v.receiver.options.StoreRetryAfter
-	return wait + rand.N(wait)
+	wait := max(v.left()/3, v.receiver.options.StoreRetryAfter)
+	return wait - rand.N(wait/8+1)
 }
 
 // reserve takes the tokens of the turn from the program's budget.
@@ -201,6 +204,8 @@
 		return nil
 	case accountant.Spent:
 		return v.refuse(http.StatusPaymentRequired, "budgetSpent", 0, nil)
+	case accountant.Contended:
+		return v.refuse(http.StatusServiceUnavailable, "budgetContended", v.receiver.options.ContendedRetryAfter, nil)
 	}
 	return v.refuse(http.StatusServiceUnavailable, "budgetUnavailable", v.storeRetryAfter(), nil)
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -170,12 +170,18 @@
 		case accountant.Write:
 			r.writeBudget(ctx, now, c)
 		case accountant.Read:
-			r.readBudget(ctx, c.Program)
+			r.readBudget(ctx, now, c.Program)
 		}
 	}
 }
 
+// writeBudget queues the row of a budget. While the store is down nothing is sent, so
+// that the turns that wait for it are refused at once.
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
+	if !r.batches.Up() {
+		r.runBudgets(ctx, now, accountant.Written{Program: c.Program, Kind: provider.KindUnavailable})
+		return
+	}
 	ticket := batcher.Ticket(r.tickets.Add(1))
 	r.grants[ticket] = c.Program
 	patience := budgetPatience
@@ -192,7 +198,11 @@
 	}})
 }
 
-func (r *Recorder) readBudget(ctx context.Context, program string) {
+func (r *Recorder) readBudget(ctx context.Context, now time.Time, program string) {
+	if !r.batches.Up() {
+		r.runBudgets(ctx, now, accountant.Loaded{Program: program, Kind: provider.KindUnavailable})
+		return
+	}
 	r.tasks.Go(func() {
 		ctx, cancel := context.WithTimeout(ctx, budgetPatience)
 		defer cancel()
@@ -271,6 +281,18 @@
 	}
 }
 
+// Reached tells the recorder that the store has answered another call.
+func (r *Recorder) Reached() {
+	if r.Up() {
+		return
+	}
+	select {
+	case r.inbox <- batchMessage{batcher.Reached{}}:
+	default:
+		// The inbox is full of work that finds out by itself.
+	}
+}
+
 // Reserve asks for the tokens of one turn. Every admitted turn ends with Finish.
 func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int) accountant.Decide {
 	ticket := accountant.Ticket(r.tickets.Add(1))
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -66,6 +66,9 @@
 		if missing == "" {
 			return turns, nil
 		}
+		if !r.Up() {
+			return nil, NewError(operation, KindUnavailable, errors.New("the store is down"))
+		}
 		turn, err := r.load(ctx, missing)
 		if err != nil {
 			return nil, err
