Reach the store through another daemon while the own path to it is cut

Ruled out: an outage of the store, the other daemons wrote all the while. Change: daemons list themselves in the store; one whose direct calls fail asks others and sends its calls through one that reaches the store; one that reaches nobody says that it is not ready and sends its callers on with a short Retry-After.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -19,9 +19,12 @@
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/receiver"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
+	"github.com/dogwoodweir/dogwoodweir/registrar"
+	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
 
 const (
@@ -35,6 +38,10 @@
 	lingerTime = 2200 * time.Millisecond
 	// stopMargin is kept between the end of the daemon and the end of its grace time.
 	stopMargin = 400 * time.Millisecond
+	// peerSilence ends a connection to another daemon on which an answer is overdue.
+	peerSilence = time.Second
+	// peerDialTimeout bounds the opening of one.
+	peerDialTimeout = 300 * time.Millisecond
 	// sweepInterval is the interval at which idle connections are looked through.
 	sweepInterval = time.Second
 	// controlInbox holds the changes of a burst.
@@ -75,6 +82,9 @@
 	settings  Settings
 	adapter   Adapter
 	log       *zap.Logger
+	links     *messenger.Messenger
+	registrar *registrar.Registrar
+	store     *relayer.Store
 	metrics   *metrics
 	beliefs   *beliefs
 	forwarder *forwarder.Forwarder
@@ -88,10 +98,19 @@
 // New returns a daemon that has not started.
 func New(settings Settings, adapter Adapter, log *zap.Logger) *Daemon {
 	d := &Daemon{settings: settings, adapter: adapter, log: log, beliefs: &beliefs{}, metrics: newMetrics(settings)}
+	d.links = messenger.New(messenger.Settings{
+		Host: settings.Host, Silence: peerSilence, DialTimeout: peerDialTimeout,
+	}, peerHandler{daemon: d}, log)
+	own := registrar.Entry{
+		Host: settings.Host, Address: settings.PeerAddress, Domain: settings.Domain, Region: settings.Region,
+	}
+	d.store = relayer.New(adapter.Store, d.links, func() []messenger.Peer { return d.registrar.Peers() },
+		relayer.DefaultOptions(), log)
+	d.registrar = registrar.New(d.store, own, log)
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batching := batcher.DefaultOptions()
 	batching.Seed = seed
-	d.recorder = recorder.New(adapter.Store, recorder.Options{
+	d.recorder = recorder.New(d.store, recorder.Options{
 		Batcher: batching, Accountant: accountant.DefaultOptions(), Holder: uuid.NewString(),
 		CacheBytes: int(cacheShare * float64(settings.MemoryBytes)), RowBytes: settings.Store.RowBytes,
 	}, log)
@@ -100,6 +119,7 @@
 	d.receiver = receiver.New(receiver.Parts{
 		Dialect: adapter.Dialect, Forwarder: d.forwarder, Recorder: d.recorder,
 		Journal: newJournal(log, d.metrics), Clock: bootClock{},
+		Alone: func() bool { return d.store.Reach() == relayer.Alone },
 	}, dispatcher.New(dispatcher.DefaultOptions(), place, seed), receiver.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
 	d.control = &control{
@@ -133,20 +153,29 @@
 	if err != nil {
 		return errors.Join(err, callers.Close())
 	}
+	peers, err := listen(d.settings.PeerAddress)
+	if err != nil {
+		return errors.Join(err, callers.Close(), ready.Close())
+	}
 	d.log.Info("start", zap.String("host", d.settings.Host), zap.String("domain", d.settings.Domain),
 		zap.String("callers", d.settings.CallerAddress), zap.String("store", d.settings.Store.Address))
 	// The background work outlives the callers' server, which needs it to finish.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.Sweep, d.control.run, d.control.configurationFeed(background, d.adapter.Store).run,
-		d.control.targetFeed(background, d.adapter.Store).run, d.sweep,
+		d.recorder.Run, d.recorder.Sweep, d.control.run, d.control.configurationFeed(background, d.store).run,
+		d.control.targetFeed(background, d.store).run, d.sweep, d.registrar.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
 	readyServer := &http.Server{Handler: d.readiness(), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { d.serve("readiness", readyServer, ready) })
 	metricsServer := d.serveMetrics(&tasks)
+	tasks.Go(func() {
+		if err := d.links.Serve(peers); err != nil {
+			d.log.Error("listener failed", zap.String("listener", "peers"), zap.Error(err))
+		}
+	})
 	tasks.Go(func() { d.callers.serve(callers) })
 
 	<-ctx.Done()
@@ -158,6 +187,7 @@
 		_ = metricsServer.Close()
 	}
 	_ = d.callers.close()
+	d.links.Close()
 	tasks.Wait()
 	d.log.Info("stopped", zap.String("host", d.settings.Host))
 	return nil
@@ -179,10 +209,14 @@
 	d.log.Info("callers finished", zap.Int64("serving", d.receiver.Serving()), zap.Duration("took", time.Since(began)))
 }
 
+// reachable reports whether the store can be reached, or nobody reaches it. A daemon that
+// alone has lost its way leaves its callers to the others.
+func (d *Daemon) reachable() bool { return d.store.Reach() != relayer.Alone }
+
 func (d *Daemon) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+d.adapter.Dialect.ReadyPath(), func(w http.ResponseWriter, _ *http.Request) {
-		if !d.beliefs.ready() {
+		if !d.beliefs.ready() || !d.reachable() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- /dev/null
+++ b/assembler/peers.go
@@ -0,0 +1,32 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+)
+
+// errMethod answers a method that this daemon does not serve.
+var errMethod = errors.New("unknown method")
+
+// peerHandler serves the requests of other daemons.
+type peerHandler struct{ daemon *Daemon }
+
+// Handle implements messenger.Handler.
+func (h peerHandler) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
+	result, handled, err := h.daemon.store.Handle(ctx, method, params)
+	if !handled {
+		return nil, errMethod
+	}
+	return result, err
+}
+
+// HandleCall implements messenger.Handler. Entry daemons forward no calls to each other.
+func (h peerHandler) HandleCall(
+	context.Context, string, encoder.ForwardedCall, messenger.Emit,
+) (encoder.CallResult, error) {
+	return encoder.CallResult{}, errMethod
+}
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -14,6 +14,8 @@
 	CallerAddress  string
 	ReadyAddress   string
 	ControlAddress string
+	// PeerAddress is for other daemons.
+	PeerAddress string
 	// MetricsPort serves metrics on the callers' IP address; 0 for none.
 	MetricsPort int
 	// MemoryBytes is the limit of the process; Descriptors that of its open files.
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -233,6 +233,21 @@
 	Digest string `json:"digest"`
 }
 
+// The value of a daemon's row in the list of daemons.
+type PeerEntry struct {
+	// Address for connections of other daemons.
+	Address string `json:"address"`
+
+	// Domain corresponds to the JSON schema field "domain".
+	Domain string `json:"domain"`
+
+	// Unix time in seconds from which the row may be removed.
+	ExpiresAt int `json:"expiresAt"`
+
+	// Region corresponds to the JSON schema field "region".
+	Region string `json:"region"`
+}
+
 // Question on a new connection whether the host answers.
 type Probe struct {
 	// Host that asks.
@@ -290,3 +305,82 @@
 	// Name of the host, target or failure domain.
 	Subject string `json:"subject"`
 }
+
+// Answer to StoreChange and StoreRange.
+type StoreAnswer struct {
+	// Kind of the error, "none" for success.
+	Kind string `json:"kind"`
+
+	// More corresponds to the JSON schema field "more".
+	More bool `json:"more,omitempty,omitzero"`
+
+	// Rows read, or current rows of failed conditions.
+	Rows []StoredRow `json:"rows,omitempty,omitzero"`
+
+	// Version corresponds to the JSON schema field "version".
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// A transaction of the store that a peer is asked to run.
+type StoreChange struct {
+	// Rows with the versions that they must have.
+	Conditions []StoredRow `json:"conditions,omitempty,omitzero"`
+
+	// Rows to be removed.
+	Deletes []StoredRow `json:"deletes,omitempty,omitzero"`
+
+	// Time in milliseconds after which the sender no longer waits.
+	TimeoutMs int `json:"timeoutMs"`
+
+	// Rows to be set.
+	Writes []StoredRow `json:"writes,omitempty,omitzero"`
+}
+
+// A range of rows that a peer is asked to read.
+type StoreRange struct {
+	// From corresponds to the JSON schema field "from".
+	From string `json:"from,omitempty,omitzero"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit int `json:"limit,omitempty,omitzero"`
+
+	// Part corresponds to the JSON schema field "part".
+	Part string `json:"part"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table string `json:"table"`
+
+	// Time in milliseconds after which the sender no longer waits.
+	TimeoutMs int `json:"timeoutMs"`
+
+	// To corresponds to the JSON schema field "to".
+	To string `json:"to,omitempty,omitzero"`
+}
+
+// Whether the sender reaches the store itself.
+type StoreState struct {
+	// Up corresponds to the JSON schema field "up".
+	Up bool `json:"up"`
+}
+
+// A row of the platform's store.
+type StoredRow struct {
+	// Deleted corresponds to the JSON schema field "deleted".
+	Deleted bool `json:"deleted,omitempty,omitzero"`
+
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Part corresponds to the JSON schema field "part".
+	Part string `json:"part"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table string `json:"table"`
+
+	// Value in base64.
+	Value []byte `json:"value"`
+
+	// Version of the row, or the one that it must have; 0 means that it does not
+	// exist.
+	Version int `json:"version,omitempty,omitzero"`
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -25,6 +25,9 @@
 	MethodCancelCall  = "cancelCall"
 	MethodHandover    = "handover"
 	MethodLeaving     = "leaving"
+	MethodStoreState  = "storeState"
+	MethodStoreApply  = "storeApply"
+	MethodStoreRange  = "storeRange"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -20,6 +20,8 @@
 	// StoreRetryAfter is the earliest that a caller may come back after a refusal because
 	// of the store.
 	StoreRetryAfter time.Duration
+	// OtherDaemonRetryAfter is when a caller may come back to another daemon.
+	OtherDaemonRetryAfter time.Duration
 	// ContendedRetryAfter is when a caller may come back while another daemon returns
 	// tokens that its program needs.
 	ContendedRetryAfter time.Duration
@@ -43,9 +45,10 @@
 		DefaultDeadline: 30 * time.Second, DefaultTokens: 1024, MaxRefusals: 4,
 		ChainPatience: 900 * time.Millisecond, CommitPatience: 2200 * time.Millisecond,
 		CommitMargin:    60 * time.Millisecond,
-		StoreRetryAfter: 300 * time.Millisecond, ContendedRetryAfter: 250 * time.Millisecond,
-		StartRetryAfter: 400 * time.Millisecond,
-		SilenceFactor:   6, ShortestSilence: 700 * time.Millisecond,
+		StoreRetryAfter: 300 * time.Millisecond, OtherDaemonRetryAfter: 60 * time.Millisecond,
+		ContendedRetryAfter: 250 * time.Millisecond,
+		StartRetryAfter:     400 * time.Millisecond,
+		SilenceFactor:       6, ShortestSilence: 700 * time.Millisecond,
 		MaxBodyBytes: 4 << 20, WholeAnswerBytes: 1 << 20,
 	}
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -64,6 +64,8 @@
 	Forwarder *forwarder.Forwarder
 	Recorder  Recorder
 	Journal   Journal
+	// Alone reports that this daemon has lost the store while others may reach it.
+	Alone func() bool
 	// Clock counts the time for which the host is suspended.
 	Clock provider.Clock
 }
--- a/receiver/visit.go
+++ b/receiver/visit.go
@@ -182,6 +182,11 @@
 // back late finds the store up more often. Jitter keeps them apart.
 func (v *visit) storeRetryAfter() time.Duration {
 	wait := max(v.left()/3, v.receiver.options.StoreRetryAfter)
+	if v.receiver.parts.Alone() {
+		// The caller's next connection goes to another daemon.
+		wait = v.receiver.options.OtherDaemonRetryAfter
+		v.writer.Header().Set("Connection", "close")
+	}
 	return wait - rand.N(wait/8+1)
 }
 
--- /dev/null
+++ b/relayer/state.go
@@ -0,0 +1,141 @@
+package relayer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Reach says how the store can be reached.
+type Reach int
+
+const (
+	// Direct means that the store answers this daemon.
+	Direct Reach = iota
+	// Relayed means that the store answers another daemon that can be reached.
+	Relayed
+	// Outage means that other daemons can be reached and that none reaches the store.
+	Outage
+	// Alone means that neither the store nor another daemon can be reached.
+	Alone
+)
+
+// String returns the reach's name in logs.
+func (r Reach) String() string { return [...]string{"direct", "relayed", "outage", "alone"}[r] }
+
+// Options configure a State.
+type Options struct {
+	// LostAfter is the time without an answer, from the first failure, after which the
+	// direct path counts as lost.
+	LostAfter time.Duration
+	// AskInterval is the interval at which other daemons are asked while it is lost.
+	AskInterval time.Duration
+	// AskTimeout bounds one question.
+	AskTimeout time.Duration
+	// BelieveFor is how long an answer is believed.
+	BelieveFor time.Duration
+	// MaxAsked bounds the daemons that are asked at once.
+	MaxAsked int
+}
+
+// DefaultOptions returns the options of a daemon.
+func DefaultOptions() Options {
+	return Options{
+		LostAfter: 200 * time.Millisecond, AskInterval: 300 * time.Millisecond, AskTimeout: 250 * time.Millisecond,
+		BelieveFor: time.Second, MaxAsked: 8,
+	}
+}
+
+// Message is an input of State.
+type Message interface{ message() }
+
+// Answered says that the store has answered this daemon.
+type Answered struct{}
+
+// Failed says that a direct call was refused or not answered.
+type Failed struct{}
+
+// PeerSaid is the answer of another daemon to the question whether it reaches the store.
+type PeerSaid struct {
+	Host string
+	// Up is false also when there was no answer; Heard tells the two apart.
+	Up    bool
+	Heard bool
+}
+
+func (Answered) message() {}
+func (Failed) message()   {}
+func (PeerSaid) message() {}
+
+// said is what another daemon answered last.
+type said struct {
+	up bool
+	at time.Time
+}
+
+// State is what is known about the ways to the store. It is not safe for concurrent use.
+type State struct {
+	options Options
+	// failing is the time of the first failure since the last answer.
+	failing time.Time
+	asked   time.Time
+	peers   map[string]said
+}
+
+// New returns a state that takes the direct path to be good.
+func newState(options Options) *State { return &State{options: options, peers: map[string]said{}} }
+
+// Update applies a message. It reports whether other daemons are to be asked now.
+func (s *State) Update(now time.Time, message Message) (ask bool) {
+	switch m := message.(type) {
+	case Answered:
+		s.failing = time.Time{}
+	case Failed:
+		if s.failing.IsZero() {
+			s.failing = now
+		}
+	case PeerSaid:
+		if m.Heard {
+			s.peers[m.Host] = said{up: m.Up, at: now}
+		} else {
+			delete(s.peers, m.Host)
+		}
+	}
+	if s.lost(now) && now.Sub(s.asked) >= s.options.AskInterval {
+		s.asked = now
+		return true
+	}
+	return false
+}
+
+func (s *State) lost(now time.Time) bool {
+	return !s.failing.IsZero() && now.Sub(s.failing) >= s.options.LostAfter
+}
+
+// reach returns how the store can be reached, and the daemon that relays.
+func (s *State) reach(now time.Time) (Reach, string) {
+	if !s.lost(now) {
+		return Direct, ""
+	}
+	heard := false
+	var up []string
+	for host, p := range s.peers {
+		if now.Sub(p.at) > s.options.BelieveFor {
+			continue
+		}
+		heard = true
+		if p.up {
+			up = append(up, host)
+		}
+	}
+	switch {
+	case len(up) > 0:
+		// The daemon that answered last is the most likely to answer again.
+		return Relayed, slices.MaxFunc(up, func(a, b string) int {
+			return cmp.Or(s.peers[a].at.Compare(s.peers[b].at), cmp.Compare(a, b))
+		})
+	case heard:
+		return Outage, ""
+	}
+	return Alone, ""
+}
--- /dev/null
+++ b/relayer/store.go
@@ -0,0 +1,204 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Peers lists the other daemons, nearest first.
+type Peers func() []messenger.Peer
+
+// Store is the platform's store, reached directly or through another daemon. It is safe
+// for concurrent use.
+type Store struct {
+	direct  provider.RowStore
+	links   *messenger.Messenger
+	peers   Peers
+	options Options
+	log     *zap.Logger
+	mutex   sync.Mutex
+	state   *State
+	last    Reach
+}
+
+// New returns a store that uses the direct path.
+func New(direct provider.RowStore, links *messenger.Messenger, peers Peers, options Options, log *zap.Logger) *Store {
+	return &Store{direct: direct, links: links, peers: peers, options: options, log: log, state: newState(options)}
+}
+
+// Reach returns how the store can be reached.
+func (s *Store) Reach() Reach {
+	reach, _ := s.route()
+	return reach
+}
+
+func (s *Store) route() (Reach, string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.reach(time.Now())
+}
+
+// note records what became of a direct call.
+func (s *Store) note(err error) {
+	if answered(err) {
+		s.update(Answered{})
+		return
+	}
+	s.update(Failed{})
+}
+
+// answered reports whether an error is an answer of a store that works.
+func answered(err error) bool {
+	switch provider.KindOf(err) {
+	case provider.KindUnavailable, provider.KindUnknown:
+		return false
+	}
+	return true
+}
+
+func (s *Store) update(m Message) {
+	s.mutex.Lock()
+	now := time.Now()
+	ask := s.state.Update(now, m)
+	reach, peer := s.state.reach(now)
+	changed := reach != s.last
+	s.last = reach
+	s.mutex.Unlock()
+	if changed {
+		s.log.Info("way to the store", zap.Stringer("reach", reach), zap.String("peer", peer))
+	}
+	if ask {
+		s.ask()
+	}
+}
+
+// ask asks some of the other daemons whether they reach the store: the nearest, and
+// others at random.
+func (s *Store) ask() {
+	peers := s.peers()
+	if len(peers) > s.options.MaxAsked {
+		near := s.options.MaxAsked / 2
+		rand.Shuffle(len(peers)-near, func(i, j int) { peers[near+i], peers[near+j] = peers[near+j], peers[near+i] })
+		peers = peers[:s.options.MaxAsked]
+	}
+	for _, peer := range peers {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), s.options.AskTimeout)
+			defer cancel()
+			said, err := messenger.Call[encoder.StoreState](ctx, s.links, peer, messenger.MethodStoreState, encoder.StoreState{})
+			s.update(PeerSaid{Host: peer.Host, Up: err == nil && said.Up, Heard: err == nil})
+		}()
+	}
+}
+
+func (s *Store) find(host string) (messenger.Peer, bool) {
+	for _, p := range s.peers() {
+		if p.Host == host {
+			return p, true
+		}
+	}
+	return messenger.Peer{}, false
+}
+
+// Apply implements provider.RowStore.
+func (s *Store) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
+	if reach, host := s.route(); reach == Relayed {
+		answer, err := s.relay(ctx, host, messenger.MethodStoreApply, encodeChange(ctx, &t))
+		if err != nil {
+			return 0, err
+		}
+		return int64(answer.Version), decodeError("store.apply", &answer)
+	}
+	version, err := s.direct.Apply(ctx, t)
+	s.note(err)
+	return version, err
+}
+
+// Range implements provider.RowStore.
+func (s *Store) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
+	if reach, host := s.route(); reach == Relayed {
+		answer, err := s.relay(ctx, host, messenger.MethodStoreRange, encodeRange(ctx, &r))
+		if err == nil {
+			err = decodeError("store.range", &answer)
+		}
+		if err != nil {
+			return provider.RowPage{}, err
+		}
+		return provider.RowPage{Rows: decodeRows(answer.Rows), More: answer.More, Version: int64(answer.Version)}, nil
+	}
+	page, err := s.direct.Range(ctx, r)
+	s.note(err)
+	return page, err
+}
+
+// Parts implements provider.RowStore.
+func (s *Store) Parts(ctx context.Context, table, after string) ([]string, error) {
+	return s.direct.Parts(ctx, table, after)
+}
+
+// Feed implements provider.RowStore. It always takes the direct way, and so finds out
+// when that is open again.
+func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	page, err := s.direct.Feed(ctx, table, after, wait)
+	s.note(err)
+	return page, err
+}
+
+// relay sends a call of the store to another daemon.
+func (s *Store) relay(ctx context.Context, host, method string, params any) (encoder.StoreAnswer, error) {
+	peer, ok := s.find(host)
+	if !ok {
+		s.update(PeerSaid{Host: host})
+		return encoder.StoreAnswer{}, provider.NewError("store.relay", provider.KindUnavailable, errors.New("the relaying daemon has gone"))
+	}
+	answer, err := messenger.Call[encoder.StoreAnswer](ctx, s.links, peer, method, params)
+	if err != nil {
+		s.update(PeerSaid{Host: host})
+		kind := provider.KindUnknown
+		if messenger.KindOf(err).NotSent() {
+			kind = provider.KindUnavailable
+		}
+		return answer, provider.NewError("store.relay", kind, err)
+	}
+	return answer, nil
+}
+
+// Handle serves the questions and calls of other daemons. It reports whether the method
+// is one of them.
+func (s *Store) Handle(ctx context.Context, method string, params json.RawMessage) (any, bool, error) {
+	switch method {
+	case messenger.MethodStoreState:
+		return encoder.StoreState{Up: s.Reach() == Direct}, true, nil
+	case messenger.MethodStoreApply:
+		var change encoder.StoreChange
+		if err := json.Unmarshal(params, &change); err != nil {
+			return nil, true, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(change.TimeoutMs)*time.Millisecond)
+		defer cancel()
+		version, err := s.direct.Apply(ctx, decodeChange(&change))
+		s.note(err)
+		return encodeAnswer(provider.RowPage{Version: version}, err), true, nil
+	case messenger.MethodStoreRange:
+		var r encoder.StoreRange
+		if err := json.Unmarshal(params, &r); err != nil {
+			return nil, true, err
+		}
+		ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMs)*time.Millisecond)
+		defer cancel()
+		page, err := s.direct.Range(ctx, decodeRange(&r))
+		s.note(err)
+		return encodeAnswer(page, err), true, nil
+	}
+	return nil, false, nil
+}
--- /dev/null
+++ b/relayer/translate.go
@@ -0,0 +1,110 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+const (
+	// relayMargin is kept for the way between daemons.
+	relayMargin = 20 * time.Millisecond
+	// relayTimeout applies to calls without a deadline.
+	relayTimeout = time.Second
+)
+
+// timeoutOf returns the time that a peer may take, in milliseconds.
+func timeoutOf(ctx context.Context) int {
+	left := relayTimeout
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline) - relayMargin
+	}
+	return int(max(left, time.Millisecond).Milliseconds())
+}
+
+func encodeRow(k provider.RowKey, version int64, value []byte) encoder.StoredRow {
+	return encoder.StoredRow{Table: k.Table, Part: k.Part, Key: k.Key, Version: int(version), Value: value}
+}
+
+func keyOf(r *encoder.StoredRow) provider.RowKey {
+	return provider.RowKey{Table: r.Table, Part: r.Part, Key: r.Key}
+}
+
+func encodeChange(ctx context.Context, t *provider.RowTransaction) encoder.StoreChange {
+	change := encoder.StoreChange{TimeoutMs: timeoutOf(ctx)}
+	for _, c := range t.Conditions {
+		change.Conditions = append(change.Conditions, encodeRow(c.RowKey, c.Version, nil))
+	}
+	for _, w := range t.Writes {
+		change.Writes = append(change.Writes, encodeRow(w.RowKey, 0, w.Value))
+	}
+	for _, k := range t.Deletes {
+		change.Deletes = append(change.Deletes, encodeRow(k, 0, nil))
+	}
+	return change
+}
+
+func decodeChange(change *encoder.StoreChange) provider.RowTransaction {
+	var t provider.RowTransaction
+	for i := range change.Conditions {
+		row := &change.Conditions[i]
+		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: keyOf(row), Version: int64(row.Version)})
+	}
+	for i := range change.Writes {
+		row := &change.Writes[i]
+		t.Writes = append(t.Writes, provider.RowWrite{RowKey: keyOf(row), Value: row.Value})
+	}
+	for i := range change.Deletes {
+		t.Deletes = append(t.Deletes, keyOf(&change.Deletes[i]))
+	}
+	return t
+}
+
+func encodeRange(ctx context.Context, r *provider.RowRange) encoder.StoreRange {
+	return encoder.StoreRange{
+		Table: r.Table, Part: r.Part, From: r.From, To: r.To, Limit: r.Limit, TimeoutMs: timeoutOf(ctx),
+	}
+}
+
+func decodeRange(r *encoder.StoreRange) provider.RowRange {
+	return provider.RowRange{Table: r.Table, Part: r.Part, From: r.From, To: r.To, Limit: r.Limit}
+}
+
+func encodeAnswer(page provider.RowPage, err error) encoder.StoreAnswer {
+	answer := encoder.StoreAnswer{Kind: provider.KindOf(err).String(), More: page.More, Version: int(page.Version)}
+	rows := page.Rows
+	var conflict *provider.RowConflict
+	if errors.As(err, &conflict) {
+		rows = conflict.Rows
+	}
+	for i := range rows {
+		row := encodeRow(rows[i].RowKey, rows[i].Version, rows[i].Value)
+		row.Deleted = rows[i].Deleted
+		answer.Rows = append(answer.Rows, row)
+	}
+	return answer
+}
+
+func decodeRows(rows []encoder.StoredRow) []provider.VersionedRow {
+	decoded := make([]provider.VersionedRow, len(rows))
+	for i := range rows {
+		decoded[i] = provider.VersionedRow{
+			RowKey: keyOf(&rows[i]), Version: int64(rows[i].Version), Value: rows[i].Value, Deleted: rows[i].Deleted,
+		}
+	}
+	return decoded
+}
+
+func decodeError(operation string, answer *encoder.StoreAnswer) error {
+	switch kind := provider.ParseKind(answer.Kind); kind {
+	case provider.KindNone:
+		return nil
+	case provider.KindConflict:
+		return provider.NewError(operation, kind, &provider.RowConflict{Rows: decodeRows(answer.Rows)})
+	default:
+		return provider.NewError(operation, kind, errors.New("answer of the relaying daemon"))
+	}
+}
