--- a/accountant/message.go
+++ b/accountant/message.go
@@ -48,6 +48,19 @@
 	Row     *provider.VersionedRow
 }
 
+// Received brings tokens of another daemon's grant.
+type Received struct {
+	Program string
+	Tokens  int
+}
+
+// Wanted asks for tokens of this daemon's grant for another daemon.
+type Wanted struct {
+	Ticket  Ticket
+	Program string
+	Tokens  int
+}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -56,6 +69,8 @@
 func (Finished) message()  {}
 func (Written) message()   {}
 func (Loaded) message()    {}
+func (Received) message()  {}
+func (Wanted) message()    {}
 func (Tick) message()      {}
 
 // Command is an output of State.
@@ -98,18 +113,31 @@
 	Version int64
 }
 
+// Give passes tokens on to another daemon; this one no longer has them.
+type Give struct {
+	Ticket Ticket
+	Tokens int
+}
+
 // Write sets the row of a program if it has the given version.
 type Write struct {
 	Program string
 	Version int64
 	Value   []byte
+	// Needed is the number of tokens that turns wait for.
+	Needed int
 	// Background writes return tokens; nobody waits for them.
 	Background bool
 }
 
 // Read reads the row of a program.
-type Read struct{ Program string }
+type Read struct {
+	Program string
+	// Needed is the number of tokens that turns wait for.
+	Needed int
+}
 
 func (Decide) command() {}
 func (Write) command()  {}
+func (Give) command()   {}
 func (Read) command()   {}
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -13,8 +13,8 @@
 	// AheadTurns is the largest number of turns beyond the present one that are granted
 	// at once while the budget is ample.
 	AheadTurns int
-	// AmpleShare is the share of a budget, and AmpleTurns the number of turns, that must
-	// be left for other daemons after a grant ahead.
+	// AmpleShare is the share of the rest of a budget, and AmpleTurns the number of turns,
+	// that must be left for other daemons after a grant ahead.
 	AmpleShare float64
 	AmpleTurns int
 	// IdleAfter is the time after a program's last turn at which what is left of an
@@ -29,7 +29,7 @@
 // DefaultOptions returns the options of a daemon.
 func DefaultOptions() Options {
 	return Options{
-		AheadTurns: 24, AmpleShare: 0.35, AmpleTurns: 2, IdleAfter: 3 * time.Second,
+		AheadTurns: 24, AmpleShare: 0.5, AmpleTurns: 2, IdleAfter: 3 * time.Second,
 		ForgetAfter: time.Minute, Retention: 10 * time.Minute,
 	}
 }
@@ -64,6 +64,15 @@
 	touched time.Time
 }
 
+// needed is the number of tokens that waiters lack.
+func (p *program) needed() int {
+	need := -max(0, p.left)
+	for _, w := range p.waiters {
+		need += w.tokens
+	}
+	return max(0, need)
+}
+
 func (p *program) busy() bool { return p.pending != nil || p.reading }
 
 // State is the budgets of the programs that this daemon serves. It is not safe for
@@ -98,12 +107,28 @@
 		s.written(m)
 	case Loaded:
 		s.loaded(m)
+	case Received:
+		if p := s.programs[m.Program]; p != nil {
+			p.left += m.Tokens
+		}
+	case Wanted:
+		s.emit(Give{Ticket: m.Ticket, Tokens: s.give(m)})
 	case Tick:
 		s.tick()
 	}
 	return s.commands
 }
 
+// give takes tokens off this daemon's grant, all that is wanted or none.
+func (s *State) give(m Wanted) int {
+	p := s.programs[m.Program]
+	if p == nil || m.Tokens <= 0 || p.left < m.Tokens || len(p.waiters) > 0 {
+		return 0
+	}
+	p.left -= m.Tokens
+	return m.Tokens
+}
+
 func (s *State) emit(c Command) { s.commands = append(s.commands, c) }
 
 func (s *State) request(m Requested) {
@@ -151,11 +176,7 @@
 	if len(p.waiters) == 0 || p.busy() {
 		return
 	}
-	need := 0
-	for _, w := range p.waiters {
-		need += w.tokens
-	}
-	need -= max(0, p.left)
+	need := p.needed()
 	if p.granted+need > p.budget {
 		if !p.fresh {
 			s.read(name, p)
@@ -189,7 +210,7 @@
 // since other daemons return what they do not use.
 func (s *State) read(name string, p *program) {
 	p.reading = true
-	s.emit(Read{Program: name})
+	s.emit(Read{Program: name, Needed: p.needed()})
 }
 
 // shrink refuses the waiters that the budget does not hold and returns the tokens
@@ -226,8 +247,9 @@
 
 // ample reports whether a grant leaves enough of the budget.
 func (s *State) ample(p *program, grant int) bool {
-	rest := p.budget - p.granted - grant
-	return float64(rest) >= s.options.AmpleShare*float64(p.budget) && rest >= s.options.AmpleTurns*p.largest
+	rest := p.budget - p.granted
+	left := rest - grant
+	return float64(left) >= s.options.AmpleShare*float64(rest) && left >= s.options.AmpleTurns*p.largest
 }
 
 // ahead returns the tokens to be granted beyond the need.
@@ -258,7 +280,7 @@
 	}
 	// The type has only numbers and strings, so encoding cannot fail.
 	value, _ := json.Marshal(p.pending)
-	s.emit(Write{Program: name, Version: p.version, Value: value, Background: background})
+	s.emit(Write{Program: name, Version: p.version, Value: value, Needed: p.needed(), Background: background})
 }
 
 // giveBack returns the unused grant of a program that runs no turn here.
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
 	"github.com/dogwoodweir/dogwoodweir/batcher"
+	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
@@ -110,7 +111,8 @@
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batching := batcher.DefaultOptions()
 	batching.Seed = seed
-	d.recorder = recorder.New(d.store, recorder.Options{
+	neighbours := borrower.New(d.links, d.registrar.Peers, borrower.DefaultOptions(), log)
+	d.recorder = recorder.New(d.store, neighbours, recorder.Options{
 		Batcher: batching, Accountant: accountant.DefaultOptions(), Holder: uuid.NewString(),
 		CacheBytes: int(cacheShare * float64(settings.MemoryBytes)), RowBytes: settings.Store.RowBytes,
 	}, log)
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 )
@@ -18,6 +19,9 @@
 // Handle implements messenger.Handler.
 func (h peerHandler) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
 	result, handled, err := h.daemon.store.Handle(ctx, method, params)
+	if !handled {
+		result, handled, err = borrower.Handle(ctx, h.daemon.recorder, method, params)
+	}
 	if !handled {
 		return nil, errMethod
 	}
--- /dev/null
+++ b/batcher/batcher_test.go
@@ -0,0 +1,266 @@
+package batcher_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodweir/dogwoodweir/batcher"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+var start = time.Unix(1_000, 0)
+
+func key(name string) provider.RowKey { return provider.RowKey{Table: "t", Key: name} }
+
+// entry returns an entry that writes a row, with a condition if version is not negative.
+func entry(ticket int, name string, version int64) batcher.Entry {
+	t := provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: key(name)}}}
+	if version >= 0 {
+		t.Conditions = []provider.RowCondition{{RowKey: key(name), Version: version}}
+	}
+	return batcher.Entry{Ticket: batcher.Ticket(ticket), Transaction: t, Deadline: start.Add(time.Minute), Bytes: 10}
+}
+
+func describe(commands []batcher.Command) []string {
+	got := []string{}
+	for _, c := range commands {
+		switch c := c.(type) {
+		case batcher.Apply:
+			got = append(got, fmt.Sprintf("apply %d with %d writes", c.Batch, len(c.Transaction.Writes)))
+		case batcher.Resolve:
+			got = append(got, fmt.Sprintf("%d %s", c.Ticket, c.Outcome.Kind))
+		case batcher.StoreChanged:
+			got = append(got, fmt.Sprintf("up %t", c.Up))
+		case batcher.Probe:
+			got = append(got, "probe")
+		}
+	}
+	return got
+}
+
+type timed struct {
+	after   time.Duration
+	message batcher.Message
+}
+
+func submit(after time.Duration, e batcher.Entry) timed {
+	return timed{after, batcher.Submitted{Entry: e}}
+}
+
+func oneFlight() batcher.Options {
+	options := batcher.DefaultOptions()
+	options.MaxFlights = 1
+	return options
+}
+
+func TestState(t *testing.T) {
+	tests := []struct {
+		name  string
+		input []timed
+		want  []string
+	}{
+		{
+			name: "entries that arrive during a flight go together",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), submit(0, entry(2, "b", -1)), submit(0, entry(3, "c", -1)),
+				{0, batcher.Applied{Batch: 1}}, {0, batcher.Applied{Batch: 2}},
+			},
+			want: []string{"apply 1 with 1 writes", "1 none", "apply 2 with 2 writes", "2 none", "3 none"},
+		},
+		{
+			name: "a failed condition fails its own entry only",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), submit(0, entry(2, "b", 4)), submit(0, entry(3, "c", -1)),
+				{0, batcher.Applied{Batch: 1}},
+				{0, batcher.Conflicted{Batch: 2, Rows: []provider.VersionedRow{{RowKey: key("b"), Version: 5}}}},
+				{0, batcher.Applied{Batch: 3}},
+			},
+			want: []string{
+				"apply 1 with 1 writes", "1 none", "apply 2 with 2 writes", "2 conflict", "apply 3 with 1 writes", "3 none",
+			},
+		},
+		{
+			name: "without an answer a plain write is repeated and a conditional one is left to its owner",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), submit(0, entry(2, "b", 4)), submit(0, entry(3, "c", -1)),
+				{0, batcher.Applied{Batch: 1}}, {0, batcher.Failed{Batch: 2, Kind: provider.KindUnknown}},
+				{time.Second, batcher.Tick{}},
+			},
+			want: []string{"apply 1 with 1 writes", "1 none", "apply 2 with 2 writes", "2 unknown", "probe", "apply 3 with 1 writes"},
+		},
+		{
+			name: "a conflict that names no row does not loop",
+			input: []timed{
+				submit(0, entry(1, "a", 4)),
+				{0, batcher.Conflicted{Batch: 1, Rows: []provider.VersionedRow{{RowKey: key("a"), Version: 4}}}},
+			},
+			want: []string{"apply 1 with 1 writes", "1 unavailable"},
+		},
+		{
+			name: "two writes of one row do not go in one transaction",
+			input: []timed{
+				submit(0, entry(1, "x", -1)), submit(0, entry(2, "a", -1)), submit(0, entry(3, "a", -1)),
+				{0, batcher.Applied{Batch: 1}},
+			},
+			want: []string{"apply 1 with 1 writes", "1 none", "apply 2 with 1 writes"},
+		},
+		{
+			name: "entries whose owner has left are dropped",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), submit(0, entry(2, "b", -1)), {2 * time.Minute, batcher.Tick{}},
+			},
+			want: []string{"apply 1 with 1 writes", "2 unknown"},
+		},
+		{
+			name: "an answer to another call ends the pause after failures",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), {0, batcher.Failed{Batch: 1, Kind: provider.KindUnavailable}},
+				{0, batcher.Reached{}},
+			},
+			want: []string{"apply 1 with 1 writes", "probe", "apply 2 with 1 writes"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := batcher.New(oneFlight())
+			got, now := []string{}, start
+			for _, in := range test.input {
+				now = now.Add(in.after)
+				got = append(got, describe(state.Update(now, in.message))...)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("commands differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestStoreDown replays failures of a store and the answers to probes. Only a store that
+// does not answer a probe counts as down: losing answers to writes is no reason to refuse
+// callers.
+func TestStoreDown(t *testing.T) {
+	failed := batcher.Failed{Batch: 1, Kind: provider.KindUnknown}
+	tests := []struct {
+		name  string
+		input []timed
+		want  []string
+	}{
+		{
+			name: "lost answer",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), {0, failed}, {0, batcher.Probed{Answered: true}},
+			},
+			want: []string{"apply 1 with 1 writes", "probe", "apply 2 with 1 writes"},
+		},
+		{
+			name: "outage",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), submit(0, entry(2, "b", 3)), {0, failed}, {0, batcher.Probed{}},
+				{time.Second, batcher.Tick{}}, {0, batcher.Probed{Answered: true}},
+			},
+			want: []string{
+				"apply 1 with 1 writes", "probe", "up false", "2 unavailable", "probe", "up true", "apply 2 with 1 writes",
+			},
+		},
+		{
+			name: "another call is answered during an outage",
+			input: []timed{
+				submit(0, entry(1, "a", -1)), {0, failed}, {0, batcher.Probed{}}, {0, batcher.Reached{}},
+			},
+			want: []string{"apply 1 with 1 writes", "probe", "up false", "up true", "apply 2 with 1 writes"},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := batcher.New(oneFlight())
+			got, now := []string{}, start
+			for _, in := range test.input {
+				now = now.Add(in.after)
+				got = append(got, describe(state.Update(now, in.message))...)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("commands differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEveryEntryIsResolvedOnce checks that each entry ends exactly once and none is
+// lost, whatever the store answers.
+func TestEveryEntryIsResolvedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := batcher.New(batcher.DefaultOptions())
+		resolved := map[batcher.Ticket]int{}
+		var flights []batcher.Apply
+		probes := 0
+		now := start
+		run := func(m batcher.Message) {
+			for _, c := range state.Update(now, m) {
+				switch c := c.(type) {
+				case batcher.Apply:
+					flights = append(flights, c)
+				case batcher.Resolve:
+					resolved[c.Ticket]++
+				case batcher.Probe:
+					probes++
+				}
+			}
+		}
+		count := rapid.IntRange(1, 40).Draw(t, "entries")
+		for i := range count {
+			version := int64(rapid.IntRange(-1, 1).Draw(t, "version"))
+			run(batcher.Submitted{Entry: entry(i, fmt.Sprint(i%7), version)})
+			for len(flights) > 0 && rapid.Bool().Draw(t, "answer") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+				flight := flights[0]
+				flights = flights[1:]
+				answer(t, flight, run)
+			}
+			if probes > 0 && rapid.Bool().Draw(t, "probed") {
+				probes--
+				run(batcher.Probed{Answered: rapid.Bool().Draw(t, "up")})
+			}
+		}
+		for range 10_000 {
+			if len(resolved) == count {
+				break
+			}
+			now = now.Add(time.Second)
+			run(batcher.Tick{})
+			for ; probes > 0; probes-- {
+				run(batcher.Probed{Answered: true})
+			}
+			for len(flights) > 0 {
+				flight := flights[0]
+				flights = flights[1:]
+				run(batcher.Applied{Batch: flight.Batch})
+			}
+		}
+		for i := range count {
+			if n := resolved[batcher.Ticket(i)]; n != 1 {
+				t.Fatalf("entry %d was resolved %d times", i, n)
+			}
+		}
+	})
+}
+
+func answer(t *rapid.T, flight batcher.Apply, run func(batcher.Message)) {
+	switch rapid.SampledFrom([]string{"applied", "unknown", "unavailable", "conflict"}).Draw(t, "answer") {
+	case "applied":
+		run(batcher.Applied{Batch: flight.Batch})
+	case "unknown":
+		run(batcher.Failed{Batch: flight.Batch, Kind: provider.KindUnknown})
+	case "unavailable":
+		run(batcher.Failed{Batch: flight.Batch, Kind: provider.KindUnavailable})
+	case "conflict":
+		var rows []provider.VersionedRow
+		for _, c := range flight.Transaction.Conditions {
+			rows = append(rows, provider.VersionedRow{RowKey: c.RowKey, Version: 2})
+		}
+		run(batcher.Conflicted{Batch: flight.Batch, Rows: rows})
+	}
+}
--- a/batcher/message.go
+++ b/batcher/message.go
@@ -52,6 +52,9 @@
 // Reached says that another call to the store was answered.
 type Reached struct{}
 
+// Probed ends a Probe.
+type Probed struct{ Answered bool }
+
 // Tick lets time pass: deadlines end and pauses are over.
 type Tick struct{}
 
@@ -60,6 +63,7 @@
 func (Conflicted) message() {}
 func (Failed) message()     {}
 func (Reached) message()    {}
+func (Probed) message()     {}
 func (Tick) message()       {}
 
 // Command is an output of State.
@@ -89,9 +93,14 @@
 	Outcome Outcome
 }
 
+// Probe asks for a short read, to be given up after the timeout. It tells a store that is
+// down from one that has lost an answer.
+type Probe struct{ Timeout time.Duration }
+
 // StoreChanged says that the store stopped or began again to take writes.
 type StoreChanged struct{ Up bool }
 
 func (Apply) command()        {}
 func (Resolve) command()      {}
+func (Probe) command()        {}
 func (StoreChanged) command() {}
--- a/batcher/state.go
+++ b/batcher/state.go
@@ -23,9 +23,10 @@
 	// FirstPause and LongestPause bound the pause after a failed transaction.
 	FirstPause   time.Duration
 	LongestPause time.Duration
-	// DownAfter is the time without any success, from the first failure, after which
-	// the store counts as down. A store that is over its rate refuses for shorter.
-	DownAfter time.Duration
+	// ProbeTimeout bounds the read that decides whether the store is down; it is above
+	// the answers of a store that is slow. ProbeInterval is the time between two of them.
+	ProbeTimeout  time.Duration
+	ProbeInterval time.Duration
 	// Seed decides the jitter of pauses.
 	Seed uint64
 }
@@ -37,7 +38,7 @@
 		MaxEntries: 96, MaxBytes: 600_000, MaxFlights: 3,
 		FirstTimeout: 400 * time.Millisecond, MinTimeout: 150 * time.Millisecond, MaxTimeout: 1200 * time.Millisecond,
 		FirstPause: 40 * time.Millisecond, LongestPause: 320 * time.Millisecond,
-		DownAfter: 250 * time.Millisecond, Seed: 1,
+		ProbeTimeout: 350 * time.Millisecond, ProbeInterval: 150 * time.Millisecond, Seed: 1,
 	}
 }
 
@@ -57,8 +58,9 @@
 	timeout  time.Duration
 	smoothed time.Duration
 	failures int
-	failing  time.Time
 	down     bool
+	probing  bool
+	probeAt  time.Time
 	pause    time.Duration
 	resume   time.Time
 	commands []Command
@@ -92,9 +94,12 @@
 		s.failed(now, m)
 	case Reached:
 		s.recover()
+	case Probed:
+		s.probed(now, m.Answered)
 	case Tick:
 		s.expire(now)
 	}
+	s.probe(now)
 	s.flush(now)
 	return s.commands
 }
@@ -120,8 +125,7 @@
 	s.timeout = min(max(4*s.smoothed, s.options.MinTimeout), s.options.MaxTimeout)
 }
 
-// recover ends the pause after failures. If writes still fail, the store counts as down
-// again soon.
+// recover ends the pause after failures.
 func (s *State) recover() {
 	s.failures, s.pause, s.resume = 0, 0, time.Time{}
 	if s.down {
@@ -217,18 +221,50 @@
 // backOff waits longer after each failure in a row, and for an answer too: a slow
 // store answers late, and a second copy of the call would make it slower.
 func (s *State) backOff(now time.Time, kind provider.Kind) {
-	if s.failures++; s.failures == 1 {
-		s.failing = now
-	}
+	s.failures++
 	if kind == provider.KindUnknown {
 		s.timeout = min(2*s.timeout, s.options.MaxTimeout)
 	}
 	s.pause = min(max(2*s.pause, s.options.FirstPause), s.options.LongestPause)
 	s.resume = now.Add(s.pause/2 + time.Duration(s.random.Int64N(int64(s.pause/2)+1)))
-	if !s.down && now.Sub(s.failing) >= s.options.DownAfter {
+}
+
+// probe asks for a read after a failure, and again and again while the store is down.
+func (s *State) probe(now time.Time) {
+	if s.probing || now.Before(s.probeAt) || (s.failures == 0 && !s.down) {
+		return
+	}
+	s.probing, s.probeAt = true, now.Add(s.options.ProbeInterval)
+	s.emit(Probe{Timeout: s.options.ProbeTimeout})
+}
+
+func (s *State) probed(now time.Time, answered bool) {
+	s.probing = false
+	if answered {
+		s.recover()
+		return
+	}
+	if s.failures > 0 && !s.down {
 		s.down = true
 		s.emit(StoreChanged{Up: false})
 	}
+	if s.down {
+		s.refuseConditional()
+	}
+}
+
+// refuseConditional resolves entries whose owners can refuse their callers at once, now
+// that the store is down. They have not been sent.
+func (s *State) refuseConditional() {
+	kept := s.queue[:0]
+	for _, e := range s.queue {
+		if e.repeatable() {
+			kept = append(kept, e)
+			continue
+		}
+		s.resolve(&e, Outcome{Kind: provider.KindUnavailable})
+	}
+	s.queue = kept
 }
 
 // expire drops entries that nobody waits for any more. They have not been sent, or
@@ -246,7 +282,7 @@
 }
 
 func (s *State) flush(now time.Time) {
-	for len(s.queue) > 0 && len(s.flights) < s.flightLimit() && !now.Before(s.resume) {
+	for len(s.queue) > 0 && !s.down && len(s.flights) < s.flightLimit() && !now.Before(s.resume) {
 		entries := s.take()
 		s.next++
 		s.flights[s.next] = &flight{entries: entries, sent: now}
--- /dev/null
+++ b/emulator/rows.go
@@ -0,0 +1,184 @@
+package emulator
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// Rows is an in-memory provider.RowStore with faults. It is safe for concurrent use.
+type Rows struct {
+	mutex   sync.Mutex
+	rows    map[provider.RowKey]provider.VersionedRow
+	history []provider.VersionedRow
+	version int64
+	// forgotten is the version up to which the history is gone.
+	forgotten int64
+	changed   chan struct{}
+	down      bool
+	lose      func() bool
+	applied   int
+}
+
+// NewRows returns an empty store that is up.
+func NewRows() *Rows {
+	return &Rows{rows: map[provider.RowKey]provider.VersionedRow{}, changed: make(chan struct{})}
+}
+
+// SetDown makes the store refuse all calls.
+func (r *Rows) SetDown(down bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down = down
+}
+
+// SetLose sets a function that decides whether the answer to a transaction that took
+// effect is lost.
+func (r *Rows) SetLose(lose func() bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.lose = lose
+}
+
+// Forget drops the history, so that feeds from before fail.
+func (r *Rows) Forget() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.history, r.forgotten = nil, r.version
+}
+
+// Applied returns the number of transactions that took effect.
+func (r *Rows) Applied() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.applied
+}
+
+// Get returns a row, with VersionAbsent when there is none.
+func (r *Rows) Get(key provider.RowKey) provider.VersionedRow {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.get(key)
+}
+
+func (r *Rows) get(key provider.RowKey) provider.VersionedRow {
+	row, ok := r.rows[key]
+	if !ok {
+		return provider.VersionedRow{RowKey: key}
+	}
+	return row
+}
+
+var errDown = errors.New("the store is down")
+
+// Apply implements provider.RowStore.
+func (r *Rows) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
+	const operation = "rows.apply"
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down || ctx.Err() != nil {
+		return 0, provider.NewError(operation, provider.KindUnavailable, errDown)
+	}
+	broken := false
+	var current []provider.VersionedRow
+	for _, c := range t.Conditions {
+		row := r.get(c.RowKey)
+		current = append(current, row)
+		broken = broken || row.Version != c.Version
+	}
+	if broken {
+		return 0, provider.NewError(operation, provider.KindConflict, &provider.RowConflict{Rows: current})
+	}
+	r.version++
+	r.applied++
+	for _, w := range t.Writes {
+		row := provider.VersionedRow{RowKey: w.RowKey, Version: r.version, Value: slices.Clone(w.Value)}
+		r.rows[w.RowKey] = row
+		r.history = append(r.history, row)
+	}
+	for _, k := range t.Deletes {
+		delete(r.rows, k)
+		r.history = append(r.history, provider.VersionedRow{RowKey: k, Version: r.version, Deleted: true})
+	}
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if r.lose != nil && r.lose() {
+		return 0, provider.NewError(operation, provider.KindUnknown, errors.New("answer lost"))
+	}
+	return r.version, nil
+}
+
+// Range implements provider.RowStore.
+func (r *Rows) Range(_ context.Context, q provider.RowRange) (provider.RowPage, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
+		return provider.RowPage{}, provider.NewError("rows.range", provider.KindUnavailable, errDown)
+	}
+	page := provider.RowPage{Version: r.version}
+	for key, row := range r.rows {
+		if key.Table == q.Table && key.Part == q.Part && key.Key >= q.From && (q.To == "" || key.Key < q.To) {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	slices.SortFunc(page.Rows, func(a, b provider.VersionedRow) int { return cmp.Compare(a.Key, b.Key) })
+	if q.Limit > 0 && len(page.Rows) > q.Limit {
+		page.Rows, page.More = page.Rows[:q.Limit], true
+	}
+	return page, nil
+}
+
+// Parts implements provider.RowStore.
+func (r *Rows) Parts(_ context.Context, table, after string) ([]string, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var parts []string
+	for key := range r.rows {
+		if key.Table == table && key.Part > after && !slices.Contains(parts, key.Part) {
+			parts = append(parts, key.Part)
+		}
+	}
+	slices.Sort(parts)
+	return parts, nil
+}
+
+// Feed implements provider.RowStore.
+func (r *Rows) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	timeout := time.After(wait)
+	for {
+		page, changed, err := r.changes(table, after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return page, nil
+		case <-ctx.Done():
+			return page, provider.NewError("rows.feed", provider.KindUnknown, ctx.Err())
+		}
+	}
+}
+
+func (r *Rows) changes(table string, after int64) (provider.RowPage, <-chan struct{}, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.down {
+		return provider.RowPage{}, nil, provider.NewError("rows.feed", provider.KindUnavailable, errDown)
+	}
+	if after < r.forgotten {
+		return provider.RowPage{}, nil, provider.NewError("rows.feed", provider.KindNotFound, errors.New("history is gone"))
+	}
+	page := provider.RowPage{Version: r.version}
+	for _, row := range r.history {
+		if row.Table == table && row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, r.changed, nil
+}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -384,3 +384,39 @@
 	// exist.
 	Version int `json:"version,omitempty,omitzero"`
 }
+
+// Tokens that the sender no longer uses, so that the receiver may.
+type TokenAnswer struct {
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens"`
+}
+
+// Asks a peer to pass on tokens of its grant.
+type TokenQuestion struct {
+	// Program corresponds to the JSON schema field "program".
+	Program string `json:"program"`
+
+	// Tokens corresponds to the JSON schema field "tokens".
+	Tokens int `json:"tokens"`
+}
+
+// A turn as the store has it.
+type TurnAnswer struct {
+	// Unix time in seconds.
+	ExpiresAt int `json:"expiresAt,omitempty,omitzero"`
+
+	// Found corresponds to the JSON schema field "found".
+	Found bool `json:"found"`
+
+	// Previous corresponds to the JSON schema field "previous".
+	Previous string `json:"previous,omitempty,omitzero"`
+
+	// Input and output in base64.
+	Text []byte `json:"text"`
+}
+
+// Asks a peer for a turn that it has in memory.
+type TurnQuestion struct {
+	// Turn corresponds to the JSON schema field "turn".
+	Turn string `json:"turn"`
+}
--- /dev/null
+++ b/follower/follower_test.go
@@ -0,0 +1,124 @@
+package follower_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dogwoodweir/dogwoodweir/follower"
+)
+
+var start = time.Unix(1_000, 0)
+
+func configuration(version int64) *follower.Configuration {
+	return follower.NewConfiguration(version, nil, nil, follower.CallerLimits{})
+}
+
+func TestConfigurationNeverFallsBack(t *testing.T) {
+	state := follower.New(follower.Options{})
+	for _, version := range []int64{4, 9, 6, 9, 12} {
+		state.Update(start, follower.ConfigurationRead{Configuration: configuration(version)})
+		if got := state.Configuration().Version; version != 6 && got != version {
+			t.Errorf("version %d in force after %d arrived", got, version)
+		}
+	}
+	changes := state.Update(start, follower.ConfigurationRead{Configuration: configuration(3)})
+	if diff := cmp.Diff([]follower.Change{{Kind: "staleConfiguration", Version: 3}}, changes); diff != "" {
+		t.Errorf("changes differ (-want +got):\n%s", diff)
+	}
+}
+
+func TestMatch(t *testing.T) {
+	c := follower.NewConfiguration(1, []follower.Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/"},
+	}, nil, follower.CallerLimits{})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/x/z", "short"},
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.example", "/x/y/", "long"},
+		{"a.example:8080", "/x/", "short"},
+		{"a.example", "/", ""},
+		{"b.example", "/any", "other"},
+		{"c.example", "/x/", ""},
+	}
+	for _, test := range tests {
+		got := ""
+		if r := c.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("Match(%q, %q) = %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestSplit(t *testing.T) {
+	r := follower.Route{Splits: []follower.Split{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[string]int{}
+	for i := range uint64(1000) {
+		counts[r.Service(i)]++
+	}
+	if diff := cmp.Diff(map[string]int{"a": 900, "b": 100}, counts); diff != "" {
+		t.Errorf("shares differ (-want +got):\n%s", diff)
+	}
+}
+
+// TestTargets replays lists of targets around an outage of the store. Entries lapse while
+// the store is away, and a live target is back within two seconds of its return: dropping
+// it at once would leave a service without targets.
+func TestTargets(t *testing.T) {
+	const grace = 2 * time.Second
+	a, b := follower.Target{ID: "a", Born: 1}, follower.Target{ID: "b", Born: 1}
+	reborn := follower.Target{ID: "a", Born: 2}
+	leaving := follower.Target{ID: "b", Born: 1, Leaving: true}
+	type step struct {
+		at      time.Duration
+		message follower.Message
+	}
+	list := follower.TargetsListed{Targets: []follower.Target{a, b}}
+	tests := []struct {
+		name  string
+		steps []step
+		want  []string
+	}{
+		{"added and removed", []step{{0, list}, {1, follower.TargetRemoved{ID: "a"}}}, []string{
+			"targetAdded a", "targetAdded b", "targetRemoved a",
+		}},
+		{"restarted under its name", []step{{0, list}, {1, follower.TargetChanged{Target: reborn}}}, []string{
+			"targetAdded a", "targetAdded b", "targetRestarted a",
+		}},
+		{"unchanged", []step{{0, list}, {1, list}}, []string{"targetAdded a", "targetAdded b"}},
+		{"lapsed during an outage and back", []step{
+			{0, list}, {time.Second, follower.StoreLost{}}, {5 * time.Second, follower.StoreRegained{}},
+			{5 * time.Second, follower.TargetsListed{Targets: []follower.Target{b}}},
+			{6 * time.Second, follower.TargetChanged{Target: a}}, {8 * time.Second, follower.Tick{}},
+		}, []string{"targetAdded a", "targetAdded b", "targetMissing a"}},
+		{"lapsed during an outage and gone", []step{
+			{0, list}, {time.Second, follower.StoreLost{}}, {5 * time.Second, follower.StoreRegained{}},
+			{5 * time.Second, follower.TargetRemoved{ID: "a"}}, {6 * time.Second, follower.Tick{}},
+			{7 * time.Second, follower.Tick{}},
+		}, []string{"targetAdded a", "targetAdded b", "targetMissing a", "targetRemoved a"}},
+		{"left during an outage", []step{
+			{0, list}, {time.Second, follower.TargetChanged{Target: leaving}}, {time.Second, follower.StoreLost{}},
+			{5 * time.Second, follower.StoreRegained{}}, {5 * time.Second, follower.TargetRemoved{ID: "b"}},
+		}, []string{"targetAdded a", "targetAdded b", "targetChanged b", "targetRemoved b"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := follower.New(follower.Options{Grace: grace})
+			got := []string{}
+			for _, s := range test.steps {
+				for _, c := range state.Update(start.Add(s.at), s.message) {
+					got = append(got, c.Kind+" "+c.Target.ID)
+				}
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("changes differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/historian/historian_test.go
@@ -0,0 +1,162 @@
+package historian_test
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// read returns the rows of a turn as the store's range does.
+func read(id string, writes []provider.RowWrite) []provider.VersionedRow {
+	q := historian.Range(id)
+	var rows []provider.VersionedRow
+	for _, w := range writes {
+		if w.Table == q.Table && w.Part == q.Part && w.Key >= q.From && w.Key < q.To {
+			rows = append(rows, provider.VersionedRow{RowKey: w.RowKey, Value: w.Value})
+		}
+	}
+	slices.SortFunc(rows, func(a, b provider.VersionedRow) int { return strings.Compare(a.Key, b.Key) })
+	return rows
+}
+
+// TestTurnSurvivesItsRows checks that a turn of any size is read back as it was said,
+// whatever number of rows it takes.
+func TestTurnSurvivesItsRows(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		turn := &historian.Turn{
+			ID:       rapid.StringMatching(`[0-9a-f]{1,16}|[a-z/]{150,190}`).Draw(t, "id"),
+			Previous: rapid.StringMatching(`[0-9a-f]{0,16}`).Draw(t, "previous"),
+			Text:     bytes.Repeat(rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "text"), rapid.IntRange(1, 30).Draw(t, "times")),
+			Expires:  time.Unix(rapid.Int64Range(1, 1e10).Draw(t, "expires"), 0),
+		}
+		writes, err := historian.Encode(turn, rapid.IntRange(100, 4000).Draw(t, "rowBytes"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := historian.Decode(turn.ID, read(turn.ID, writes))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(turn, got); diff != "" {
+			t.Fatalf("turn differs (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// TestLostSegment checks that a turn with a missing row is never served in part.
+func TestLostSegment(t *testing.T) {
+	text := make([]byte, 5000)
+	for i := range text {
+		text[i] = byte(i * i >> 3)
+	}
+	writes, err := historian.Encode(&historian.Turn{ID: "a", Text: text}, 200)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := read("a", writes)
+	for i := range rows {
+		if _, err := historian.Decode("a", slices.Delete(slices.Clone(rows), i, i+1)); err == nil {
+			t.Errorf("a turn without row %d of %d was decoded", i, len(rows))
+		}
+	}
+}
+
+// TestRemoval checks that the clean-up deletes every row of a turn and its expiry.
+func TestRemoval(t *testing.T) {
+	text := make([]byte, 5000)
+	for i := range text {
+		text[i] = byte(i * i >> 3)
+	}
+	turn := &historian.Turn{ID: "a", Text: text, Expires: time.Unix(100, 0)}
+	writes, err := historian.Encode(turn, 200)
+	if err != nil {
+		t.Fatal(err)
+	}
+	left := map[provider.RowKey]bool{}
+	var expiry provider.VersionedRow
+	for _, w := range writes {
+		left[w.RowKey] = true
+		if w.RowKey == historian.ExpiryKey(turn) {
+			expiry = provider.VersionedRow{RowKey: w.RowKey, Value: w.Value, Version: 3}
+		}
+	}
+	removal := historian.Removal(&expiry)
+	for _, k := range removal.Deletes {
+		delete(left, k)
+	}
+	if len(left) != 0 {
+		t.Errorf("rows left behind: %v", left)
+	}
+	want := []provider.RowCondition{{RowKey: expiry.RowKey, Version: 3}}
+	if diff := cmp.Diff(want, removal.Conditions); diff != "" {
+		t.Errorf("conditions differ (-want +got):\n%s", diff)
+	}
+}
+
+func TestChain(t *testing.T) {
+	cache := historian.NewCache(1 << 20)
+	cache.Remember(&historian.Turn{ID: "a", Text: []byte("1")})
+	cache.Remember(&historian.Turn{ID: "b", Previous: "a", Text: []byte("2")})
+	cache.Remember(&historian.Turn{ID: "c", Previous: "b", Text: []byte("3")})
+	cache.Remember(&historian.Turn{ID: "d", Previous: "b", Text: []byte("4")})
+	cache.Remember(&historian.Turn{ID: "lost", Previous: "gone", Text: []byte("5")})
+	cache.Remember(&historian.Turn{ID: "loop", Previous: "loop"})
+	tests := []struct {
+		name, id, text, missing string
+		fails                   bool
+	}{
+		{name: "start", id: "a", text: "1x"},
+		{name: "chain", id: "c", text: "123x"},
+		{name: "second turn after one", id: "d", text: "124x"},
+		{name: "ancestor not in memory", id: "lost", text: "5x", missing: "gone"},
+		{name: "not in memory", id: "none", text: "x", missing: "none"},
+		{name: "chain without a start", id: "loop", text: "x", fails: true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			turns, missing, err := historian.Chain(test.id, cache.Get)
+			if (err != nil) != test.fails {
+				t.Fatalf("error: %v", err)
+			}
+			got := []string{string(historian.Join(turns, []byte("x"))), missing}
+			if diff := cmp.Diff([]string{test.text, test.missing}, got); diff != "" {
+				t.Errorf("chain differs (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func TestCacheIsBounded(t *testing.T) {
+	cache := historian.NewCache(100)
+	for _, id := range []string{"a", "b", "c"} {
+		cache.Remember(&historian.Turn{ID: id, Text: make([]byte, 60)})
+	}
+	if cache.Bytes() > 100 {
+		t.Errorf("%d bytes are kept, above the limit", cache.Bytes())
+	}
+	if cache.Get("c") == nil {
+		t.Error("the newest turn was dropped")
+	}
+}
+
+// FuzzDecode checks that rows of other writers are refused and do not crash the daemon.
+func FuzzDecode(f *testing.F) {
+	writes, err := historian.Encode(&historian.Turn{ID: "a", Text: []byte("said")}, 4000)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(writes[0].Value)
+	f.Add([]byte("not a row"))
+	f.Fuzz(func(_ *testing.T, value []byte) {
+		// The result does not matter: a panic fails the test.
+		_, _ = historian.Decode("a", []provider.VersionedRow{{RowKey: provider.RowKey{Key: "a"}, Value: value}})
+	})
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -28,6 +28,8 @@
 	MethodStoreState  = "storeState"
 	MethodStoreApply  = "storeApply"
 	MethodStoreRange  = "storeRange"
+	MethodTurn        = "turn"
+	MethodTokens      = "tokens"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -55,23 +55,39 @@
 	reply chan batcher.Outcome
 }
 
+// wanted asks for tokens for another daemon.
+type wanted struct {
+	accountant.Wanted
+	reply chan int
+}
+
 type batchMessage struct{ batcher.Message }
 
 func (reserve) message()       {}
 func (budgetMessage) message() {}
 func (submit) message()        {}
+func (wanted) message()        {}
 func (batchMessage) message()  {}
 
+// Neighbours are the other daemons, which are asked while the store is down.
+type Neighbours interface {
+	// Tokens returns tokens that another daemon was granted and has passed on, or 0.
+	Tokens(ctx context.Context, program string, tokens int) int
+	// Turn returns a turn that another daemon has in memory, or nil.
+	Turn(ctx context.Context, id string) *historian.Turn
+}
+
 // Recorder writes and reads the rows of turns and budgets.
 type Recorder struct {
-	store   provider.RowStore
-	options Options
-	log     *zap.Logger
-	inbox   chan message
-	turns   *historian.Cache
-	up      atomic.Bool
-	tickets atomic.Uint64
-	tasks   conc.WaitGroup
+	store      provider.RowStore
+	neighbours Neighbours
+	options    Options
+	log        *zap.Logger
+	inbox      chan message
+	turns      *historian.Cache
+	up         atomic.Bool
+	tickets    atomic.Uint64
+	tasks      conc.WaitGroup
 	// sweepFrom has the key at which the next sweep of a part of programs begins. It
 	// belongs to Sweep.
 	sweepFrom map[string]string
@@ -83,16 +99,18 @@
 	commits map[batcher.Ticket]chan batcher.Outcome
 	grants  map[batcher.Ticket]string
 	waiters map[accountant.Ticket]chan accountant.Decide
+	gifts   map[accountant.Ticket]chan int
 }
 
 // New returns a recorder; Run serves it.
-func New(store provider.RowStore, options Options, log *zap.Logger) *Recorder {
+func New(store provider.RowStore, neighbours Neighbours, options Options, log *zap.Logger) *Recorder {
 	r := &Recorder{
-		store: store, options: options, log: log, inbox: make(chan message, inboxSize),
+		store: store, neighbours: neighbours, options: options, log: log, inbox: make(chan message, inboxSize),
 		turns:   historian.NewCache(options.CacheBytes),
 		batches: batcher.New(options.Batcher), budgets: accountant.New(options.Accountant, options.Holder),
 		commits: map[batcher.Ticket]chan batcher.Outcome{}, grants: map[batcher.Ticket]string{},
 		waiters: map[accountant.Ticket]chan accountant.Decide{}, sweepFrom: map[string]string{},
+		gifts: map[accountant.Ticket]chan int{},
 	}
 	r.up.Store(true)
 	return r
@@ -114,10 +132,10 @@
 		case <-ctx.Done():
 			return
 		case m := <-r.inbox:
-			waited := r.batches.Waiting() > 0
+			before := r.interval()
 			r.handle(ctx, time.Now(), m)
-			if !waited && r.batches.Waiting() > 0 {
-				timer.Reset(busyTick)
+			if after := r.interval(); after < before {
+				timer.Reset(after)
 			}
 		case <-timer.C:
 			r.tick(ctx, time.Now())
@@ -127,7 +145,7 @@
 }
 
 func (r *Recorder) interval() time.Duration {
-	if r.batches.Waiting() > 0 {
+	if r.batches.Waiting() > 0 || !r.batches.Up() {
 		return busyTick
 	}
 	return idleTick
@@ -148,6 +166,9 @@
 			delete(r.waiters, w.Ticket)
 		}
 		r.runBudgets(ctx, now, m.Message)
+	case wanted:
+		r.gifts[m.Ticket] = m.reply
+		r.runBudgets(ctx, now, m.Wanted)
 	case submit:
 		r.commits[m.entry.Ticket] = m.reply
 		r.runBatches(ctx, now, batcher.Submitted{Entry: m.entry})
@@ -167,19 +188,27 @@
 				// Cannot happen: a withdrawn ticket has left the queue of waiters.
 				r.log.Error("tokens granted to nobody", zap.Uint64("ticket", uint64(c.Ticket)))
 			}
+		case accountant.Give:
+			r.gifts[c.Ticket] <- c.Tokens
+			delete(r.gifts, c.Ticket)
 		case accountant.Write:
 			r.writeBudget(ctx, now, c)
 		case accountant.Read:
-			r.readBudget(ctx, now, c.Program)
+			r.readBudget(ctx, c.Program, c.Needed)
 		}
 	}
 }
 
-// writeBudget queues the row of a budget. While the store is down nothing is sent, so
-// that the turns that wait for it are refused at once.
+// writeBudget queues the row of a budget. While the store is down nothing is sent: other
+// daemons are asked for tokens that they were granted, and turns without any are refused.
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
 	if !r.batches.Up() {
-		r.runBudgets(ctx, now, accountant.Written{Program: c.Program, Kind: provider.KindUnavailable})
+		refused := accountant.Written{Program: c.Program, Kind: provider.KindUnavailable}
+		if c.Background {
+			r.runBudgets(ctx, now, refused)
+			return
+		}
+		r.borrow(ctx, c.Program, c.Needed, refused)
 		return
 	}
 	ticket := batcher.Ticket(r.tickets.Add(1))
@@ -198,9 +227,9 @@
 	}})
 }
 
-func (r *Recorder) readBudget(ctx context.Context, now time.Time, program string) {
+func (r *Recorder) readBudget(ctx context.Context, program string, needed int) {
 	if !r.batches.Up() {
-		r.runBudgets(ctx, now, accountant.Loaded{Program: program, Kind: provider.KindUnavailable})
+		r.borrow(ctx, program, needed, accountant.Loaded{Program: program, Kind: provider.KindUnavailable})
 		return
 	}
 	r.tasks.Go(func() {
@@ -221,6 +250,18 @@
 	})
 }
 
+// borrow asks other daemons for tokens, then ends the call to the store that could not be
+// made.
+func (r *Recorder) borrow(ctx context.Context, program string, tokens int, end accountant.Message) {
+	r.tasks.Go(func() {
+		if got := r.neighbours.Tokens(ctx, program, tokens); got > 0 {
+			r.log.Info("tokens of another daemon", zap.String("program", program), zap.Int("tokens", got))
+			r.send(ctx, budgetMessage{accountant.Received{Program: program, Tokens: got}})
+		}
+		r.send(ctx, budgetMessage{end})
+	})
+}
+
 func (r *Recorder) runBatches(ctx context.Context, now time.Time, m batcher.Message) {
 	for _, c := range r.batches.Update(now, m) {
 		switch c := c.(type) {
@@ -228,6 +269,8 @@
 			r.apply(ctx, c)
 		case batcher.Resolve:
 			r.resolve(ctx, now, c)
+		case batcher.Probe:
+			r.probe(ctx, c.Timeout)
 		case batcher.StoreChanged:
 			r.up.Store(c.Up)
 			r.log.Info("store", zap.Bool("up", c.Up), zap.Int("waiting", r.batches.Waiting()))
@@ -255,6 +298,19 @@
 	})
 }
 
+// probe reads an empty range.
+func (r *Recorder) probe(ctx context.Context, timeout time.Duration) {
+	r.tasks.Go(func() {
+		call, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		_, err := r.store.Range(call, provider.RowRange{Table: programTable, Part: "probe", Limit: 1})
+		if err != nil {
+			r.log.Info("probe of the store", zap.Error(err))
+		}
+		r.send(ctx, batchMessage{batcher.Probed{Answered: err == nil}})
+	})
+}
+
 func (r *Recorder) resolve(ctx context.Context, now time.Time, c batcher.Resolve) {
 	if reply, ok := r.commits[c.Ticket]; ok {
 		delete(r.commits, c.Ticket)
@@ -317,6 +373,25 @@
 	return accountant.Decide{Ticket: ticket, Verdict: accountant.Unavailable}
 }
 
+// Give takes tokens off this daemon's grant for another daemon. It returns all that is
+// wanted or 0.
+func (r *Recorder) Give(ctx context.Context, program string, tokens int) int {
+	reply := make(chan int, 1)
+	m := wanted{reply: reply, Wanted: accountant.Wanted{
+		Ticket: accountant.Ticket(r.tickets.Add(1)), Program: program, Tokens: tokens,
+	}}
+	r.send(ctx, m)
+	select {
+	case got := <-reply:
+		return got
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+// Turn returns a turn that is in memory, nil when it is not.
+func (r *Recorder) Turn(id string) *historian.Turn { return r.turns.Get(id) }
+
 // Finish ends an admitted turn with the tokens that it generated.
 func (r *Recorder) Finish(program string, reserved, used int) {
 	r.inbox <- budgetMessage{accountant.Finished{Program: program, Reserved: reserved, Used: used}}
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -36,14 +36,15 @@
 	return provider.RowKey{Table: programTable, Part: part, Key: historian.Key(program)}
 }
 
-// read reads a range, again after a missing or refused answer, until the context ends.
+// read reads a range, again after a missing or refused answer, until the context ends or
+// the store counts as down.
 func (r *Recorder) read(ctx context.Context, rows provider.RowRange) (provider.RowPage, error) {
 	timeout := firstReadTimeout
 	for {
 		call, cancel := context.WithTimeout(ctx, timeout)
 		page, err := r.store.Range(call, rows)
 		cancel()
-		if err == nil || provider.KindOf(err) == provider.KindInvalid {
+		if err == nil || provider.KindOf(err) == provider.KindInvalid || !r.Up() {
 			return page, err
 		}
 		timeout = min(2*timeout, lastReadTimeout)
@@ -66,9 +67,6 @@
 		if missing == "" {
 			return turns, nil
 		}
-		if !r.Up() {
-			return nil, NewError(operation, KindUnavailable, errors.New("the store is down"))
-		}
 		turn, err := r.load(ctx, missing)
 		if err != nil {
 			return nil, err
@@ -95,6 +93,12 @@
 
 func (r *Recorder) load(ctx context.Context, id string) (*historian.Turn, error) {
 	operation := "load turn " + id
+	if !r.Up() {
+		if turn := r.neighbours.Turn(ctx, id); turn != nil {
+			return turn, nil
+		}
+		return nil, NewError(operation, KindUnavailable, errors.New("the store is down"))
+	}
 	page, err := r.read(ctx, historian.Range(id))
 	if err != nil {
 		return nil, NewError(operation, KindUnavailable, err)
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -34,6 +34,10 @@
 	AskTimeout time.Duration
 	// BelieveFor is how long an answer is believed.
 	BelieveFor time.Duration
+	// ProvenFor is how long an answer of the store proves that it is up; ProbeTimeout
+	// bounds the read that proves it anew.
+	ProvenFor    time.Duration
+	ProbeTimeout time.Duration
 	// MaxAsked bounds the daemons that are asked at once.
 	MaxAsked int
 }
@@ -42,7 +46,8 @@
 func DefaultOptions() Options {
 	return Options{
 		LostAfter: 200 * time.Millisecond, AskInterval: 300 * time.Millisecond, AskTimeout: 250 * time.Millisecond,
-		BelieveFor: time.Second, MaxAsked: 8,
+		BelieveFor: time.Second, ProvenFor: 150 * time.Millisecond, ProbeTimeout: 180 * time.Millisecond,
+		MaxAsked: 8,
 	}
 }
 
@@ -77,19 +82,20 @@
 type State struct {
 	options Options
 	// failing is the time of the first failure since the last answer.
-	failing time.Time
-	asked   time.Time
-	peers   map[string]said
+	failing  time.Time
+	answered time.Time
+	asked    time.Time
+	peers    map[string]said
 }
 
-// New returns a state that takes the direct path to be good.
+// newState returns a state that takes the direct path to be good.
 func newState(options Options) *State { return &State{options: options, peers: map[string]said{}} }
 
 // Update applies a message. It reports whether other daemons are to be asked now.
 func (s *State) Update(now time.Time, message Message) (ask bool) {
 	switch m := message.(type) {
 	case Answered:
-		s.failing = time.Time{}
+		s.failing, s.answered = time.Time{}, now
 	case Failed:
 		if s.failing.IsZero() {
 			s.failing = now
@@ -108,6 +114,11 @@
 	return false
 }
 
+// proven reports whether the store has answered just now and not failed since.
+func (s *State) proven(now time.Time) bool {
+	return s.failing.IsZero() && now.Sub(s.answered) <= s.options.ProvenFor
+}
+
 func (s *State) lost(now time.Time) bool {
 	return !s.failing.IsZero() && now.Sub(s.failing) >= s.options.LostAfter
 }
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -26,6 +26,8 @@
 	peers   Peers
 	options Options
 	log     *zap.Logger
+	// proving is held during the read that proves the store to be up.
+	proving sync.Mutex
 	mutex   sync.Mutex
 	state   *State
 	last    Reach
@@ -173,12 +175,30 @@
 	return answer, nil
 }
 
+// prove reports whether the store answers this daemon, by a read if the last answer is not
+// recent. Several questions at once cost one read.
+func (s *Store) prove(ctx context.Context) bool {
+	s.proving.Lock()
+	defer s.proving.Unlock()
+	s.mutex.Lock()
+	proven, failing := s.state.proven(time.Now()), s.state.lost(time.Now())
+	s.mutex.Unlock()
+	if proven || failing {
+		return proven
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.options.ProbeTimeout)
+	defer cancel()
+	_, err := s.direct.Range(ctx, provider.RowRange{Table: "daemons", Part: "probe", Limit: 1})
+	s.note(err)
+	return answered(err)
+}
+
 // Handle serves the questions and calls of other daemons. It reports whether the method
 // is one of them.
 func (s *Store) Handle(ctx context.Context, method string, params json.RawMessage) (any, bool, error) {
 	switch method {
 	case messenger.MethodStoreState:
-		return encoder.StoreState{Up: s.Reach() == Direct}, true, nil
+		return encoder.StoreState{Up: s.prove(ctx)}, true, nil
 	case messenger.MethodStoreApply:
 		var change encoder.StoreChange
 		if err := json.Unmarshal(params, &change); err != nil {
