Judge each part of the store by itself

Cause: outages of the store can be partial. Change: one queue and one belief for each part; a turn has three parts and goes to the first that answers; a budget of 1600 tokens or more is kept in two rows of different parts. A 404 needs an answer of all three parts.

--- a/batcher/doc.go
+++ b/batcher/doc.go
@@ -16,8 +16,7 @@
 //		}
 //	}
 //
-// An entry whose condition fails is resolved alone; the others of its transaction are
-// sent again. An entry without conditions may be applied any number of times, so it is
-// sent again when the answer to its transaction is missing. The outcome of an entry
-// with conditions is then unknown, and its owner reads back.
+// A State serves one part of the store, since parts fail one by one. An entry whose
+// condition fails is resolved alone; the others of its transaction are sent again. After a
+// missing answer the outcome of all its entries is unknown, and their owners decide.
 package batcher
--- a/batcher/message.go
+++ b/batcher/message.go
@@ -49,9 +49,12 @@
 	Kind  provider.Kind
 }
 
-// Reached says that another call to the store was answered.
+// Reached says that another part of the store answers: it is time to probe this one.
 type Reached struct{}
 
+// Doubted says that a read of the part was not answered.
+type Doubted struct{}
+
 // Probed ends a Probe.
 type Probed struct{ Answered bool }
 
@@ -63,6 +66,7 @@
 func (Conflicted) message() {}
 func (Failed) message()     {}
 func (Reached) message()    {}
+func (Doubted) message()    {}
 func (Probed) message()     {}
 func (Tick) message()       {}
 
@@ -97,7 +101,7 @@
 // down from one that has lost an answer.
 type Probe struct{ Timeout time.Duration }
 
-// StoreChanged says that the store stopped or began again to take writes.
+// StoreChanged says that the part stopped or began again to take writes.
 type StoreChanged struct{ Up bool }
 
 func (Apply) command()        {}
--- a/batcher/state.go
+++ b/batcher/state.go
@@ -23,10 +23,12 @@
 	// FirstPause and LongestPause bound the pause after a failed transaction.
 	FirstPause   time.Duration
 	LongestPause time.Duration
-	// ProbeTimeout bounds the read that decides whether the store is down; it is above
-	// the answers of a store that is slow. ProbeInterval is the time between two of them.
-	ProbeTimeout  time.Duration
-	ProbeInterval time.Duration
+	// ProbeTimeout bounds the read that decides whether the part is down; it is above
+	// the answers of a store that is slow. FirstProbeAfter is the time between two of
+	// them, doubled up to LastProbeAfter.
+	ProbeTimeout    time.Duration
+	FirstProbeAfter time.Duration
+	LastProbeAfter  time.Duration
 	// Seed decides the jitter of pauses.
 	Seed uint64
 }
@@ -38,7 +40,8 @@
 		MaxEntries: 96, MaxBytes: 600_000, MaxFlights: 3,
 		FirstTimeout: 400 * time.Millisecond, MinTimeout: 150 * time.Millisecond, MaxTimeout: 1200 * time.Millisecond,
 		FirstPause: 40 * time.Millisecond, LongestPause: 320 * time.Millisecond,
-		ProbeTimeout: 350 * time.Millisecond, ProbeInterval: 150 * time.Millisecond, Seed: 1,
+		ProbeTimeout: 350 * time.Millisecond, FirstProbeAfter: 200 * time.Millisecond,
+		LastProbeAfter: 800 * time.Millisecond, Seed: 1,
 	}
 }
 
@@ -61,9 +64,11 @@
 	down     bool
 	probing  bool
 	probeAt  time.Time
-	pause    time.Duration
-	resume   time.Time
-	commands []Command
+	// probeAfter is the time between the last two probes.
+	probeAfter time.Duration
+	pause      time.Duration
+	resume     time.Time
+	commands   []Command
 }
 
 // New returns an empty queue before a store that is taken to be up.
@@ -93,7 +98,9 @@
 	case Failed:
 		s.failed(now, m)
 	case Reached:
-		s.recover()
+		s.probeAt = time.Time{}
+	case Doubted:
+		s.failures++
 	case Probed:
 		s.probed(now, m.Answered)
 	case Tick:
@@ -128,6 +135,7 @@
 // recover ends the pause after failures.
 func (s *State) recover() {
 	s.failures, s.pause, s.resume = 0, 0, time.Time{}
+	s.probeAfter, s.probeAt = 0, time.Time{}
 	if s.down {
 		s.down = false
 		s.emit(StoreChanged{Up: true})
@@ -204,16 +212,11 @@
 	s.backOff(now, m.Kind)
 	var again []Entry
 	for _, e := range f.entries {
-		switch {
-		case m.Kind == provider.KindInvalid:
-			s.resolve(&e, Outcome{Kind: provider.KindInvalid})
-		case m.Kind == provider.KindUnknown && !e.repeatable():
-			s.resolve(&e, Outcome{Kind: provider.KindUnknown})
-		case !now.Before(e.Deadline):
+		if m.Kind != provider.KindUnavailable || s.down || !now.Before(e.Deadline) {
 			s.resolve(&e, Outcome{Kind: m.Kind})
-		default:
-			again = append(again, e)
+			continue
 		}
+		again = append(again, e)
 	}
 	s.queue = append(again, s.queue...)
 }
@@ -234,7 +237,8 @@
 	if s.probing || now.Before(s.probeAt) || (s.failures == 0 && !s.down) {
 		return
 	}
-	s.probing, s.probeAt = true, now.Add(s.options.ProbeInterval)
+	s.probeAfter = min(max(2*s.probeAfter, s.options.FirstProbeAfter), s.options.LastProbeAfter)
+	s.probing, s.probeAt = true, now.Add(s.probeAfter)
 	s.emit(Probe{Timeout: s.options.ProbeTimeout})
 }
 
@@ -249,22 +253,17 @@
 		s.emit(StoreChanged{Up: false})
 	}
 	if s.down {
-		s.refuseConditional()
+		s.refuseAll()
 	}
 }
 
-// refuseConditional resolves entries whose owners can refuse their callers at once, now
-// that the store is down. They have not been sent.
-func (s *State) refuseConditional() {
-	kept := s.queue[:0]
-	for _, e := range s.queue {
-		if e.repeatable() {
-			kept = append(kept, e)
-			continue
-		}
-		s.resolve(&e, Outcome{Kind: provider.KindUnavailable})
+// refuseAll resolves what waits, now that the part is down. Owners refuse their callers at
+// once or write to another part.
+func (s *State) refuseAll() {
+	for i := range s.queue {
+		s.resolve(&s.queue[i], Outcome{Kind: provider.KindUnavailable})
 	}
-	s.queue = kept
+	s.queue = nil
 }
 
 // expire drops entries that nobody waits for any more. They have not been sent, or
--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -23,7 +23,7 @@
 // ExpiryKey returns the key of a turn's entry in the list of expiries.
 func ExpiryKey(t *Turn) provider.RowKey {
 	return provider.RowKey{
-		Table: ExpiryTable, Part: Part(t.ID),
+		Table: ExpiryTable, Part: t.Part,
 		Key: fmt.Sprintf("%0*d/%s", timeDigits, t.Expires.Unix(), Key(t.ID)),
 	}
 }
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -24,7 +24,9 @@
 const (
 	// partCount spreads turns over parts of the table. The store takes a few hundred
 	// transactions a second for each part.
-	partCount = 32
+	partCount = 16
+	// placeCount is the number of parts that may hold a turn.
+	placeCount = 3
 	// maxKeyBytes leaves room for a segment number in the store's limit of 200 bytes.
 	maxKeyBytes = 160
 	// segmentDigits is the width of a segment number.
@@ -36,6 +38,8 @@
 // Turn is one turn of a chain.
 type Turn struct {
 	ID string
+	// Part is the part of the table that holds the turn.
+	Part string
 	// Previous is the turn before, empty at the start of a chain.
 	Previous string
 	// Text is the turn's input followed by its output.
@@ -66,18 +70,27 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// Part returns the part of the table that holds a turn.
-func Part(id string) string {
-	h := fnv.New32a()
+// Places returns the parts of the table that may hold a turn, in the order in which they
+// are tried: a turn is written to the first that answers.
+func Places(id string) []string {
+	h := fnv.New64a()
 	_, _ = h.Write([]byte(id))
-	return partName(int(h.Sum32() % partCount))
+	sum := h.Sum64()
+	first := int(sum % partCount)
+	// An odd step visits different parts.
+	step := int(sum>>32%(partCount/2))*2 + 1
+	places := make([]string, placeCount)
+	for i := range places {
+		places[i] = partName((first + i*step) % partCount)
+	}
+	return places
 }
 
-// Range selects all rows of a turn.
-func Range(id string) provider.RowRange {
+// Range selects all rows of a turn in a part.
+func Range(id, part string) provider.RowRange {
 	key := Key(id)
 	// Segments are key/001 and so on; '0' is the byte after '/'.
-	return provider.RowRange{Table: Table, Part: Part(id), From: key, To: key + "0", Limit: 0}
+	return provider.RowRange{Table: Table, Part: part, From: key, To: key + "0"}
 }
 
 func segmentKey(key string, number int) string {
@@ -116,7 +129,7 @@
 func split(t *Turn, data []byte, rowBytes int) ([]provider.RowWrite, error) {
 	size := max(1, rowBytes-frameBytes)
 	segments := max(1, (len(data)+size-1)/size)
-	key, part := Key(t.ID), Part(t.ID)
+	key, part := Key(t.ID), t.Part
 	writes := make([]provider.RowWrite, 0, segments)
 	for i := range segments {
 		row := segment{Data: data[i*size : min(len(data), (i+1)*size)]}
@@ -169,5 +182,7 @@
 	if err := cbor.Unmarshal(plain, &stored); err != nil {
 		return nil, NewError(operation, KindCorrupt, err)
 	}
-	return &Turn{ID: id, Previous: stored.Previous, Text: stored.Text, Expires: time.Unix(stored.Expires, 0)}, nil
+	return &Turn{
+		ID: id, Part: rows[0].Part, Previous: stored.Previous, Text: stored.Text, Expires: time.Unix(stored.Expires, 0),
+	}, nil
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -7,19 +7,19 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/dogwoodweir/dogwoodweir/accountant"
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
 	"github.com/dogwoodweir/dogwoodweir/historian"
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
 
 // Recorder keeps histories and budgets; see package recorder.
 type Recorder interface {
 	Up() bool
-	Reserve(ctx context.Context, program string, budget, tokens int) accountant.Decide
-	Finish(program string, reserved, used int)
+	Reserve(ctx context.Context, program string, budget, tokens int) recorder.Reservation
+	Finish(reservation recorder.Reservation, used int)
 	Chain(ctx context.Context, id string) ([]*historian.Turn, error)
 	Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error
 }
--- a/receiver/visit.go
+++ b/receiver/visit.go
@@ -31,9 +31,10 @@
 	input []byte
 	body  []byte
 	chain []*historian.Turn
-	// reserved tokens are returned at the end, but for those that were generated.
-	reserved  int
-	generated int
+	// reservation holds the tokens of the turn. At the end they are returned, but for those
+	// that were generated.
+	reservation *recorder.Reservation
+	generated   int
 	// output is what the turn has said so far, for its history.
 	output []byte
 	// lastEvent is the ID of the last event that the caller got.
@@ -51,8 +52,8 @@
 			return
 		}
 	}
-	if v.reserved > 0 {
-		defer func() { v.receiver.parts.Recorder.Finish(v.call.Program, v.reserved, v.generated) }()
+	if v.reservation != nil {
+		defer func() { v.receiver.parts.Recorder.Finish(*v.reservation, v.generated) }()
 	}
 	v.run()
 }
@@ -205,7 +206,7 @@
 	v.event.BudgetVersion, v.event.BudgetGranted = d.Version, d.Granted
 	switch d.Verdict {
 	case accountant.Admitted:
-		v.reserved = tokens
+		v.reservation = &d
 		return nil
 	case accountant.Spent:
 		return v.refuse(http.StatusPaymentRequired, "budgetSpent", 0, nil)
--- /dev/null
+++ b/recorder/budgets.go
@@ -0,0 +1,216 @@
+package recorder
+
+import (
+	"context"
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/accountant"
+	"github.com/dogwoodweir/dogwoodweir/batcher"
+	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+const (
+	// programTable holds the budgets of programs.
+	programTable = "programs"
+	// programParts spreads programs over parts of the table.
+	programParts = 16
+	// smallestSplitBudget is the number of tokens from which a budget is kept in two rows
+	// of different parts, so that the loss of one part leaves half of it. Below, half of
+	// a budget would not hold a turn. All daemons must use the same value.
+	smallestSplitBudget = 1600
+	// secondAccount is appended to a program's name in its second row.
+	secondAccount = "\x01second"
+)
+
+// account is a part of a program's budget that is kept in a row of its own.
+type account struct {
+	name   string
+	budget int
+}
+
+// accountsOf splits a budget. The split depends on the budget alone, so that all daemons
+// agree on it.
+func accountsOf(program string, budget int) []account {
+	if budget < smallestSplitBudget {
+		return []account{{program, budget}}
+	}
+	half := budget / 2
+	return []account{{program, budget - half}, {program + secondAccount, half}}
+}
+
+func programKey(name string) provider.RowKey {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(name))
+	part := "p" + strconv.Itoa(int(h.Sum32()%programParts))
+	return provider.RowKey{Table: programTable, Part: part, Key: historian.Key(name)}
+}
+
+// Reservation is the answer to a request for the tokens of a turn.
+type Reservation struct {
+	accountant.Decide
+	account string
+	tokens  int
+}
+
+// Reserve asks for the tokens of one turn. Every admitted turn ends with Finish. The
+// budget is spent only if every account of the program says so.
+func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int) Reservation {
+	accounts := accountsOf(program, budget)
+	if len(accounts) == 2 && !r.partUp(programKey(accounts[0].name).Part) {
+		accounts[0], accounts[1] = accounts[1], accounts[0]
+	}
+	worst := Reservation{Decide: accountant.Decide{Verdict: accountant.Spent}}
+	for _, a := range accounts {
+		d := r.reserve(ctx, a, tokens)
+		if d.Verdict == accountant.Admitted {
+			return Reservation{Decide: d, account: a.name, tokens: tokens}
+		}
+		if d.Verdict > worst.Verdict || worst.Version == 0 {
+			worst.Decide = d
+		}
+	}
+	return worst
+}
+
+func (r *Recorder) reserve(ctx context.Context, a account, tokens int) accountant.Decide {
+	ticket := accountant.Ticket(r.tickets.Add(1))
+	reply := make(chan accountant.Decide, 1)
+	r.inbox <- reserve{
+		request: accountant.Requested{Ticket: ticket, Program: a.name, Budget: a.budget, Tokens: tokens}, reply: reply,
+	}
+	select {
+	case d := <-reply:
+		return d
+	case <-ctx.Done():
+		r.inbox <- budgetMessage{accountant.Withdrawn{Ticket: ticket, Program: a.name}}
+	}
+	// The decision may have been on its way.
+	select {
+	case d := <-reply:
+		if d.Verdict == accountant.Admitted {
+			r.finish(a.name, tokens, 0)
+		}
+	default:
+	}
+	return accountant.Decide{Ticket: ticket, Verdict: accountant.Unavailable}
+}
+
+// Finish ends an admitted turn with the tokens that it generated.
+func (r *Recorder) Finish(reservation Reservation, used int) {
+	r.finish(reservation.account, reservation.tokens, used)
+}
+
+func (r *Recorder) finish(account string, reserved, used int) {
+	r.inbox <- budgetMessage{accountant.Finished{Program: account, Reserved: reserved, Used: used}}
+}
+
+// Give takes tokens off this daemon's grant for another daemon. It returns all that is
+// wanted or 0.
+func (r *Recorder) Give(ctx context.Context, account string, tokens int) int {
+	reply := make(chan int, 1)
+	m := wanted{reply: reply, Wanted: accountant.Wanted{
+		Ticket: accountant.Ticket(r.tickets.Add(1)), Program: account, Tokens: tokens,
+	}}
+	r.send(ctx, m)
+	select {
+	case got := <-reply:
+		return got
+	case <-ctx.Done():
+		return 0
+	}
+}
+
+func (r *Recorder) runBudgets(ctx context.Context, now time.Time, m accountant.Message) {
+	for _, c := range r.budgets.Update(now, m) {
+		switch c := c.(type) {
+		case accountant.Decide:
+			if reply := r.waiters[c.Ticket]; reply != nil {
+				delete(r.waiters, c.Ticket)
+				reply <- c
+			}
+		case accountant.Give:
+			r.gifts[c.Ticket] <- c.Tokens
+			delete(r.gifts, c.Ticket)
+		case accountant.Write:
+			r.writeBudget(ctx, now, c)
+		case accountant.Read:
+			r.readBudget(ctx, c)
+		}
+	}
+}
+
+// writeBudget queues the row of a budget. While its part is down nothing is sent: other
+// daemons are asked for tokens that they were granted, and turns without any are refused.
+func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
+	key := programKey(c.Program)
+	if !r.partUp(key.Part) {
+		refused := accountant.Written{Program: c.Program, Kind: provider.KindUnavailable}
+		if c.Background {
+			r.runBudgets(ctx, now, refused)
+			return
+		}
+		r.borrow(ctx, c.Program, c.Needed, refused)
+		return
+	}
+	ticket := batcher.Ticket(r.tickets.Add(1))
+	r.grants[ticket] = c
+	patience := budgetPatience
+	if c.Background {
+		patience = backgroundPatience
+	}
+	r.runLane(ctx, now, key.Part, batcher.Submitted{Entry: batcher.Entry{
+		Ticket: ticket, Deadline: now.Add(patience), Bytes: len(c.Value), Background: c.Background,
+		Transaction: provider.RowTransaction{
+			Conditions: []provider.RowCondition{{RowKey: key, Version: c.Version}},
+			Writes:     []provider.RowWrite{{RowKey: key, Value: c.Value}},
+		},
+	}})
+}
+
+func (r *Recorder) readBudget(ctx context.Context, c accountant.Read) {
+	key := programKey(c.Program)
+	unavailable := accountant.Loaded{Program: c.Program, Kind: provider.KindUnavailable}
+	if !r.partUp(key.Part) {
+		r.borrow(ctx, c.Program, c.Needed, unavailable)
+		return
+	}
+	r.tasks.Go(func() {
+		call, cancel := context.WithTimeout(ctx, budgetPatience)
+		defer cancel()
+		page, err := r.read(call, provider.RowRange{
+			Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00", Limit: 1,
+		})
+		if err != nil {
+			r.log.Warn("budget not readable", zap.String("program", c.Program), zap.Error(err))
+			r.borrowed(ctx, c.Program, c.Needed)
+			r.send(ctx, budgetMessage{unavailable})
+			return
+		}
+		loaded := accountant.Loaded{Program: c.Program}
+		if len(page.Rows) > 0 {
+			loaded.Row = &page.Rows[0]
+		}
+		r.send(ctx, budgetMessage{loaded})
+	})
+}
+
+// borrow asks other daemons for tokens, then ends the call to the store that could not be
+// made.
+func (r *Recorder) borrow(ctx context.Context, program string, tokens int, end accountant.Message) {
+	r.tasks.Go(func() {
+		r.borrowed(ctx, program, tokens)
+		r.send(ctx, budgetMessage{end})
+	})
+}
+
+func (r *Recorder) borrowed(ctx context.Context, program string, tokens int) {
+	if got := r.neighbours.Tokens(ctx, program, tokens); got > 0 {
+		r.log.Info("tokens of another daemon", zap.String("program", program), zap.Int("tokens", got))
+		r.send(ctx, budgetMessage{accountant.Received{Program: program, Tokens: got}})
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -40,6 +39,14 @@
 	RowBytes int
 }
 
+// Neighbours are the other daemons, which are asked while the store is down.
+type Neighbours interface {
+	// Tokens returns tokens that another daemon was granted and has passed on, or 0.
+	Tokens(ctx context.Context, program string, tokens int) int
+	// Turn returns a turn that another daemon has in memory, or nil.
+	Turn(ctx context.Context, id string) *historian.Turn
+}
+
 // message is an input of the loop.
 type message interface{ message() }
 
@@ -50,32 +57,32 @@
 
 type budgetMessage struct{ accountant.Message }
 
+// wanted asks for tokens for another daemon.
+type wanted struct {
+	accountant.Wanted
+	reply chan int
+}
+
 type submit struct {
+	part  string
 	entry batcher.Entry
 	reply chan batcher.Outcome
 }
 
-// wanted asks for tokens for another daemon.
-type wanted struct {
-	accountant.Wanted
-	reply chan int
+type laneMessage struct {
+	part string
+	batcher.Message
 }
 
-type batchMessage struct{ batcher.Message }
+// reached says that the store has answered a call of another part of the daemon.
+type reached struct{}
 
 func (reserve) message()       {}
 func (budgetMessage) message() {}
-func (submit) message()        {}
 func (wanted) message()        {}
-func (batchMessage) message()  {}
-
-// Neighbours are the other daemons, which are asked while the store is down.
-type Neighbours interface {
-	// Tokens returns tokens that another daemon was granted and has passed on, or 0.
-	Tokens(ctx context.Context, program string, tokens int) int
-	// Turn returns a turn that another daemon has in memory, or nil.
-	Turn(ctx context.Context, id string) *historian.Turn
-}
+func (submit) message()        {}
+func (laneMessage) message()   {}
+func (reached) message()       {}
 
 // Recorder writes and reads the rows of turns and budgets.
 type Recorder struct {
@@ -85,7 +92,8 @@
 	log        *zap.Logger
 	inbox      chan message
 	turns      *historian.Cache
-	up         atomic.Bool
+	down       atomic.Pointer[health]
+	laneCount  atomic.Int64
 	tickets    atomic.Uint64
 	tasks      conc.WaitGroup
 	// sweepFrom has the key at which the next sweep of a part of programs begins. It
@@ -93,11 +101,11 @@
 	sweepFrom map[string]string
 
 	// The fields below belong to the loop.
-	batches *batcher.State
+	lanes   map[string]*lane
 	budgets *accountant.State
-	// commits and grants have the owners of entries by their tickets.
+	// commits, grants, waiters and gifts have the owners of entries by their tickets.
 	commits map[batcher.Ticket]chan batcher.Outcome
-	grants  map[batcher.Ticket]string
+	grants  map[batcher.Ticket]accountant.Write
 	waiters map[accountant.Ticket]chan accountant.Decide
 	gifts   map[accountant.Ticket]chan int
 }
@@ -106,19 +114,15 @@
 func New(store provider.RowStore, neighbours Neighbours, options Options, log *zap.Logger) *Recorder {
 	r := &Recorder{
 		store: store, neighbours: neighbours, options: options, log: log, inbox: make(chan message, inboxSize),
-		turns:   historian.NewCache(options.CacheBytes),
-		batches: batcher.New(options.Batcher), budgets: accountant.New(options.Accountant, options.Holder),
-		commits: map[batcher.Ticket]chan batcher.Outcome{}, grants: map[batcher.Ticket]string{},
-		waiters: map[accountant.Ticket]chan accountant.Decide{}, sweepFrom: map[string]string{},
-		gifts: map[accountant.Ticket]chan int{},
+		turns: historian.NewCache(options.CacheBytes), lanes: map[string]*lane{},
+		budgets: accountant.New(options.Accountant, options.Holder), commits: map[batcher.Ticket]chan batcher.Outcome{},
+		grants: map[batcher.Ticket]accountant.Write{}, waiters: map[accountant.Ticket]chan accountant.Decide{},
+		gifts: map[accountant.Ticket]chan int{}, sweepFrom: map[string]string{},
 	}
-	r.up.Store(true)
+	r.down.Store(&health{})
 	return r
 }
 
-// Up reports whether the store takes writes, as far as is known.
-func (r *Recorder) Up() bool { return r.up.Load() }
-
 // CachedBytes returns the size of the turns in memory.
 func (r *Recorder) CachedBytes() int { return r.turns.Bytes() }
 
@@ -145,14 +149,16 @@
 }
 
 func (r *Recorder) interval() time.Duration {
-	if r.batches.Waiting() > 0 || !r.batches.Up() {
+	if r.busy() {
 		return busyTick
 	}
 	return idleTick
 }
 
 func (r *Recorder) tick(ctx context.Context, now time.Time) {
-	r.runBatches(ctx, now, batcher.Tick{})
+	for part := range r.lanes {
+		r.runLane(ctx, now, part, batcher.Tick{})
+	}
 	r.runBudgets(ctx, now, accountant.Tick{})
 }
 
@@ -171,161 +177,36 @@
 		r.runBudgets(ctx, now, m.Wanted)
 	case submit:
 		r.commits[m.entry.Ticket] = m.reply
-		r.runBatches(ctx, now, batcher.Submitted{Entry: m.entry})
-	case batchMessage:
-		r.runBatches(ctx, now, m.Message)
-	}
-}
-
-func (r *Recorder) runBudgets(ctx context.Context, now time.Time, m accountant.Message) {
-	for _, c := range r.budgets.Update(now, m) {
-		switch c := c.(type) {
-		case accountant.Decide:
-			if reply := r.waiters[c.Ticket]; reply != nil {
-				delete(r.waiters, c.Ticket)
-				reply <- c
-			} else if c.Verdict == accountant.Admitted {
-				// Cannot happen: a withdrawn ticket has left the queue of waiters.
-				r.log.Error("tokens granted to nobody", zap.Uint64("ticket", uint64(c.Ticket)))
-			}
-		case accountant.Give:
-			r.gifts[c.Ticket] <- c.Tokens
-			delete(r.gifts, c.Ticket)
-		case accountant.Write:
-			r.writeBudget(ctx, now, c)
-		case accountant.Read:
-			r.readBudget(ctx, c.Program, c.Needed)
-		}
-	}
-}
-
-// writeBudget queues the row of a budget. While the store is down nothing is sent: other
-// daemons are asked for tokens that they were granted, and turns without any are refused.
-func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
-	if !r.batches.Up() {
-		refused := accountant.Written{Program: c.Program, Kind: provider.KindUnavailable}
-		if c.Background {
-			r.runBudgets(ctx, now, refused)
-			return
-		}
-		r.borrow(ctx, c.Program, c.Needed, refused)
-		return
-	}
-	ticket := batcher.Ticket(r.tickets.Add(1))
-	r.grants[ticket] = c.Program
-	patience := budgetPatience
-	if c.Background {
-		patience = backgroundPatience
-	}
-	key := programKey(c.Program)
-	r.runBatches(ctx, now, batcher.Submitted{Entry: batcher.Entry{
-		Ticket: ticket, Deadline: now.Add(patience), Bytes: len(c.Value), Background: c.Background,
-		Transaction: provider.RowTransaction{
-			Conditions: []provider.RowCondition{{RowKey: key, Version: c.Version}},
-			Writes:     []provider.RowWrite{{RowKey: key, Value: c.Value}},
-		},
-	}})
-}
-
-func (r *Recorder) readBudget(ctx context.Context, program string, needed int) {
-	if !r.batches.Up() {
-		r.borrow(ctx, program, needed, accountant.Loaded{Program: program, Kind: provider.KindUnavailable})
-		return
-	}
-	r.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(ctx, budgetPatience)
-		defer cancel()
-		key := programKey(program)
-		loaded := accountant.Loaded{Program: program}
-		page, err := r.read(ctx, provider.RowRange{
-			Table: key.Table, Part: key.Part, From: key.Key, To: key.Key + "\x00", Limit: 1,
-		})
-		if err != nil {
-			loaded.Kind = provider.KindUnavailable
-			r.log.Warn("budget not readable", zap.String("program", program), zap.Error(err))
-		} else if len(page.Rows) > 0 {
-			loaded.Row = &page.Rows[0]
-		}
-		r.send(ctx, budgetMessage{loaded})
-	})
-}
-
-// borrow asks other daemons for tokens, then ends the call to the store that could not be
-// made.
-func (r *Recorder) borrow(ctx context.Context, program string, tokens int, end accountant.Message) {
-	r.tasks.Go(func() {
-		if got := r.neighbours.Tokens(ctx, program, tokens); got > 0 {
-			r.log.Info("tokens of another daemon", zap.String("program", program), zap.Int("tokens", got))
-			r.send(ctx, budgetMessage{accountant.Received{Program: program, Tokens: got}})
-		}
-		r.send(ctx, budgetMessage{end})
-	})
-}
-
-func (r *Recorder) runBatches(ctx context.Context, now time.Time, m batcher.Message) {
-	for _, c := range r.batches.Update(now, m) {
-		switch c := c.(type) {
-		case batcher.Apply:
-			r.apply(ctx, c)
-		case batcher.Resolve:
-			r.resolve(ctx, now, c)
-		case batcher.Probe:
-			r.probe(ctx, c.Timeout)
-		case batcher.StoreChanged:
-			r.up.Store(c.Up)
-			r.log.Info("store", zap.Bool("up", c.Up), zap.Int("waiting", r.batches.Waiting()))
+		r.runLane(ctx, now, m.part, batcher.Submitted{Entry: m.entry})
+	case laneMessage:
+		r.runLane(ctx, now, m.part, m.Message)
+	case reached:
+		for part := range *r.down.Load() {
+			r.runLane(ctx, now, part, batcher.Reached{})
 		}
 	}
 }
 
-func (r *Recorder) apply(ctx context.Context, c batcher.Apply) {
-	r.tasks.Go(func() {
-		call, cancel := context.WithTimeout(ctx, c.Timeout)
-		defer cancel()
-		version, err := r.store.Apply(call, c.Transaction)
-		kind := provider.KindOf(err)
-		var conflict *provider.RowConflict
-		switch {
-		case err == nil:
-			r.send(ctx, batchMessage{batcher.Applied{Batch: c.Batch, Version: version}})
-		case errors.As(err, &conflict):
-			r.send(ctx, batchMessage{batcher.Conflicted{Batch: c.Batch, Rows: conflict.Rows}})
-		default:
-			r.log.Warn("transaction failed", zap.Uint64("batch", c.Batch), zap.Int("entries", c.Transaction.Entries()),
-				zap.Stringer("kind", kind), zap.Duration("timeout", c.Timeout), zap.Error(err))
-			r.send(ctx, batchMessage{batcher.Failed{Batch: c.Batch, Kind: kind}})
-		}
-	})
-}
-
-// probe reads an empty range.
-func (r *Recorder) probe(ctx context.Context, timeout time.Duration) {
-	r.tasks.Go(func() {
-		call, cancel := context.WithTimeout(ctx, timeout)
-		defer cancel()
-		_, err := r.store.Range(call, provider.RowRange{Table: programTable, Part: "probe", Limit: 1})
-		if err != nil {
-			r.log.Info("probe of the store", zap.Error(err))
-		}
-		r.send(ctx, batchMessage{batcher.Probed{Answered: err == nil}})
-	})
-}
-
+// resolve passes the outcome of an entry to its owner.
 func (r *Recorder) resolve(ctx context.Context, now time.Time, c batcher.Resolve) {
 	if reply, ok := r.commits[c.Ticket]; ok {
 		delete(r.commits, c.Ticket)
 		reply <- c.Outcome
 		return
 	}
-	program, ok := r.grants[c.Ticket]
+	write, ok := r.grants[c.Ticket]
 	if !ok {
 		return
 	}
 	delete(r.grants, c.Ticket)
-	written := accountant.Written{Program: program, Kind: c.Outcome.Kind, Version: c.Outcome.Version}
+	written := accountant.Written{Program: write.Program, Kind: c.Outcome.Kind, Version: c.Outcome.Version}
 	if len(c.Outcome.Rows) > 0 {
 		written.Row = &c.Outcome.Rows[0]
 	}
+	if c.Outcome.Kind == provider.KindUnavailable && !write.Background {
+		r.borrow(ctx, write.Program, write.Needed, written)
+		return
+	}
 	r.runBudgets(ctx, now, written)
 }
 
@@ -339,60 +220,15 @@
 
 // Reached tells the recorder that the store has answered another call.
 func (r *Recorder) Reached() {
-	if r.Up() {
+	if len(*r.down.Load()) == 0 {
 		return
 	}
 	select {
-	case r.inbox <- batchMessage{batcher.Reached{}}:
+	case r.inbox <- reached{}:
 	default:
 		// The inbox is full of work that finds out by itself.
 	}
 }
 
-// Reserve asks for the tokens of one turn. Every admitted turn ends with Finish.
-func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int) accountant.Decide {
-	ticket := accountant.Ticket(r.tickets.Add(1))
-	reply := make(chan accountant.Decide, 1)
-	r.inbox <- reserve{
-		request: accountant.Requested{Ticket: ticket, Program: program, Budget: budget, Tokens: tokens}, reply: reply,
-	}
-	select {
-	case d := <-reply:
-		return d
-	case <-ctx.Done():
-		r.inbox <- budgetMessage{accountant.Withdrawn{Ticket: ticket, Program: program}}
-	}
-	// The decision may have been on its way.
-	select {
-	case d := <-reply:
-		if d.Verdict == accountant.Admitted {
-			r.Finish(program, tokens, 0)
-		}
-	default:
-	}
-	return accountant.Decide{Ticket: ticket, Verdict: accountant.Unavailable}
-}
-
-// Give takes tokens off this daemon's grant for another daemon. It returns all that is
-// wanted or 0.
-func (r *Recorder) Give(ctx context.Context, program string, tokens int) int {
-	reply := make(chan int, 1)
-	m := wanted{reply: reply, Wanted: accountant.Wanted{
-		Ticket: accountant.Ticket(r.tickets.Add(1)), Program: program, Tokens: tokens,
-	}}
-	r.send(ctx, m)
-	select {
-	case got := <-reply:
-		return got
-	case <-ctx.Done():
-		return 0
-	}
-}
-
 // Turn returns a turn that is in memory, nil when it is not.
 func (r *Recorder) Turn(id string) *historian.Turn { return r.turns.Get(id) }
-
-// Finish ends an admitted turn with the tokens that it generated.
-func (r *Recorder) Finish(program string, reserved, used int) {
-	r.inbox <- budgetMessage{accountant.Finished{Program: program, Reserved: reserved, Used: used}}
-}
--- a/recorder/sweep.go
+++ b/recorder/sweep.go
@@ -110,5 +110,5 @@
 		Ticket: batcher.Ticket(r.tickets.Add(1)), Transaction: t, Background: true,
 		Deadline: time.Now().Add(backgroundPatience),
 	}
-	r.inbox <- submit{entry: entry, reply: make(chan batcher.Outcome, 1)}
+	r.inbox <- submit{part: t.Deletes[0].Part, entry: entry, reply: make(chan batcher.Outcome, 1)}
 }
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/fnv"
-	"strconv"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/batcher"
@@ -13,10 +11,6 @@
 )
 
 const (
-	// programTable holds the budgets of programs.
-	programTable = "programs"
-	// programParts spreads programs over parts of the table.
-	programParts = 32
 	// lifetimes is the number of retention times for which a row is kept at first, so
 	// that the turns of a long chain are rarely written anew.
 	lifetimes = 10
@@ -27,26 +21,23 @@
 	lastReadTimeout  = 700 * time.Millisecond
 	// readPause is the pause after a refused read.
 	readPause = 30 * time.Millisecond
+	// commitPause is the pause while no part takes a turn.
+	commitPause = 20 * time.Millisecond
 )
 
-func programKey(program string) provider.RowKey {
-	h := fnv.New32a()
-	_, _ = h.Write([]byte(program))
-	part := "p" + strconv.Itoa(int(h.Sum32()%programParts))
-	return provider.RowKey{Table: programTable, Part: part, Key: historian.Key(program)}
-}
-
 // read reads a range, again after a missing or refused answer, until the context ends or
-// the store counts as down.
+// the part counts as down.
 func (r *Recorder) read(ctx context.Context, rows provider.RowRange) (provider.RowPage, error) {
 	timeout := firstReadTimeout
 	for {
 		call, cancel := context.WithTimeout(ctx, timeout)
 		page, err := r.store.Range(call, rows)
 		cancel()
-		if err == nil || provider.KindOf(err) == provider.KindInvalid || !r.Up() {
+		if err == nil || provider.KindOf(err) == provider.KindInvalid || !r.partUp(rows.Part) {
 			return page, err
 		}
+		// The lane of the part finds out whether it is down.
+		r.send(ctx, laneMessage{rows.Part, batcher.Doubted{}})
 		timeout = min(2*timeout, lastReadTimeout)
 		select {
 		case <-ctx.Done():
@@ -58,11 +49,10 @@
 
 // Chain returns the turns up to the given one, newest first.
 func (r *Recorder) Chain(ctx context.Context, id string) ([]*historian.Turn, error) {
-	const operation = "chain"
 	for {
 		turns, missing, err := historian.Chain(id, r.turns.Get)
 		if err != nil {
-			return nil, NewError(operation, KindInvalid, err)
+			return nil, NewError("chain of "+id, KindInvalid, err)
 		}
 		if missing == "" {
 			return turns, nil
@@ -91,77 +81,123 @@
 	return nil
 }
 
+// load reads a turn from the parts that may hold it. Only if all of them answer, it is
+// certain that there is no such turn.
 func (r *Recorder) load(ctx context.Context, id string) (*historian.Turn, error) {
 	operation := "load turn " + id
-	if !r.Up() {
-		if turn := r.neighbours.Turn(ctx, id); turn != nil {
-			return turn, nil
+	var failure error
+	for _, part := range historian.Places(id) {
+		if !r.partUp(part) {
+			failure = errors.New("part " + part + " of the store is down")
+			continue
 		}
-		return nil, NewError(operation, KindUnavailable, errors.New("the store is down"))
-	}
-	page, err := r.read(ctx, historian.Range(id))
-	if err != nil {
-		return nil, NewError(operation, KindUnavailable, err)
+		page, err := r.read(ctx, historian.Range(id, part))
+		if err != nil {
+			failure = err
+			continue
+		}
+		if len(page.Rows) == 0 {
+			continue
+		}
+		turn, err := historian.Decode(id, page.Rows)
+		if err != nil {
+			return nil, NewError(operation, KindInvalid, err)
+		}
+		return turn, nil
 	}
-	if len(page.Rows) == 0 {
+	if failure == nil {
 		return nil, NewError(operation, KindNotFound, errors.New("the store has no such turn"))
 	}
-	turn, err := historian.Decode(id, page.Rows)
-	if err != nil {
-		return nil, NewError(operation, KindInvalid, err)
+	if turn := r.neighbours.Turn(ctx, id); turn != nil {
+		return turn, nil
 	}
-	return turn, nil
+	return nil, NewError(operation, KindUnavailable, failure)
 }
 
-// Commit writes a turn. Turns of its chain, given newest first, that would expire too
-// early are written anew with it.
+// Commit writes a turn to the first of its parts that takes it. Turns of its chain, given
+// newest first, that would expire too early are written anew first.
 func (r *Recorder) Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error {
-	const operation = "commit turn"
 	now := time.Now()
 	expires := now.Add(lifetimes * retention)
-	turn.Expires = expires
-	entry := batcher.Entry{Ticket: batcher.Ticket(r.tickets.Add(1))}
-	if err := r.add(&entry, turn); err != nil {
-		return err
-	}
 	for _, old := range chain {
-		if old.Expires.After(now.Add(retention + retentionMargin)) {
+		if old.Part == "" || old.Expires.After(now.Add(retention+retentionMargin)) {
 			continue
 		}
 		renewed := *old
 		renewed.Expires = expires
-		if err := r.add(&entry, &renewed); err != nil {
+		entry, err := r.entry(ctx, &renewed)
+		if err != nil {
 			return err
 		}
 		entry.Transaction.Deletes = append(entry.Transaction.Deletes, historian.ExpiryKey(old))
+		if err := r.write(ctx, old.Part, entry); err != nil {
+			return err
+		}
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		entry.Deadline = deadline
-	} else {
-		entry.Deadline = now.Add(backgroundPatience)
+	turn.Expires = expires
+	if err := r.place(ctx, turn); err != nil {
+		return err
 	}
-	reply := make(chan batcher.Outcome, 1)
-	r.inbox <- submit{entry: entry, reply: reply}
-	select {
-	case outcome := <-reply:
-		if err := outcomeError(operation, outcome.Kind); err != nil {
-			return err
+	r.turns.Remember(turn)
+	return nil
+}
+
+// place tries the parts of a turn until one has it. A turn that is written to two of them
+// after a missing answer is the same in both.
+func (r *Recorder) place(ctx context.Context, turn *historian.Turn) error {
+	places := historian.Places(turn.ID)
+	var failure error = NewError("commit turn", KindUnavailable, errors.New("every part of the store is down"))
+	for {
+		for _, part := range places {
+			if !r.partUp(part) {
+				continue
+			}
+			turn.Part = part
+			entry, err := r.entry(ctx, turn)
+			if err != nil {
+				return err
+			}
+			if failure = r.write(ctx, part, entry); failure == nil {
+				return nil
+			}
+			if ctx.Err() != nil {
+				return failure
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return failure
+		case <-time.After(commitPause):
 		}
-		r.turns.Remember(turn)
-		return nil
-	case <-ctx.Done():
-		return NewError(operation, KindUnavailable, context.Cause(ctx))
 	}
 }
 
-func (r *Recorder) add(entry *batcher.Entry, turn *historian.Turn) error {
+func (r *Recorder) entry(ctx context.Context, turn *historian.Turn) (batcher.Entry, error) {
 	writes, err := historian.Encode(turn, r.options.RowBytes)
 	if err != nil {
-		return NewError("commit turn", KindInvalid, err)
+		return batcher.Entry{}, NewError("commit turn", KindInvalid, err)
+	}
+	entry := batcher.Entry{
+		Ticket: batcher.Ticket(r.tickets.Add(1)), Deadline: time.Now().Add(backgroundPatience),
+		Transaction: provider.RowTransaction{Writes: writes},
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		entry.Deadline = deadline
 	}
 	for _, w := range writes {
 		entry.Bytes += len(w.Value)
 	}
-	entry.Transaction.Writes = append(entry.Transaction.Writes, writes...)
-	return nil
+	return entry, nil
+}
+
+// write waits for the outcome of an entry.
+func (r *Recorder) write(ctx context.Context, part string, entry batcher.Entry) error {
+	reply := make(chan batcher.Outcome, 1)
+	r.inbox <- submit{part: part, entry: entry, reply: reply}
+	select {
+	case outcome := <-reply:
+		return outcomeError("write to part "+part, outcome.Kind)
+	case <-ctx.Done():
+		return NewError("write to part "+part, KindUnavailable, context.Cause(ctx))
+	}
 }
