--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -34,9 +34,6 @@
 	targetGrace = 2200 * time.Millisecond
 	// cacheShare is the share of the memory limit that texts of turns may take.
 	cacheShare = 0.06
-	// lingerTime is how long a daemon that is to stop takes new connections: the
-	// platform notices after two questions, a second apart.
-	lingerTime = 2200 * time.Millisecond
 	// stopMargin is kept between the end of the daemon and the end of its grace time.
 	stopMargin = 400 * time.Millisecond
 	// peerSilence ends a connection to another daemon on which an answer is overdue.
@@ -203,7 +200,7 @@
 	d.callers.retire()
 	end := began.Add(d.settings.Grace - stopMargin)
 	for time.Now().Before(end) {
-		if time.Since(began) >= lingerTime && d.receiver.Serving() == 0 {
+		if time.Since(began) >= d.settings.Linger && d.receiver.Serving() == 0 {
 			break
 		}
 		time.Sleep(20 * time.Millisecond)
--- /dev/null
+++ b/assembler/daemon_test.go
@@ -0,0 +1,439 @@
+package assembler_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/assembler"
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/platform"
+	"github.com/dogwoodweir/dogwoodweir/platform/standin"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// testbed is a daemon before stand-ins of the platform.
+type testbed struct {
+	t       *testing.T
+	rows    *emulator.Rows
+	targets map[string]*standin.Target
+	address string
+	ready   string
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+const routes = `{"version":%d,"routes":[
+{"name":"turns","host":"x","prefix":"/turns/","kind":"streaming","timeout_ms":3000,"slo_ms":300,"service":"models","max_attempts":1,"retain_history":true,"retention_s":60},
+{"name":"chat","host":"x","prefix":"/chat/","kind":"streaming","timeout_ms":3000,"slo_ms":300,"service":"models","max_attempts":1,"resumable":true},
+{"name":"status","host":"x","prefix":"/status/","kind":"safe","timeout_ms":3000,"slo_ms":300,"service":"models","max_attempts":3},
+{"name":"payout","host":"x","prefix":"/payout/","kind":"unsafe","timeout_ms":3000,"slo_ms":300,"service":"models","max_attempts":1}],
+"services":[{"name":"models","health_path":"/health","max_conns":100,"engine":{"slots":8,"kv_capacity":100000,"tokens_per_event":10}}],
+"limits":{"header_bytes":16384,"body_bytes":100000,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
+
+func newTestbed(t *testing.T, targets ...string) *testbed {
+	t.Helper()
+	b := &testbed{t: t, rows: emulator.NewRows(), targets: map[string]*standin.Target{}}
+	b.publish(1)
+	for _, id := range targets {
+		b.add(id)
+	}
+	b.start()
+	t.Cleanup(b.shutdown)
+	return b
+}
+
+func (b *testbed) put(table, key string, value any) {
+	b.t.Helper()
+	encoded, ok := value.([]byte)
+	if !ok {
+		var err error
+		if encoded, err = json.Marshal(value); err != nil {
+			b.t.Fatal(err)
+		}
+	}
+	b.apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: provider.RowKey{Table: table, Key: key}, Value: encoded}}})
+}
+
+func (b *testbed) apply(t provider.RowTransaction) {
+	b.t.Helper()
+	if _, err := b.rows.Apply(context.Background(), t); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *testbed) publish(version int) { b.put("op", "config", []byte(fmt.Sprintf(routes, version))) }
+
+// add starts a target and lists it.
+func (b *testbed) add(id string) {
+	b.t.Helper()
+	target := standin.NewTarget(id)
+	server := httptest.NewServer(target)
+	b.t.Cleanup(server.Close)
+	b.targets[id] = target
+	b.put("servers", id, map[string]any{
+		"service": "models", "address": strings.TrimPrefix(server.URL, "http://"), "zone": "ams", "slots": 8,
+		"state": "ready", "born": 1,
+	})
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start starts a daemon; earlier ones of the testbed have ended.
+func (b *testbed) start() {
+	b.t.Helper()
+	store := httptest.NewServer(standin.NewStore(b.rows))
+	b.t.Cleanup(store.Close)
+	b.address, b.ready = freeAddress(b.t), freeAddress(b.t)
+	settings := assembler.Settings{
+		Host: "host-1", Domain: "ams", Region: "nl", Regions: map[string]string{"ams": "nl"},
+		CallerAddress: b.address, ReadyAddress: b.ready, PeerAddress: freeAddress(b.t),
+		MemoryBytes: 128 << 20, Grace: 4 * time.Second, Linger: 100 * time.Millisecond,
+		Store: assembler.StoreSettings{RowBytes: 65536},
+	}
+	adapter := assembler.Adapter{
+		Store:   platform.NewStore(strings.TrimPrefix(store.URL, "http://")),
+		Catalog: platform.Catalog{}, Dialect: platform.Dialect{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.stop, b.stopped = cancel, make(chan struct{})
+	daemon := assembler.New(settings, adapter, zap.NewNop())
+	go func() {
+		defer close(b.stopped)
+		if err := daemon.Run(ctx); err != nil {
+			b.t.Error(err)
+		}
+	}()
+	b.await("readiness", func() bool { return b.isReady() })
+	b.await("targets", func() bool {
+		return len(b.targets) == 0 || b.call("/status/", "probe", nil, "").status == http.StatusOK
+	})
+}
+
+func (b *testbed) shutdown() {
+	b.stop()
+	<-b.stopped
+}
+
+func (b *testbed) isReady() bool {
+	response, err := http.Get("http://" + b.ready + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+func (b *testbed) await(what string, condition func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	b.t.Fatalf("no %s after 10 s", what)
+}
+
+// result is what a caller saw.
+type result struct {
+	status     int
+	body       string
+	whole      bool
+	retryAfter string
+}
+
+// call sends a request; an empty id sends none.
+func (b *testbed) call(path, id string, headers map[string]string, body string) result {
+	b.t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+b.address+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	request.Host = "x"
+	request.Header.Set("X-Dogwoodweir-Request-Id", id)
+	request.Header.Set("X-Dogwoodweir-Deadline-Ms", "3000")
+	for name, value := range headers {
+		request.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return result{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(response.Body)
+	return result{response.StatusCode, string(content), err == nil, response.Header.Get("Retry-After")}
+}
+
+// runs returns the calls that ran at any target, but for the testbed's own probes.
+func (b *testbed) runs() []string {
+	got := []string{}
+	for _, target := range b.targets {
+		for _, r := range target.Runs() {
+			if r.ID != "probe" {
+				got = append(got, r.ID)
+			}
+		}
+	}
+	return got
+}
+
+func (b *testbed) body(id string) string {
+	for _, target := range b.targets {
+		for _, r := range target.Runs() {
+			if r.ID == id {
+				return r.Body
+			}
+		}
+	}
+	return ""
+}
+
+func previous(id string) map[string]string {
+	return map[string]string{"X-Dogwoodweir-Previous-Turn": id}
+}
+
+const said = "said 1\nsaid 2\nsaid 3\n"
+
+// TestHistory follows a chain over a restart of the only daemon: what a turn said is in
+// front of the next turn's input, and two turns may continue one.
+func TestHistory(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	if got := b.call("/turns/1", "a", nil, "A"); !got.whole || got.status != http.StatusOK {
+		t.Fatalf("first turn: %+v", got)
+	}
+	b.call("/turns/1", "b", previous("a"), "B")
+	b.shutdown()
+	b.start()
+	b.call("/turns/1", "c", previous("b"), "C")
+	b.call("/turns/1", "d", previous("a"), "D")
+	want := []string{"A", "A" + said + "B", "A" + said + "B" + said + "C", "A" + said + "D"}
+	got := []string{b.body("a"), b.body("b"), b.body("c"), b.body("d")}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("inputs differ (-want +got):\n%s", diff)
+	}
+	if got := b.call("/turns/1", "e", previous("unknown"), "E"); got.status != http.StatusNotFound {
+		t.Errorf("a turn after an unknown one got %d", got.status)
+	}
+}
+
+// TestTurnCountsOnlyOnceRecorded takes the store away during a turn: the caller must not see
+// a whole answer that nobody could continue.
+func TestTurnCountsOnlyOnceRecorded(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	b.targets["i-1"].Pause = 100 * time.Millisecond
+	time.AfterFunc(150*time.Millisecond, func() { b.rows.SetDown(true) })
+	got := b.call("/turns/1", "a", nil, "A")
+	if got.whole {
+		t.Errorf("the answer %+v looks complete though the turn is not recorded", got)
+	}
+	if !strings.Contains(got.body, "said 3") {
+		t.Errorf("events were held back: %q", got.body)
+	}
+	refused := b.call("/turns/1", "b", previous("a"), "B")
+	if refused.status != http.StatusServiceUnavailable || refused.retryAfter == "" {
+		t.Errorf("during the outage a turn got %+v", refused)
+	}
+	if other := b.call("/payout/1", "p", nil, "P"); other.status != http.StatusOK {
+		t.Errorf("a call that needs no store got %+v during the outage", other)
+	}
+	b.rows.SetDown(false)
+	b.await("recovery", func() bool { return b.call("/turns/1", "c", nil, "C").whole })
+}
+
+// granted returns the tokens that the row of a program says were granted.
+func (b *testbed) granted(program string) int {
+	for part := range 32 {
+		page, err := b.rows.Range(context.Background(), provider.RowRange{Table: "programs", Part: fmt.Sprint("p", part)})
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		for _, row := range page.Rows {
+			var budget encoder.ProgramBudget
+			if err := json.Unmarshal(row.Value, &budget); err == nil && row.Key == program {
+				return budget.Granted
+			}
+		}
+	}
+	return 0
+}
+
+// TestBudget spends a budget over a restart: 402 comes only before a turn has run.
+func TestBudget(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	headers := map[string]string{
+		"X-Dogwoodweir-Program-Id": "p", "X-Dogwoodweir-Token-Budget": "100", "X-Dogwoodweir-Token-Counts": "10,40",
+	}
+	statuses := []int{}
+	for i := range 4 {
+		if i == 2 {
+			// The row must have the unused tokens of the turns before.
+			b.await("returned tokens", func() bool { return b.granted("p") == 60 })
+			b.shutdown()
+			b.start()
+		}
+		statuses = append(statuses, b.call("/turns/1", fmt.Sprint("t", i), headers, "x").status)
+	}
+	// Each turn reserves 40 tokens and generates 30, so three turns fit.
+	if diff := cmp.Diff([]int{200, 200, 200, 402}, statuses); diff != "" {
+		t.Errorf("statuses differ (-want +got):\n%s", diff)
+	}
+	if got := len(b.runs()) * 30; got != 90 {
+		t.Errorf("%d tokens of a budget of 100 were generated", got)
+	}
+}
+
+// TestFaults sends calls of each kind to a target that misbehaves and counts the runs.
+func TestFaults(t *testing.T) {
+	tests := []struct {
+		name, path string
+		fault      standin.Fault
+		status     int
+		whole      bool
+		// least and most bound the runs of the one call.
+		least, most int
+	}{
+		{"full", "/payout/", standin.FaultFull, 503, true, 0, 0},
+		{"misdirected", "/payout/", standin.FaultMisdirected, 503, true, 0, 0},
+		{"answer to a payout lost", "/payout/", standin.FaultLost, 502, true, 1, 1},
+		{"payout without a seal", "/payout/", standin.FaultUnsealed, 502, true, 1, 1},
+		{"payout cut", "/payout/", standin.FaultCut, 502, true, 1, 1},
+		{"payout failed", "/payout/", standin.FaultError, 500, true, 1, 1},
+		{"turn cut", "/turns/", standin.FaultCut, 200, false, 1, 1},
+		{"answer to a turn lost", "/turns/", standin.FaultLost, 502, true, 1, 1},
+		{"answer to a safe call lost", "/status/", standin.FaultLost, 502, true, 2, 6},
+		{"stream that may go on", "/chat/", standin.FaultCut, 200, true, 3, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := newTestbed(t, "i-1")
+			b.targets["i-1"].SetFault(test.fault)
+			got := b.call(test.path, "call", nil, "x")
+			if got.status != test.status || got.whole != test.whole {
+				t.Errorf("the caller got %+v, want status %d, whole %t", got, test.status, test.whole)
+			}
+			if test.status == http.StatusServiceUnavailable && got.retryAfter == "" {
+				t.Error("the refusal has no Retry-After")
+			}
+			if n := len(b.runs()); n < test.least || n > test.most {
+				t.Errorf("the call ran %d times, want %d to %d", n, test.least, test.most)
+			}
+			if test.path == "/chat/" {
+				want := "id: 1\ndata: said 1\n\nid: 2\ndata: said 2\n\nid: 3\ndata: said 3\n\n"
+				if diff := cmp.Diff(want, got.body); diff != "" {
+					t.Errorf("stream differs (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
+
+// TestSecondTarget checks that a call that has provably not run goes to another target.
+func TestSecondTarget(t *testing.T) {
+	b := newTestbed(t, "i-1", "i-2")
+	b.targets["i-1"].SetFault(standin.FaultFull)
+	for i := range 5 {
+		if got := b.call("/payout/", fmt.Sprint("p", i), nil, "x"); got.status != http.StatusOK {
+			t.Errorf("call %d got %+v", i, got)
+		}
+	}
+}
+
+// TestCallerLeaves checks that a target stops soon after its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	target := b.targets["i-1"]
+	target.Events, target.Pause = 1000, 10*time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.address+"/turns/", bytes.NewReader([]byte("x")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "x"
+	request.Header.Set("X-Dogwoodweir-Request-Id", "a")
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+	}
+	b.await("end of the call at its target", func() bool { return target.Stopped() > 0 })
+}
+
+// TestConfigurationIsFollowed adds, changes and removes what is in force while the daemon
+// runs, and drops the store's history in between.
+func TestConfigurationIsFollowed(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	if got := b.call("/new/", "a", nil, ""); got.status != http.StatusNotFound {
+		t.Fatalf("a path without a route got %d", got.status)
+	}
+	b.rows.Forget()
+	with := strings.Replace(fmt.Sprintf(routes, 5), `"prefix":"/chat/"`, `"prefix":"/new/"`, 1)
+	b.put("op", "config", []byte(with))
+	b.await("new route", func() bool { return b.call("/new/", "b", nil, "").status == http.StatusOK })
+	b.put("op", "config", []byte(fmt.Sprintf(routes, 3)))
+	b.put("op", "config", []byte("not a configuration"))
+	time.Sleep(100 * time.Millisecond)
+	if got := b.call("/new/", "c", nil, ""); got.status != http.StatusOK {
+		t.Errorf("an older configuration took the route away: %d", got.status)
+	}
+	b.put("servers", "broken", []byte(`{"service":7}`))
+	b.add("i-2")
+	b.apply(provider.RowTransaction{Deletes: []provider.RowKey{{Table: "servers", Key: "i-1"}}})
+	b.await("second target", func() bool {
+		b.call("/payout/", "d", nil, "")
+		return len(b.targets["i-2"].Runs()) > 0
+	})
+}
+
+// TestShutdown stops the daemon under calls: none that was read ends without an answer.
+func TestShutdown(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	b.targets["i-1"].Pause = 150 * time.Millisecond
+	results := make(chan result, 20)
+	for i := range 20 {
+		go func() { results <- b.call("/turns/", fmt.Sprint("t", i), nil, "x") }()
+	}
+	b.await("calls at the target", func() bool { return len(b.runs()) == 20 })
+	b.stop()
+	b.await("not ready", func() bool { return !b.isReady() })
+	if got := b.call("/status/", "late", nil, ""); got.status != http.StatusOK {
+		t.Errorf("a call just after the request to stop got %+v", got)
+	}
+	for range 20 {
+		if got := <-results; !got.whole || got.status != http.StatusOK {
+			t.Errorf("a call was cut: %+v", got)
+		}
+	}
+	<-b.stopped
+}
+
+// TestLimits sends a body above the limit of the configuration.
+func TestLimits(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	if got := b.call("/payout/", "a", nil, strings.Repeat("x", 100_001)); got.status != http.StatusRequestEntityTooLarge {
+		t.Errorf("a body above the limit got %d", got.status)
+	}
+	if len(b.runs()) != 0 {
+		t.Error("the call ran")
+	}
+}
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -23,6 +23,8 @@
 	Descriptors int
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
+	// Linger is how long a daemon that is to stop takes new connections.
+	Linger time.Duration
 	// DrainBound is the time within which a leaving target gets nothing new.
 	DrainBound time.Duration
 	// ListHeartbeat is the interval at which targets renew their entries.
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,239 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/dogwoodweir/dogwoodweir/forwarder"
+	"github.com/dogwoodweir/dogwoodweir/platform"
+)
+
+func TestEvents(t *testing.T) {
+	tests := []struct {
+		name, stream string
+		want         []string
+		fails        bool
+	}{
+		{"two events", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", []string{"1=a", "2=b"}, false},
+		{"several lines of data", "id: 1\ndata: a\ndata: b\n\n", []string{"1=a\nb"}, false},
+		{"carriage returns", "id: 1\r\ndata: a\r\n\r\n", []string{"1=a"}, false},
+		{"other fields", "x-versions: 3\nid: 1\nevent: e\ndata:a\n\n", []string{"1=a"}, false},
+		{"empty lines at the end", "id: 1\ndata: a\n\n\n", []string{"1=a"}, false},
+		{"nothing", "", []string{}, false},
+		{"broken off in an event", "id: 1\ndata: a\n\nid: 2\nda", []string{"1=a"}, true},
+		{"broken off before the empty line", "id: 1\ndata: a\n", []string{}, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader, got := forwarder.NewEventReader(strings.NewReader(test.stream)), []string{}
+			for {
+				event, err := reader.Next()
+				if err != nil {
+					if (err != io.EOF) != test.fails {
+						t.Errorf("stream ended with %v", err)
+					}
+					break
+				}
+				got = append(got, event.ID+"="+string(event.Data))
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("events differ (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Fuzz(func(t *testing.T, stream string) {
+		reader := forwarder.NewEventReader(strings.NewReader(stream))
+		total := 0
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				break
+			}
+			total += len(event.Raw)
+		}
+		if total > len(stream) {
+			t.Errorf("events have %d bytes of a stream of %d", total, len(stream))
+		}
+	})
+}
+
+// answerer is a target that writes given bytes after each request.
+type answerer struct {
+	listener net.Listener
+	accepted chan struct{}
+}
+
+// listen answers the nth request of a connection with the nth text; "" closes the connection.
+func listen(t *testing.T, answers ...string) *answerer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	a := &answerer{listener: l, accepted: make(chan struct{}, 100)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			a.accepted <- struct{}{}
+			go serve(conn, answers)
+		}
+	}()
+	return a
+}
+
+func serve(conn net.Conn, answers []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, answer := range answers {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		if answer == "" {
+			return
+		}
+		_, _ = io.WriteString(conn, answer)
+	}
+	// Idle until the caller closes.
+	_, _ = reader.ReadByte()
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Dogwoodweir-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func send(ctx context.Context, f *forwarder.Forwarder, a *answerer, id string) (string, error) {
+	e, err := f.Send(ctx, forwarder.Request{
+		Method: http.MethodGet, URL: &url.URL{Path: "/x"}, URI: "/x", Host: "h", Header: http.Header{"X-Dogwoodweir-Request-Id": {id}},
+		CallID: id, Dispatch: forwarder.Dispatch{Target: "i-1", Address: a.listener.Addr().String(), Left: time.Second, Priority: -1},
+	})
+	if err != nil {
+		return "", err
+	}
+	defer e.Close()
+	body, err := io.ReadAll(e)
+	return string(body), err
+}
+
+// TestConnections replays answers of targets that misbehave on a kept connection.
+func TestConnections(t *testing.T) {
+	tests := []struct {
+		name    string
+		answers []string
+		// want has the bodies of calls 1, 2 and so on.
+		want        []string
+		connections int
+	}{
+		{"kept", []string{answer("1", "a"), answer("2", "b")}, []string{"a", "b"}, 1},
+		{"extra answer behind", []string{answer("1", "a") + answer("1", "a"), answer("2", "b")}, []string{"a", "a"}, 2},
+		{"late extra answer in front", []string{answer("1", "a"), answer("1", "old") + answer("2", "b")}, []string{"a", "b"}, 1},
+		{"closing", []string{strings.Replace(answer("1", "a"), "\r\n\r\n", "\r\nConnection: close\r\n\r\n", 1)}, []string{"a", "a"}, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := listen(t, test.answers...)
+			f := forwarder.New(platform.Dialect{}, forwarder.DefaultOptions())
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			got := []string{}
+			for i := range test.want {
+				// On a new connection the target's first answer has the ID of the first call.
+				id := fmt.Sprint(i + 1)
+				if test.connections > 1 {
+					id = "1"
+				}
+				body, err := send(ctx, f, target, id)
+				if err != nil {
+					t.Fatal(err)
+				}
+				got = append(got, body)
+				// Bytes that follow an answer need a moment to arrive.
+				time.Sleep(20 * time.Millisecond)
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("bodies differ (-want +got):\n%s", diff)
+			}
+			if n := len(target.accepted); n != test.connections {
+				t.Errorf("%d connections were opened, want %d", n, test.connections)
+			}
+		})
+	}
+}
+
+func TestKinds(t *testing.T) {
+	closed := listen(t)
+	_ = closed.listener.Close()
+	tests := []struct {
+		name   string
+		target *answerer
+		want   forwarder.Kind
+	}{
+		{"closed port", closed, forwarder.KindNotSent},
+		{"closed without an answer", listen(t, ""), forwarder.KindUncertain},
+		{"not an answer", listen(t, "garbage\r\n\r\n"), forwarder.KindUncertain},
+		{"body cut", listen(t, "HTTP/1.1 200 OK\r\nX-Dogwoodweir-Request-Id: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabc", ""), forwarder.KindUncertain},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			_, err := send(ctx, forwarder.New(platform.Dialect{}, forwarder.DefaultOptions()), test.target, "1")
+			if got := forwarder.KindOf(err); got != test.want {
+				t.Errorf("error %v is %s, want %s", err, got, test.want)
+			}
+		})
+	}
+}
+
+// TestCancelClosesTheConnection guards against targets that go on working for callers that
+// have left.
+func TestCancelClosesTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	gone := make(chan struct{})
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err == nil {
+			_, _ = reader.ReadByte()
+		}
+		close(gone)
+	}()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err = send(ctx, forwarder.New(platform.Dialect{}, forwarder.DefaultOptions()), &answerer{listener: l}, "1")
+	if forwarder.KindOf(err) != forwarder.KindCancelled || !errors.Is(err, context.Canceled) {
+		t.Errorf("the call ended with %v", err)
+	}
+	select {
+	case <-gone:
+	case <-time.After(2 * time.Second):
+		t.Error("the target's connection stayed open")
+	}
+}
--- /dev/null
+++ b/relayer/relayer_test.go
@@ -0,0 +1,162 @@
+package relayer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// TestReach replays answers of the store and of other daemons.
+func TestReach(t *testing.T) {
+	type step struct {
+		at      time.Duration
+		message Message
+	}
+	lost := []step{{0, Failed{}}, {300 * time.Millisecond, Failed{}}}
+	after := func(more ...step) []step { return append(append([]step{}, lost...), more...) }
+	tests := []struct {
+		name  string
+		steps []step
+		at    time.Duration
+		want  string
+	}{
+		{"nothing known", nil, 0, "direct "},
+		{"one failure", []step{{0, Failed{}}}, 50 * time.Millisecond, "direct "},
+		{"lost", lost, 300 * time.Millisecond, "alone "},
+		{"answered again", after(step{350 * time.Millisecond, Answered{}}), time.Second, "direct "},
+		{"another daemon reaches it", after(step{310 * time.Millisecond, PeerSaid{Host: "b", Up: true, Heard: true}}), 400 * time.Millisecond, "relayed b"},
+		{"no daemon reaches it", after(step{310 * time.Millisecond, PeerSaid{Host: "b", Heard: true}}), 400 * time.Millisecond, "outage "},
+		{"the other daemon is silent", after(step{310 * time.Millisecond, PeerSaid{Host: "b"}}), 400 * time.Millisecond, "alone "},
+		{"the answer is old", after(step{310 * time.Millisecond, PeerSaid{Host: "b", Up: true, Heard: true}}), 5 * time.Second, "alone "},
+	}
+	start := time.Unix(1_000, 0)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := newState(DefaultOptions())
+			for _, s := range test.steps {
+				state.Update(start.Add(s.at), s.message)
+			}
+			reach, peer := state.reach(start.Add(test.at))
+			if got := fmt.Sprint(reach, " ", peer); got != test.want {
+				t.Errorf("reach is %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
+func TestAsksAtIntervals(t *testing.T) {
+	state, start, asked := newState(DefaultOptions()), time.Unix(1_000, 0), 0
+	for i := range 100 {
+		if state.Update(start.Add(time.Duration(i)*10*time.Millisecond), Failed{}) {
+			asked++
+		}
+	}
+	if asked < 2 || asked > 4 {
+		t.Errorf("other daemons were asked %d times in a second", asked)
+	}
+}
+
+// cutStore fails while the path is cut.
+type cutStore struct {
+	provider.RowStore
+	cut bool
+}
+
+var errCut = provider.NewError("cut", provider.KindUnavailable, errors.New("no path"))
+
+func (c *cutStore) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
+	if c.cut {
+		return 0, errCut
+	}
+	return c.RowStore.Apply(ctx, t)
+}
+
+func (c *cutStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
+	if c.cut {
+		return provider.RowPage{}, errCut
+	}
+	return c.RowStore.Range(ctx, r)
+}
+
+// peer serves the questions of other daemons.
+type peer struct{ store *Store }
+
+func (p *peer) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
+	result, _, err := p.store.Handle(ctx, method, params)
+	return result, err
+}
+
+func (p *peer) HandleCall(context.Context, string, encoder.ForwardedCall, messenger.Emit) (encoder.CallResult, error) {
+	return encoder.CallResult{}, errCut
+}
+
+// TestRelay cuts one daemon off from the store: its calls go through the other one, with
+// the same results as its own.
+func TestRelay(t *testing.T) {
+	network, rows := messenger.NewNetwork(), emulator.NewRows()
+	names := []string{"a", "b"}
+	stores, paths := map[string]*Store{}, map[string]*cutStore{}
+	for i, name := range names {
+		handler := &peer{}
+		links := messenger.New(messenger.Settings{Host: name, Dial: network.Dialer(name)}, handler, zap.NewNop())
+		defer links.Close()
+		other := names[1-i]
+		paths[name] = &cutStore{RowStore: rows}
+		stores[name] = New(paths[name], links, func() []messenger.Peer {
+			return []messenger.Peer{{Host: other, Address: other}}
+		}, DefaultOptions(), zap.NewNop())
+		handler.store = stores[name]
+		go func() { _ = links.Serve(network.Listen(name)) }()
+	}
+	paths["a"].cut = true
+	key := provider.RowKey{Table: "t", Part: "p", Key: "k"}
+	write := func(version int64) provider.RowTransaction {
+		return provider.RowTransaction{
+			Conditions: []provider.RowCondition{{RowKey: key, Version: version}},
+			Writes:     []provider.RowWrite{{RowKey: key, Value: []byte("v")}},
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var version int64
+	for {
+		var err error
+		if version, err = stores["a"].Apply(ctx, write(0)); err == nil {
+			break
+		}
+		if ctx.Err() != nil {
+			t.Fatalf("no write went through: %v", err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if reach := stores["a"].Reach(); reach != Relayed {
+		t.Errorf("reach is %s", reach)
+	}
+	if got := rows.Get(key).Version; got != version {
+		t.Errorf("version %d was returned, the row has %d", version, got)
+	}
+	_, err := stores["a"].Apply(ctx, write(99))
+	var conflict *provider.RowConflict
+	if !errors.As(err, &conflict) || len(conflict.Rows) != 1 || conflict.Rows[0].Version != version {
+		t.Errorf("conflict %v does not carry the current row", err)
+	}
+	page, err := stores["a"].Range(ctx, provider.RowRange{Table: "t", Part: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []provider.VersionedRow{{RowKey: key, Version: version, Value: []byte("v")}}
+	if diff := cmp.Diff(want, page.Rows); diff != "" {
+		t.Errorf("rows differ (-want +got):\n%s", diff)
+	}
+}
