Count and time the calls to the store

Counters store_calls and a histogram store_seconds by operation, way and kind. Tokens are asked of all neighbours at once.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -103,7 +103,7 @@
 		Host: settings.Host, Address: settings.PeerAddress, Domain: settings.Domain, Region: settings.Region,
 	}
 	d.store = relayer.New(adapter.Store, d.links, func() []messenger.Peer { return d.registrar.Peers() },
-		relayer.DefaultOptions(), log)
+		relayer.DefaultOptions(), d.metrics.store, log)
 	d.registrar = registrar.New(d.store, own, log)
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batching := batcher.DefaultOptions()
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -7,6 +7,9 @@
 	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
 
 // flushEvery is the interval at which counters reach the reporter.
@@ -41,4 +44,13 @@
 	}
 }
 
+// store counts one call to the store.
+func (m *metrics) store(operation string, way relayer.Reach, kind provider.Kind, took time.Duration) {
+	scope := m.scope.Tagged(map[string]string{"operation": operation, "way": way.String(), "kind": kind.String()})
+	scope.Counter("store_calls").Inc(1)
+	if operation != "feed" {
+		scope.Histogram("store_seconds", latencyBuckets).RecordDuration(took)
+	}
+}
+
 func (m *metrics) gauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/batcher/message.go
+++ b/batcher/message.go
@@ -21,9 +21,6 @@
 	Background bool
 }
 
-// repeatable reports whether applying the entry twice equals applying it once.
-func (e *Entry) repeatable() bool { return len(e.Transaction.Conditions) == 0 }
-
 // Message is an input of State.
 type Message interface{ message() }
 
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -22,7 +22,7 @@
 }
 
 // DefaultOptions returns the options of a daemon.
-func DefaultOptions() Options { return Options{Timeout: 120 * time.Millisecond, MaxAsked: 12} }
+func DefaultOptions() Options { return Options{Timeout: 50 * time.Millisecond, MaxAsked: 12} }
 
 // Source is what a daemon can pass on.
 type Source interface {
@@ -84,25 +84,16 @@
 	}
 }
 
-// Tokens returns tokens that another daemon has passed on, or 0. Daemons are asked one
-// after the other, since each that answers gives up its tokens.
+// Tokens returns tokens that other daemons have passed on, or 0. All are asked at once,
+// since the caller waits; what more than one of them gives stays with this daemon.
 func (b *Borrower) Tokens(ctx context.Context, program string, tokens int) int {
-	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
-	defer cancel()
-	peers := b.peers()
-	for _, peer := range peers[:min(len(peers), b.options.MaxAsked)] {
-		answer, err := messenger.Call[encoder.TokenAnswer](
-			ctx, b.links, peer, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
-		)
-		if err != nil {
-			b.log.Debug("daemon does not answer", zap.String("peer", peer.Host), zap.Error(err))
-			continue
-		}
-		if answer.Tokens > 0 {
-			return answer.Tokens
-		}
-	}
-	return 0
+	total := 0
+	ask(ctx, b, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
+		func(a *encoder.TokenAnswer) bool {
+			total += a.Tokens
+			return false
+		})
+	return total
 }
 
 // Handle serves the questions of other daemons. It reports whether the method is one of
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -115,7 +115,7 @@
 		paths[name] = &cutStore{RowStore: rows}
 		stores[name] = New(paths[name], links, func() []messenger.Peer {
 			return []messenger.Peer{{Host: other, Address: other}}
-		}, DefaultOptions(), zap.NewNop())
+		}, DefaultOptions(), func(string, Reach, provider.Kind, time.Duration) {}, zap.NewNop())
 		handler.store = stores[name]
 		go func() { _ = links.Serve(network.Listen(name)) }()
 	}
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -18,6 +18,9 @@
 // Peers lists the other daemons, nearest first.
 type Peers func() []messenger.Peer
 
+// Observer is told of each call to the store: its operation, the way and how it ended.
+type Observer func(operation string, way Reach, kind provider.Kind, took time.Duration)
+
 // Store is the platform's store, reached directly or through another daemon. It is safe
 // for concurrent use.
 type Store struct {
@@ -25,6 +28,7 @@
 	links   *messenger.Messenger
 	peers   Peers
 	options Options
+	observe Observer
 	log     *zap.Logger
 	// proving is held during the read that proves the store to be up.
 	proving sync.Mutex
@@ -34,8 +38,12 @@
 }
 
 // New returns a store that uses the direct path.
-func New(direct provider.RowStore, links *messenger.Messenger, peers Peers, options Options, log *zap.Logger) *Store {
-	return &Store{direct: direct, links: links, peers: peers, options: options, log: log, state: newState(options)}
+func New(
+	direct provider.RowStore, links *messenger.Messenger, peers Peers, options Options, observe Observer, log *zap.Logger,
+) *Store {
+	return &Store{
+		direct: direct, links: links, peers: peers, options: options, observe: observe, log: log, state: newState(options),
+	}
 }
 
 // Reach returns how the store can be reached.
@@ -51,7 +59,8 @@
 }
 
 // note records what became of a direct call.
-func (s *Store) note(err error) {
+func (s *Store) note(operation string, began time.Time, err error) {
+	s.observe(operation, Direct, provider.KindOf(err), time.Since(began))
 	if answered(err) {
 		s.update(Answered{})
 		return
@@ -121,8 +130,9 @@
 		}
 		return int64(answer.Version), decodeError("store.apply", &answer)
 	}
+	began := time.Now()
 	version, err := s.direct.Apply(ctx, t)
-	s.note(err)
+	s.note("apply", began, err)
 	return version, err
 }
 
@@ -138,8 +148,9 @@
 		}
 		return provider.RowPage{Rows: decodeRows(answer.Rows), More: answer.More, Version: int64(answer.Version)}, nil
 	}
+	began := time.Now()
 	page, err := s.direct.Range(ctx, r)
-	s.note(err)
+	s.note("range", began, err)
 	return page, err
 }
 
@@ -151,8 +162,9 @@
 // Feed implements provider.RowStore. It always takes the direct way, and so finds out
 // when that is open again.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	began := time.Now()
 	page, err := s.direct.Feed(ctx, table, after, wait)
-	s.note(err)
+	s.note("feed", began, err)
 	return page, err
 }
 
@@ -163,7 +175,9 @@
 		s.update(PeerSaid{Host: host})
 		return encoder.StoreAnswer{}, provider.NewError("store.relay", provider.KindUnavailable, errors.New("the relaying daemon has gone"))
 	}
+	began := time.Now()
 	answer, err := messenger.Call[encoder.StoreAnswer](ctx, s.links, peer, method, params)
+	s.observe(method, Relayed, provider.ParseKind(answer.Kind), time.Since(began))
 	if err != nil {
 		s.update(PeerSaid{Host: host})
 		kind := provider.KindUnknown
@@ -188,8 +202,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, s.options.ProbeTimeout)
 	defer cancel()
+	began := time.Now()
 	_, err := s.direct.Range(ctx, provider.RowRange{Table: "daemons", Part: "probe", Limit: 1})
-	s.note(err)
+	s.note("probe", began, err)
 	return answered(err)
 }
 
@@ -206,8 +221,9 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, time.Duration(change.TimeoutMs)*time.Millisecond)
 		defer cancel()
+		began := time.Now()
 		version, err := s.direct.Apply(ctx, decodeChange(&change))
-		s.note(err)
+		s.note("applyForPeer", began, err)
 		return encodeAnswer(provider.RowPage{Version: version}, err), true, nil
 	case messenger.MethodStoreRange:
 		var r encoder.StoreRange
@@ -216,8 +232,9 @@
 		}
 		ctx, cancel := context.WithTimeout(ctx, time.Duration(r.TimeoutMs)*time.Millisecond)
 		defer cancel()
+		began := time.Now()
 		page, err := s.direct.Range(ctx, decodeRange(&r))
-		s.note(err)
+		s.note("rangeForPeer", began, err)
 		return encodeAnswer(page, err), true, nil
 	}
 	return nil, false, nil
