Ask neighbours before the store for turns and tokens

Change: unused tokens stay with their daemon and go to another that asks; rows name the daemons that may have some, and a budget counts as spent only once they have answered; they are written back when a daemon stops. Turns come from a neighbour's memory if it has them.

--- a/accountant/doc.go
+++ b/accountant/doc.go
@@ -17,7 +17,7 @@
 //	}
 //	state.Update(now, accountant.Finished{Program: "p", Reserved: 576, Used: 240})
 //
-// While a budget is ample a daemon is granted a few turns ahead, so that most turns
-// need no write before they start and a short outage of the store is bridged. Near the
-// end of a budget grants are exact and what is left over is returned.
+// While a budget is ample a daemon is granted a few turns ahead, so that most turns need
+// no write before they start and a short outage of the store is bridged. Tokens that a
+// daemon does not need go to another that asks for them, without a write.
 package accountant
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -16,6 +16,8 @@
 	Budget int
 	// Tokens is the most that the turn can generate.
 	Tokens int
+	// UnderWay programs have had a turn, so that other daemons may have tokens of theirs.
+	UnderWay bool
 }
 
 // Withdrawn says that nobody waits for a ticket any more.
@@ -48,10 +50,12 @@
 	Row     *provider.VersionedRow
 }
 
-// Received brings tokens of another daemon's grant.
+// Received ends a Borrow with tokens of other daemons' grants.
 type Received struct {
 	Program string
 	Tokens  int
+	// Complete means that every daemon that was asked has answered.
+	Complete bool
 }
 
 // Wanted asks for tokens of this daemon's grant for another daemon.
@@ -61,6 +65,9 @@
 	Tokens  int
 }
 
+// Stopping says that the daemon is about to end: unused tokens are returned.
+type Stopping struct{}
+
 // Tick lets time pass.
 type Tick struct{}
 
@@ -71,6 +78,7 @@
 func (Loaded) message()    {}
 func (Received) message()  {}
 func (Wanted) message()    {}
+func (Stopping) message()  {}
 func (Tick) message()      {}
 
 // Command is an output of State.
@@ -84,8 +92,8 @@
 	Admitted Verdict = iota + 1
 	// Spent means that the budget does not hold the turn.
 	Spent
-	// Contended means that the budget holds the turn only if other daemons return what
-	// they were granted and do not need.
+	// Contended means that the budget may hold the turn, but that a daemon with unused
+	// tokens does not answer.
 	Contended
 	// Unavailable means that the store did not answer, so nobody can tell.
 	Unavailable
@@ -113,6 +121,14 @@
 	Version int64
 }
 
+// Borrow asks other daemons for tokens that they were granted.
+type Borrow struct {
+	Program string
+	Tokens  int
+	// Hosts are the daemons that may have tokens; empty means those nearby.
+	Hosts []string
+}
+
 // Give passes tokens on to another daemon; this one no longer has them.
 type Give struct {
 	Ticket Ticket
@@ -126,8 +142,6 @@
 	Value   []byte
 	// Needed is the number of tokens that turns wait for.
 	Needed int
-	// Background writes return tokens; nobody waits for them.
-	Background bool
 }
 
 // Read reads the row of a program.
@@ -139,5 +153,6 @@
 
 func (Decide) command() {}
 func (Write) command()  {}
+func (Borrow) command() {}
 func (Give) command()   {}
 func (Read) command()   {}
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
@@ -17,9 +18,9 @@
 	// that must be left for other daemons after a grant ahead.
 	AmpleShare float64
 	AmpleTurns int
-	// IdleAfter is the time after a program's last turn at which what is left of an
-	// ample budget's grant is returned.
-	IdleAfter time.Duration
+	// FreshFor is how long the row, and the answers of other daemons, are relied on to
+	// refuse a turn.
+	FreshFor time.Duration
 	// ForgetAfter is the time after the last turn at which a program is forgotten.
 	ForgetAfter time.Duration
 	// Retention is the time after the last write at which a row may be removed.
@@ -29,7 +30,7 @@
 // DefaultOptions returns the options of a daemon.
 func DefaultOptions() Options {
 	return Options{
-		AheadTurns: 24, AmpleShare: 0.5, AmpleTurns: 2, IdleAfter: 3 * time.Second,
+		AheadTurns: 24, AmpleShare: 0.5, AmpleTurns: 2, FreshFor: 200 * time.Millisecond,
 		ForgetAfter: time.Minute, Retention: 10 * time.Minute,
 	}
 }
@@ -48,18 +49,25 @@
 	version int64
 	left    int
 	known   bool
-	// spare is what other daemons had beyond their turns when they last wrote.
+	// spare is what each daemon had left, or was using, when it last wrote.
 	spare map[string]int
 	// largest is the most that one turn has asked for.
 	largest int
-	// fresh means that the row was read since the last request.
-	fresh bool
+	// underWay means that a waiter's program has had a turn.
+	underWay bool
+	// read is when the row was last read or written, asked when other daemons were last
+	// asked for tokens, complete that all of them answered.
+	read     time.Time
+	asked    time.Time
+	complete bool
 	// sequence counts this daemon's writes, so that it recognises its own row.
 	sequence int64
 	// pending is the row that is being written, nil when nothing is under way.
-	pending *encoder.ProgramBudget
-	reading bool
-	waiters []waiter
+	pending   *encoder.ProgramBudget
+	reading   bool
+	borrowing bool
+	waiters   []waiter
+	// running is the number of tokens of the turns under way.
 	running int
 	touched time.Time
 }
@@ -73,21 +81,22 @@
 	return max(0, need)
 }
 
-func (p *program) busy() bool { return p.pending != nil || p.reading }
+func (p *program) busy() bool { return p.pending != nil || p.reading || p.borrowing }
 
 // State is the budgets of the programs that this daemon serves. It is not safe for
 // concurrent use.
 type State struct {
 	options  Options
+	host     string
 	holder   string
 	programs map[string]*program
 	commands []Command
 	now      time.Time
 }
 
-// New returns an empty state. The holder names this run of the daemon.
-func New(options Options, holder string) *State {
-	return &State{options: options, holder: holder, programs: map[string]*program{}}
+// New returns an empty state. The host names the daemon, the holder this run of it.
+func New(options Options, host, holder string) *State {
+	return &State{options: options, host: host, holder: holder, programs: map[string]*program{}}
 }
 
 // Programs returns the number of programs that are kept in memory.
@@ -108,25 +117,52 @@
 	case Loaded:
 		s.loaded(m)
 	case Received:
-		if p := s.programs[m.Program]; p != nil {
-			p.left += m.Tokens
-		}
+		s.received(m)
 	case Wanted:
 		s.emit(Give{Ticket: m.Ticket, Tokens: s.give(m)})
+	case Stopping:
+		for name, p := range s.programs {
+			s.giveBack(name, p)
+		}
 	case Tick:
 		s.tick()
 	}
 	return s.commands
 }
 
-// give takes tokens off this daemon's grant, all that is wanted or none.
+// giveBack returns the unused grant of a program that runs no turn here. The tokens are
+// given up at once: should the answer be missing, they may have been returned.
+func (s *State) giveBack(name string, p *program) {
+	if p.running > 0 || p.left <= 0 || p.busy() || len(p.waiters) > 0 || !p.known {
+		return
+	}
+	unused := p.left
+	p.left = 0
+	s.grant(name, p, -unused)
+}
+
+func (s *State) received(m Received) {
+	p := s.programs[m.Program]
+	if p == nil {
+		return
+	}
+	p.left += m.Tokens
+	if p.borrowing {
+		p.borrowing, p.asked, p.complete = false, s.now, m.Complete
+		s.serve(m.Program, p)
+	}
+}
+
+// give takes tokens off this daemon's grant: what is wanted, and up to half of what is
+// left, so that the other daemon need not ask for each turn.
 func (s *State) give(m Wanted) int {
 	p := s.programs[m.Program]
-	if p == nil || m.Tokens <= 0 || p.left < m.Tokens || len(p.waiters) > 0 {
+	if p == nil || m.Tokens <= 0 || p.left <= 0 || len(p.waiters) > 0 {
 		return 0
 	}
-	p.left -= m.Tokens
-	return m.Tokens
+	tokens := min(p.left, max(m.Tokens, p.left/2))
+	p.left -= tokens
+	return tokens
 }
 
 func (s *State) emit(c Command) { s.commands = append(s.commands, c) }
@@ -137,7 +173,7 @@
 		p = &program{}
 		s.programs[m.Program] = p
 	}
-	p.budget, p.touched, p.fresh = m.Budget, s.now, false
+	p.budget, p.touched, p.underWay = m.Budget, s.now, m.UnderWay
 	p.largest = max(p.largest, m.Tokens)
 	p.waiters = append(p.waiters, waiter{ticket: m.Ticket, tokens: m.Tokens})
 	s.serve(m.Program, p)
@@ -162,12 +198,9 @@
 		return
 	}
 	p.left += m.Reserved - m.Used
-	p.running--
+	p.running -= m.Reserved
 	p.touched = s.now
 	s.serve(m.Program, p)
-	if !s.ample(p, 0) {
-		s.giveBack(m.Program, p)
-	}
 }
 
 // serve admits waiters from the grant and asks the store for what is missing.
@@ -176,10 +209,13 @@
 	if len(p.waiters) == 0 || p.busy() {
 		return
 	}
+	if !p.known && p.underWay && !s.recent(p.asked) {
+		s.borrow(name, p, nil)
+		return
+	}
 	need := p.needed()
 	if p.granted+need > p.budget {
-		if !p.fresh {
-			s.read(name, p)
+		if !s.confirm(name, p) {
 			return
 		}
 		need = s.shrink(p)
@@ -187,8 +223,7 @@
 			return
 		}
 	}
-	ahead := s.ahead(p, need)
-	s.grant(name, p, need+ahead, ahead, false)
+	s.grant(name, p, need+s.ahead(p, need))
 }
 
 // admit starts the waiters that the grant holds, in their order.
@@ -197,7 +232,7 @@
 		w := p.waiters[0]
 		p.waiters = p.waiters[1:]
 		p.left -= w.tokens
-		p.running++
+		p.running += w.tokens
 		s.decide(p, w, Admitted)
 	}
 }
@@ -206,13 +241,45 @@
 	s.emit(Decide{Ticket: w.ticket, Verdict: v, Granted: p.granted, Version: p.version})
 }
 
-// read asks for the current row: refusing a turn because of an old one could be wrong,
-// since other daemons return what they do not use.
+func (s *State) recent(at time.Time) bool { return !at.IsZero() && s.now.Sub(at) < s.options.FreshFor }
+
+// confirm reports whether it is certain that the budget does not hold all waiters: the
+// row is current and the daemons that may have unused tokens were asked. It asks for what
+// is missing.
+func (s *State) confirm(name string, p *program) bool {
+	if !s.recent(p.read) {
+		s.read(name, p)
+		return false
+	}
+	if hosts := s.holders(p); len(hosts) > 0 && !s.recent(p.asked) {
+		s.borrow(name, p, hosts)
+		return false
+	}
+	return true
+}
+
 func (s *State) read(name string, p *program) {
 	p.reading = true
 	s.emit(Read{Program: name, Needed: p.needed()})
 }
 
+func (s *State) borrow(name string, p *program, hosts []string) {
+	p.borrowing = true
+	s.emit(Borrow{Program: name, Tokens: p.needed(), Hosts: hosts})
+}
+
+// holders lists the other daemons that may have unused tokens.
+func (s *State) holders(p *program) []string {
+	var hosts []string
+	for host, tokens := range p.spare {
+		if host != s.host && tokens > 0 {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
 // shrink refuses the waiters that the budget does not hold and returns the tokens
 // that the others need.
 func (s *State) shrink(p *program) int {
@@ -225,7 +292,7 @@
 			continue
 		}
 		verdict := Spent
-		if need+w.tokens <= free+s.spareElsewhere(p) {
+		if len(s.holders(p)) > 0 && !p.complete {
 			verdict = Contended
 		}
 		s.decide(p, w, verdict)
@@ -234,17 +301,6 @@
 	return need - max(0, p.left)
 }
 
-// spareElsewhere returns the tokens that other daemons may still return.
-func (s *State) spareElsewhere(p *program) int {
-	total := 0
-	for holder, tokens := range p.spare {
-		if holder != s.holder {
-			total += max(0, tokens)
-		}
-	}
-	return total
-}
-
 // ample reports whether a grant leaves enough of the budget.
 func (s *State) ample(p *program, grant int) bool {
 	rest := p.budget - p.granted
@@ -262,35 +318,20 @@
 	return 0
 }
 
-// grant writes the row with more tokens for this daemon, or fewer. Spare is what the
-// daemon then has beyond its turns.
-func (s *State) grant(name string, p *program, tokens, spare int, background bool) {
+// grant writes the row with more tokens for this daemon.
+func (s *State) grant(name string, p *program, tokens int) {
 	p.sequence++
 	p.pending = &encoder.ProgramBudget{
 		Granted: p.granted + tokens, Holder: s.holder, Sequence: int(p.sequence),
 		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{},
 	}
-	for holder, other := range p.spare {
-		if holder != s.holder {
-			p.pending.Spare[holder] = other
-		}
-	}
-	if spare > 0 {
-		p.pending.Spare[s.holder] = spare
+	for host, other := range p.spare {
+		p.pending.Spare[host] = other
 	}
+	p.pending.Spare[s.host] = p.left + p.running + max(0, tokens)
 	// The type has only numbers and strings, so encoding cannot fail.
 	value, _ := json.Marshal(p.pending)
-	s.emit(Write{Program: name, Version: p.version, Value: value, Needed: p.needed(), Background: background})
-}
-
-// giveBack returns the unused grant of a program that runs no turn here.
-func (s *State) giveBack(name string, p *program) {
-	if p.running > 0 || p.left <= 0 || p.busy() || len(p.waiters) > 0 || !p.known {
-		return
-	}
-	unused := p.left
-	p.left = 0
-	s.grant(name, p, -unused, 0, true)
+	s.emit(Write{Program: name, Version: p.version, Value: value, Needed: p.needed()})
 }
 
 func (s *State) written(m Written) {
@@ -302,13 +343,13 @@
 	case provider.KindNone:
 		s.own(p, m.Version)
 	case provider.KindConflict:
-		s.undo(p)
+		p.pending = nil
 		s.adopt(p, m.Row)
 	case provider.KindUnknown:
 		s.read(m.Program, p)
 		return
 	default:
-		s.undo(p)
+		p.pending = nil
 		s.refuse(p)
 	}
 	s.serve(m.Program, p)
@@ -319,18 +360,11 @@
 func (s *State) own(p *program, version int64) {
 	p.left += max(0, p.pending.Granted-p.granted)
 	p.granted, p.version, p.spare = p.pending.Granted, version, p.pending.Spare
-	p.known, p.fresh, p.pending = true, true, nil
-}
-
-// undo forgets a pending row that was certainly not written; tokens that it was to
-// return are kept.
-func (s *State) undo(p *program) {
-	p.left += max(0, p.granted-p.pending.Granted)
-	p.pending = nil
+	p.known, p.read, p.pending = true, s.now, nil
 }
 
 // adopt takes over the current row. After a lost answer this daemon's own write may
-// stand in it, or may still be carried out: tokens that it was to return are given up.
+// stand in it. If it is carried out later, its tokens are lost.
 func (s *State) adopt(p *program, row *provider.VersionedRow) {
 	var stored encoder.ProgramBudget
 	version := provider.VersionAbsent
@@ -349,7 +383,7 @@
 		p.pending = nil
 	}
 	p.granted, p.version, p.spare = stored.Granted, version, stored.Spare
-	p.known, p.fresh = true, true
+	p.known, p.read = true, s.now
 }
 
 // refuse answers all waiters that the grant does not hold.
@@ -378,19 +412,12 @@
 	s.serve(m.Program, p)
 }
 
-// tick returns unused grants and forgets idle programs.
+// tick forgets idle programs. What is left of their grants is lost: callers that return
+// later are granted anew while the budget holds.
 func (s *State) tick() {
 	for name, p := range s.programs {
-		if p.running > 0 || p.busy() || len(p.waiters) > 0 {
-			continue
-		}
-		idle := s.now.Sub(p.touched)
-		if idle >= s.options.ForgetAfter {
+		if p.running == 0 && !p.busy() && len(p.waiters) == 0 && s.now.Sub(p.touched) >= s.options.ForgetAfter {
 			delete(s.programs, name)
-			continue
-		}
-		if idle >= s.options.IdleAfter && p.left > 0 && p.granted > p.budget/4 {
-			s.giveBack(name, p)
 		}
 	}
 }
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -36,6 +36,8 @@
 	cacheShare = 0.06
 	// stopMargin is kept between the end of the daemon and the end of its grace time.
 	stopMargin = 400 * time.Millisecond
+	// returnTime bounds the return of unused tokens at the end.
+	returnTime = 500 * time.Millisecond
 	// peerSilence ends a connection to another daemon on which an answer is overdue.
 	peerSilence = time.Second
 	// peerDialTimeout bounds the opening of one.
@@ -110,7 +112,7 @@
 	batching.Seed = seed
 	neighbours := borrower.New(d.links, d.registrar.Peers, borrower.DefaultOptions(), log)
 	d.recorder = recorder.New(d.store, neighbours, recorder.Options{
-		Batcher: batching, Accountant: accountant.DefaultOptions(), Holder: uuid.NewString(),
+		Batcher: batching, Accountant: accountant.DefaultOptions(), Host: settings.Host, Holder: uuid.NewString(),
 		CacheBytes: int(cacheShare * float64(settings.MemoryBytes)), RowBytes: settings.Store.RowBytes,
 	}, log)
 	d.forwarder = forwarder.New(adapter.Dialect, forwarder.DefaultOptions())
@@ -205,6 +207,9 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), min(returnTime, max(0, time.Until(end))))
+	defer cancel()
+	d.recorder.ReturnTokens(ctx)
 	d.log.Info("callers finished", zap.Int64("serving", d.receiver.Serving()), zap.Duration("took", time.Since(began)))
 }
 
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,12 +46,10 @@
 
 // ask puts a question to daemons at once and returns the first answer that is good.
 func ask[Answer any](
-	ctx context.Context, b *Borrower, method string, question any, good func(*Answer) bool,
+	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, question any, good func(*Answer) bool,
 ) (Answer, bool) {
 	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
 	defer cancel()
-	peers := b.peers()
-	peers = peers[:min(len(peers), b.options.MaxAsked)]
 	answers := make(chan *Answer, len(peers))
 	for _, peer := range peers {
 		go func() {
@@ -74,7 +73,7 @@
 
 // Turn returns a turn that another daemon has in memory, or nil.
 func (b *Borrower) Turn(ctx context.Context, id string) *historian.Turn {
-	answer, ok := ask(ctx, b, messenger.MethodTurn, encoder.TurnQuestion{Turn: id},
+	answer, ok := ask(ctx, b, b.near(), messenger.MethodTurn, encoder.TurnQuestion{Turn: id},
 		func(a *encoder.TurnAnswer) bool { return a.Found })
 	if !ok {
 		return nil
@@ -84,16 +83,31 @@
 	}
 }
 
-// Tokens returns tokens that other daemons have passed on, or 0. All are asked at once,
-// since the caller waits; what more than one of them gives stays with this daemon.
-func (b *Borrower) Tokens(ctx context.Context, program string, tokens int) int {
-	total := 0
-	ask(ctx, b, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
+// Tokens returns tokens that other daemons have passed on, or 0, and whether all that were
+// asked have answered. All are asked at once, since the caller waits; what more than one
+// of them gives stays with this daemon.
+func (b *Borrower) Tokens(ctx context.Context, program string, tokens int, hosts []string) (total int, complete bool) {
+	peers := b.near()
+	if len(hosts) > 0 {
+		// A daemon that is not listed any more has lost its tokens.
+		peers = slices.DeleteFunc(slices.Clone(b.peers()), func(p messenger.Peer) bool {
+			return !slices.Contains(hosts, p.Host)
+		})
+	}
+	answered := 0
+	ask(ctx, b, peers, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
 		func(a *encoder.TokenAnswer) bool {
+			answered++
 			total += a.Tokens
 			return false
 		})
-	return total
+	return total, answered == len(peers)
+}
+
+// near returns the daemons that are asked when it is not known which one has something.
+func (b *Borrower) near() []messenger.Peer {
+	peers := b.peers()
+	return peers[:min(len(peers), b.options.MaxAsked)]
 }
 
 // Handle serves the questions of other daemons. It reports whether the method is one of
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -17,11 +17,11 @@
 	// Rises by 1 with each write of the holder.
 	Sequence int `json:"sequence"`
 
-	// Tokens that holders had been granted beyond the turns that they ran, by the
-	// holders' names. A budget is only spent when nobody has spare tokens.
+	// Tokens that daemons had left, or were using, when they last wrote, by host. A
+	// budget is only spent when they answer that they have none.
 	Spare ProgramBudgetSpare `json:"spare,omitempty,omitzero"`
 }
 
-// Tokens that holders had been granted beyond the turns that they ran, by the
-// holders' names. A budget is only spent when nobody has spare tokens.
+// Tokens that daemons had left, or were using, when they last wrote, by host. A
+// budget is only spent when they answer that they have none.
 type ProgramBudgetSpare map[string]int
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -18,7 +18,7 @@
 // Recorder keeps histories and budgets; see package recorder.
 type Recorder interface {
 	Up() bool
-	Reserve(ctx context.Context, program string, budget, tokens int) recorder.Reservation
+	Reserve(ctx context.Context, program string, budget, tokens int, underWay bool) recorder.Reservation
 	Finish(reservation recorder.Reservation, used int)
 	Chain(ctx context.Context, id string) ([]*historian.Turn, error)
 	Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error
--- a/receiver/visit.go
+++ b/receiver/visit.go
@@ -202,7 +202,7 @@
 	}
 	ctx, cancel := context.WithTimeout(v.request.Context(), v.left()/2)
 	defer cancel()
-	d := v.receiver.parts.Recorder.Reserve(ctx, v.call.Program, v.call.Budget, tokens)
+	d := v.receiver.parts.Recorder.Reserve(ctx, v.call.Program, v.call.Budget, tokens, v.call.Previous != "")
 	v.event.BudgetVersion, v.event.BudgetGranted = d.Version, d.Granted
 	switch d.Verdict {
 	case accountant.Admitted:
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -59,14 +59,14 @@
 
 // Reserve asks for the tokens of one turn. Every admitted turn ends with Finish. The
 // budget is spent only if every account of the program says so.
-func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int) Reservation {
+func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int, underWay bool) Reservation {
 	accounts := accountsOf(program, budget)
 	if len(accounts) == 2 && !r.partUp(programKey(accounts[0].name).Part) {
 		accounts[0], accounts[1] = accounts[1], accounts[0]
 	}
 	worst := Reservation{Decide: accountant.Decide{Verdict: accountant.Spent}}
 	for _, a := range accounts {
-		d := r.reserve(ctx, a, tokens)
+		d := r.reserve(ctx, a, tokens, underWay)
 		if d.Verdict == accountant.Admitted {
 			return Reservation{Decide: d, account: a.name, tokens: tokens}
 		}
@@ -77,11 +77,14 @@
 	return worst
 }
 
-func (r *Recorder) reserve(ctx context.Context, a account, tokens int) accountant.Decide {
+func (r *Recorder) reserve(ctx context.Context, a account, tokens int, underWay bool) accountant.Decide {
 	ticket := accountant.Ticket(r.tickets.Add(1))
 	reply := make(chan accountant.Decide, 1)
 	r.inbox <- reserve{
-		request: accountant.Requested{Ticket: ticket, Program: a.name, Budget: a.budget, Tokens: tokens}, reply: reply,
+		request: accountant.Requested{
+			Ticket: ticket, Program: a.name, Budget: a.budget, Tokens: tokens, UnderWay: underWay,
+		},
+		reply: reply,
 	}
 	select {
 	case d := <-reply:
@@ -109,6 +112,25 @@
 	r.inbox <- budgetMessage{accountant.Finished{Program: account, Reserved: reserved, Used: used}}
 }
 
+// ReturnTokens writes unused tokens back before the daemon ends. It waits until the writes
+// have ended, at most until the context does.
+func (r *Recorder) ReturnTokens(ctx context.Context) {
+	r.send(ctx, budgetMessage{accountant.Stopping{}})
+	for ctx.Err() == nil {
+		idle := make(chan bool, 1)
+		r.send(ctx, idleQuestion{idle})
+		select {
+		case done := <-idle:
+			if done {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+		time.Sleep(busyTick)
+	}
+}
+
 // Give takes tokens off this daemon's grant for another daemon. It returns all that is
 // wanted or 0.
 func (r *Recorder) Give(ctx context.Context, account string, tokens int) int {
@@ -136,6 +158,8 @@
 		case accountant.Give:
 			r.gifts[c.Ticket] <- c.Tokens
 			delete(r.gifts, c.Ticket)
+		case accountant.Borrow:
+			r.tasks.Go(func() { r.borrowed(ctx, c) })
 		case accountant.Write:
 			r.writeBudget(ctx, now, c)
 		case accountant.Read:
@@ -149,22 +173,13 @@
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
 	key := programKey(c.Program)
 	if !r.partUp(key.Part) {
-		refused := accountant.Written{Program: c.Program, Kind: provider.KindUnavailable}
-		if c.Background {
-			r.runBudgets(ctx, now, refused)
-			return
-		}
-		r.borrow(ctx, c.Program, c.Needed, refused)
+		r.borrow(ctx, c.Program, c.Needed, accountant.Written{Program: c.Program, Kind: provider.KindUnavailable})
 		return
 	}
 	ticket := batcher.Ticket(r.tickets.Add(1))
 	r.grants[ticket] = c
-	patience := budgetPatience
-	if c.Background {
-		patience = backgroundPatience
-	}
 	r.runLane(ctx, now, key.Part, batcher.Submitted{Entry: batcher.Entry{
-		Ticket: ticket, Deadline: now.Add(patience), Bytes: len(c.Value), Background: c.Background,
+		Ticket: ticket, Deadline: now.Add(budgetPatience), Bytes: len(c.Value),
 		Transaction: provider.RowTransaction{
 			Conditions: []provider.RowCondition{{RowKey: key, Version: c.Version}},
 			Writes:     []provider.RowWrite{{RowKey: key, Value: c.Value}},
@@ -187,7 +202,7 @@
 		})
 		if err != nil {
 			r.log.Warn("budget not readable", zap.String("program", c.Program), zap.Error(err))
-			r.borrowed(ctx, c.Program, c.Needed)
+			r.borrowed(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed})
 			r.send(ctx, budgetMessage{unavailable})
 			return
 		}
@@ -203,14 +218,15 @@
 // made.
 func (r *Recorder) borrow(ctx context.Context, program string, tokens int, end accountant.Message) {
 	r.tasks.Go(func() {
-		r.borrowed(ctx, program, tokens)
+		r.borrowed(ctx, accountant.Borrow{Program: program, Tokens: tokens})
 		r.send(ctx, budgetMessage{end})
 	})
 }
 
-func (r *Recorder) borrowed(ctx context.Context, program string, tokens int) {
-	if got := r.neighbours.Tokens(ctx, program, tokens); got > 0 {
-		r.log.Info("tokens of another daemon", zap.String("program", program), zap.Int("tokens", got))
-		r.send(ctx, budgetMessage{accountant.Received{Program: program, Tokens: got}})
+func (r *Recorder) borrowed(ctx context.Context, c accountant.Borrow) {
+	got, complete := r.neighbours.Tokens(ctx, c.Program, c.Tokens, c.Hosts)
+	if got > 0 {
+		r.log.Info("tokens of other daemons", zap.String("program", c.Program), zap.Int("tokens", got))
 	}
+	r.send(ctx, budgetMessage{accountant.Received{Program: c.Program, Tokens: got, Complete: complete}})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -31,7 +31,8 @@
 type Options struct {
 	Batcher    batcher.Options
 	Accountant accountant.Options
-	// Holder names this run of the daemon.
+	// Host names the daemon, Holder this run of it.
+	Host   string
 	Holder string
 	// CacheBytes bounds the texts of turns in memory.
 	CacheBytes int
@@ -39,10 +40,12 @@
 	RowBytes int
 }
 
-// Neighbours are the other daemons, which are asked while the store is down.
+// Neighbours are the other daemons. They are asked before the store, since they answer
+// faster, and when the store cannot be asked.
 type Neighbours interface {
-	// Tokens returns tokens that another daemon was granted and has passed on, or 0.
-	Tokens(ctx context.Context, program string, tokens int) int
+	// Tokens returns tokens that other daemons were granted and have passed on, or 0, and
+	// whether all that were asked have answered. Without hosts those nearby are asked.
+	Tokens(ctx context.Context, program string, tokens int, hosts []string) (got int, complete bool)
 	// Turn returns a turn that another daemon has in memory, or nil.
 	Turn(ctx context.Context, id string) *historian.Turn
 }
@@ -74,6 +77,9 @@
 	batcher.Message
 }
 
+// idleQuestion asks whether no write of a budget is under way.
+type idleQuestion struct{ reply chan bool }
+
 // reached says that the store has answered a call of another part of the daemon.
 type reached struct{}
 
@@ -83,6 +89,7 @@
 func (submit) message()        {}
 func (laneMessage) message()   {}
 func (reached) message()       {}
+func (idleQuestion) message()  {}
 
 // Recorder writes and reads the rows of turns and budgets.
 type Recorder struct {
@@ -115,7 +122,7 @@
 	r := &Recorder{
 		store: store, neighbours: neighbours, options: options, log: log, inbox: make(chan message, inboxSize),
 		turns: historian.NewCache(options.CacheBytes), lanes: map[string]*lane{},
-		budgets: accountant.New(options.Accountant, options.Holder), commits: map[batcher.Ticket]chan batcher.Outcome{},
+		budgets: accountant.New(options.Accountant, options.Host, options.Holder), commits: map[batcher.Ticket]chan batcher.Outcome{},
 		grants: map[batcher.Ticket]accountant.Write{}, waiters: map[accountant.Ticket]chan accountant.Decide{},
 		gifts: map[accountant.Ticket]chan int{}, sweepFrom: map[string]string{},
 	}
@@ -180,6 +187,8 @@
 		r.runLane(ctx, now, m.part, batcher.Submitted{Entry: m.entry})
 	case laneMessage:
 		r.runLane(ctx, now, m.part, m.Message)
+	case idleQuestion:
+		m.reply <- len(r.grants) == 0
 	case reached:
 		for part := range *r.down.Load() {
 			r.runLane(ctx, now, part, batcher.Reached{})
@@ -203,7 +212,7 @@
 	if len(c.Outcome.Rows) > 0 {
 		written.Row = &c.Outcome.Rows[0]
 	}
-	if c.Outcome.Kind == provider.KindUnavailable && !write.Background {
+	if c.Outcome.Kind == provider.KindUnavailable {
 		r.borrow(ctx, write.Program, write.Needed, written)
 		return
 	}
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -85,6 +85,10 @@
 // certain that there is no such turn.
 func (r *Recorder) load(ctx context.Context, id string) (*historian.Turn, error) {
 	operation := "load turn " + id
+	// Another daemon answers faster than the store. What it has in memory was written.
+	if turn := r.neighbours.Turn(ctx, id); turn != nil {
+		return turn, nil
+	}
 	var failure error
 	for _, part := range historian.Places(id) {
 		if !r.partUp(part) {
@@ -108,9 +112,6 @@
 	if failure == nil {
 		return nil, NewError(operation, KindNotFound, errors.New("the store has no such turn"))
 	}
-	if turn := r.neighbours.Turn(ctx, id); turn != nil {
-		return turn, nil
-	}
 	return nil, NewError(operation, KindUnavailable, failure)
 }
 
