Let questions to neighbours finish after their asker has gone on

Change: calls have their own time; only daemons of the own region are asked when it is not known which one has something.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -110,7 +110,7 @@
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batching := batcher.DefaultOptions()
 	batching.Seed = seed
-	neighbours := borrower.New(d.links, d.registrar.Peers, borrower.DefaultOptions(), log)
+	neighbours := borrower.New(d.links, d.registrar, borrower.DefaultOptions(), log)
 	d.recorder = recorder.New(d.store, neighbours, recorder.Options{
 		Batcher: batching, Accountant: accountant.DefaultOptions(), Host: settings.Host, Holder: uuid.NewString(),
 		CacheBytes: int(cacheShare * float64(settings.MemoryBytes)), RowBytes: settings.Store.RowBytes,
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -15,15 +15,17 @@
 
 // Options configure a Borrower.
 type Options struct {
-	// Timeout bounds one question to all daemons.
-	Timeout time.Duration
-	// MaxAsked bounds the daemons that are asked, the nearest first: a program's callers
-	// reach daemons of their own failure domain and region.
+	// Patience bounds the time for which answers are waited for, CallTimeout that of a call.
+	Patience    time.Duration
+	CallTimeout time.Duration
+	// MaxAsked bounds the daemons that are asked, the nearest first.
 	MaxAsked int
 }
 
 // DefaultOptions returns the options of a daemon.
-func DefaultOptions() Options { return Options{Timeout: 50 * time.Millisecond, MaxAsked: 12} }
+func DefaultOptions() Options {
+	return Options{Patience: 50 * time.Millisecond, CallTimeout: 400 * time.Millisecond, MaxAsked: 12}
+}
 
 // Source is what a daemon can pass on.
 type Source interface {
@@ -34,79 +36,112 @@
 // Borrower asks other daemons. It is safe for concurrent use.
 type Borrower struct {
 	links   *messenger.Messenger
-	peers   func() []messenger.Peer
+	list    List
 	options Options
 	log     *zap.Logger
 }
 
+// List lists the other daemons.
+type List interface {
+	// Peers returns all, Neighbours those of the own region, nearest first.
+	Peers() []messenger.Peer
+	Neighbours() []messenger.Peer
+}
+
 // New returns a borrower that asks the given daemons.
-func New(links *messenger.Messenger, peers func() []messenger.Peer, options Options, log *zap.Logger) *Borrower {
-	return &Borrower{links: links, peers: peers, options: options, log: log}
+func New(links *messenger.Messenger, list List, options Options, log *zap.Logger) *Borrower {
+	return &Borrower{links: links, list: list, options: options, log: log}
 }
 
-// ask puts a question to daemons at once and returns the first answer that is good.
+// ask puts a question to daemons at once and passes their answers to use, until it returns
+// true or the time is over. It reports whether all have answered by then. A call goes on
+// after that, since a new connection takes longer; late gets its answer.
 func ask[Answer any](
-	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, question any, good func(*Answer) bool,
-) (Answer, bool) {
-	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
-	defer cancel()
-	answers := make(chan *Answer, len(peers))
+	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, question any,
+	use func(*Answer) bool, late func(*Answer),
+) (complete bool) {
+	answers := make(chan *Answer)
+	over := make(chan struct{})
+	defer close(over)
+	calls := context.WithoutCancel(ctx)
 	for _, peer := range peers {
 		go func() {
-			answer, err := messenger.Call[Answer](ctx, b.links, peer, method, question)
+			call, cancel := context.WithTimeout(calls, b.options.CallTimeout)
+			defer cancel()
+			answer, err := messenger.Call[Answer](call, b.links, peer, method, question)
+			result := &answer
 			if err != nil {
 				b.log.Debug("daemon does not answer", zap.String("peer", peer.Host), zap.String("method", method), zap.Error(err))
-				answers <- nil
-				return
+				result = nil
+			}
+			select {
+			case answers <- result:
+			case <-over:
+				if result != nil {
+					late(result)
+				}
 			}
-			answers <- &answer
 		}()
 	}
+	timeout := time.After(b.options.Patience)
+	complete = true
 	for range peers {
-		if answer := <-answers; answer != nil && good(answer) {
-			return *answer, true
+		select {
+		case answer := <-answers:
+			if answer == nil {
+				complete = false
+			} else if use(answer) {
+				return complete
+			}
+		case <-timeout:
+			return false
+		case <-ctx.Done():
+			return false
 		}
 	}
-	var none Answer
-	return none, false
+	return complete
 }
 
 // Turn returns a turn that another daemon has in memory, or nil.
 func (b *Borrower) Turn(ctx context.Context, id string) *historian.Turn {
-	answer, ok := ask(ctx, b, b.near(), messenger.MethodTurn, encoder.TurnQuestion{Turn: id},
-		func(a *encoder.TurnAnswer) bool { return a.Found })
-	if !ok {
-		return nil
-	}
-	return &historian.Turn{
-		ID: id, Previous: answer.Previous, Text: answer.Text, Expires: time.Unix(int64(answer.ExpiresAt), 0),
-	}
+	var turn *historian.Turn
+	ask(ctx, b, b.near(), messenger.MethodTurn, encoder.TurnQuestion{Turn: id},
+		func(a *encoder.TurnAnswer) bool {
+			if a.Found {
+				turn = &historian.Turn{
+					ID: id, Part: a.Part, Previous: a.Previous, Text: a.Text, Expires: time.Unix(int64(a.ExpiresAt), 0),
+				}
+			}
+			return a.Found
+		}, func(*encoder.TurnAnswer) {})
+	return turn
 }
 
 // Tokens returns tokens that other daemons have passed on, or 0, and whether all that were
 // asked have answered. All are asked at once, since the caller waits; what more than one
-// of them gives stays with this daemon.
-func (b *Borrower) Tokens(ctx context.Context, program string, tokens int, hosts []string) (total int, complete bool) {
+// of them gives stays with this daemon, and what comes later is passed to late.
+func (b *Borrower) Tokens(
+	ctx context.Context, program string, tokens int, hosts []string, late func(tokens int),
+) (total int, complete bool) {
 	peers := b.near()
 	if len(hosts) > 0 {
 		// A daemon that is not listed any more has lost its tokens.
-		peers = slices.DeleteFunc(slices.Clone(b.peers()), func(p messenger.Peer) bool {
+		peers = slices.DeleteFunc(b.list.Peers(), func(p messenger.Peer) bool {
 			return !slices.Contains(hosts, p.Host)
 		})
 	}
-	answered := 0
-	ask(ctx, b, peers, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
+	complete = ask(ctx, b, peers, messenger.MethodTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
 		func(a *encoder.TokenAnswer) bool {
-			answered++
 			total += a.Tokens
 			return false
-		})
-	return total, answered == len(peers)
+		}, func(a *encoder.TokenAnswer) { late(a.Tokens) })
+	return total, complete
 }
 
-// near returns the daemons that are asked when it is not known which one has something.
+// near returns the daemons that are asked when it is not known which one has something: a
+// program's callers stay in their region.
 func (b *Borrower) near() []messenger.Peer {
-	peers := b.peers()
+	peers := b.list.Neighbours()
 	return peers[:min(len(peers), b.options.MaxAsked)]
 }
 
@@ -124,7 +159,7 @@
 			return encoder.TurnAnswer{}, true, nil
 		}
 		return encoder.TurnAnswer{
-			Found: true, Previous: turn.Previous, Text: turn.Text, ExpiresAt: int(turn.Expires.Unix()),
+			Found: true, Part: turn.Part, Previous: turn.Previous, Text: turn.Text, ExpiresAt: int(turn.Expires.Unix()),
 		}, true, nil
 	case messenger.MethodTokens:
 		var question encoder.TokenQuestion
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -408,6 +408,9 @@
 	// Found corresponds to the JSON schema field "found".
 	Found bool `json:"found"`
 
+	// Part of the table that holds the turn.
+	Part string `json:"part,omitempty,omitzero"`
+
 	// Previous corresponds to the JSON schema field "previous".
 	Previous string `json:"previous,omitempty,omitzero"`
 
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -224,9 +224,12 @@
 }
 
 func (r *Recorder) borrowed(ctx context.Context, c accountant.Borrow) {
-	got, complete := r.neighbours.Tokens(ctx, c.Program, c.Tokens, c.Hosts)
-	if got > 0 {
-		r.log.Info("tokens of other daemons", zap.String("program", c.Program), zap.Int("tokens", got))
+	got, complete := r.neighbours.Tokens(ctx, c.Program, c.Tokens, c.Hosts, func(tokens int) {
+		r.send(ctx, budgetMessage{accountant.Received{Program: c.Program, Tokens: tokens}})
+	})
+	if got > 0 || !complete {
+		r.log.Info("tokens of other daemons", zap.String("program", c.Program), zap.Int("tokens", got),
+			zap.Strings("hosts", c.Hosts), zap.Bool("complete", complete))
 	}
 	r.send(ctx, budgetMessage{accountant.Received{Program: c.Program, Tokens: got, Complete: complete}})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -45,7 +45,10 @@
 type Neighbours interface {
 	// Tokens returns tokens that other daemons were granted and have passed on, or 0, and
 	// whether all that were asked have answered. Without hosts those nearby are asked.
-	Tokens(ctx context.Context, program string, tokens int, hosts []string) (got int, complete bool)
+	// Tokens that arrive after the return are passed to late.
+	Tokens(
+		ctx context.Context, program string, tokens int, hosts []string, late func(tokens int),
+	) (got int, complete bool)
 	// Turn returns a turn that another daemon has in memory, or nil.
 	Turn(ctx context.Context, id string) *historian.Turn
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -58,8 +58,18 @@
 
 // Peers returns the other daemons: those of the own failure domain first, then those of
 // the own region.
-func (r *Registrar) Peers() []messenger.Peer {
+func (r *Registrar) Peers() []messenger.Peer { return peersOf(*r.peers.Load()) }
+
+// Neighbours returns the other daemons of the own region, nearest first.
+func (r *Registrar) Neighbours() []messenger.Peer {
 	entries := *r.peers.Load()
+	if i := slices.IndexFunc(entries, func(e Entry) bool { return e.Region != r.own.Region }); i >= 0 {
+		entries = entries[:i]
+	}
+	return peersOf(entries)
+}
+
+func peersOf(entries []Entry) []messenger.Peer {
 	peers := make([]messenger.Peer, len(entries))
 	for i, e := range entries {
 		peers[i] = messenger.Peer{Host: e.Host, Address: e.Address}
