Bound idle connections by the target's limit; use a split budget to its end

Cause 1: after all daemons lost power, a ledger target reset every new connection for a second: the idle connections of the dead daemons still counted against its 96 (8 kept by each of 9 daemons). Payouts that met a reset ended with 502. Change: all idle connections together stay under a third of the limit; a target is avoided after its first failure if there is another. Cause 2: a budget in two rows held one turn less when neither row alone held it: runaway programs with 1,728 tokens got two of three turns. Change: a turn may take from both rows.

--- a/accountant/message.go
+++ b/accountant/message.go
@@ -119,6 +119,8 @@
 	// Granted and Version are what the row says, for the log.
 	Granted int
 	Version int64
+	// Rest is the number of tokens that the budget still holds for this daemon.
+	Rest int
 }
 
 // Borrow asks other daemons for tokens that they were granted.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -238,7 +238,9 @@
 }
 
 func (s *State) decide(p *program, w waiter, v Verdict) {
-	s.emit(Decide{Ticket: w.ticket, Verdict: v, Granted: p.granted, Version: p.version})
+	s.emit(Decide{
+		Ticket: w.ticket, Verdict: v, Granted: p.granted, Version: p.version, Rest: p.budget - p.granted + max(0, p.left),
+	})
 }
 
 func (s *State) recent(at time.Time) bool { return !at.IsZero() && s.now.Sub(at) < s.options.FreshFor }
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -120,7 +120,8 @@
 	d.receiver = receiver.New(receiver.Parts{
 		Dialect: adapter.Dialect, Forwarder: d.forwarder, Recorder: d.recorder,
 		Journal: newJournal(log, d.metrics), Clock: bootClock{},
-		Alone: func() bool { return d.store.Reach() == relayer.Alone },
+		Daemons: func() int { return len(d.registrar.Peers()) + 1 },
+		Alone:   func() bool { return d.store.Reach() == relayer.Alone },
 	}, dispatcher.New(dispatcher.DefaultOptions(), place, seed), receiver.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
 	d.control = &control{
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -340,9 +340,7 @@
 	case Failed, Misdirected:
 		n.failures++
 		pause := min(s.options.FailurePause<<min(n.failures-1, 8), s.options.LongestPause)
-		if m.Ending == Misdirected || n.failures > 1 {
-			n.retry = now.Add(pause)
-		}
+		n.retry = now.Add(pause)
 	case Completed:
 		n.failures, n.retry = 0, time.Time{}
 	case Abandoned:
--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -21,6 +21,7 @@
 	forgotten int64
 	changed   chan struct{}
 	down      bool
+	partDown  func(part string) bool
 	lose      func() bool
 	applied   int
 }
@@ -37,6 +38,16 @@
 	r.down = down
 }
 
+// SetPartDown sets a function that decides which parts do not answer.
+func (r *Rows) SetPartDown(down func(part string) bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.partDown = down
+}
+
+// silent reports whether a part does not answer.
+func (r *Rows) silent(part string) bool { return r.partDown != nil && r.partDown(part) }
+
 // SetLose sets a function that decides whether the answer to a transaction that took
 // effect is lost.
 func (r *Rows) SetLose(lose func() bool) {
@@ -84,6 +95,11 @@
 	if r.down || ctx.Err() != nil {
 		return 0, provider.NewError(operation, provider.KindUnavailable, errDown)
 	}
+	for _, k := range t.Keys() {
+		if r.silent(k.Part) {
+			return 0, provider.NewError(operation, provider.KindUnknown, errDown)
+		}
+	}
 	broken := false
 	var current []provider.VersionedRow
 	for _, c := range t.Conditions {
@@ -117,7 +133,7 @@
 func (r *Rows) Range(_ context.Context, q provider.RowRange) (provider.RowPage, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.down {
+	if r.down || r.silent(q.Part) {
 		return provider.RowPage{}, provider.NewError("rows.range", provider.KindUnavailable, errDown)
 	}
 	page := provider.RowPage{Version: r.version}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,16 +32,15 @@
 	UnackedTimeout time.Duration
 	// KeepAliveIdle is the silence after which an idle connection is probed.
 	KeepAliveIdle time.Duration
-	// IdleTimeout and IdlePerTarget bound the connections that are kept.
-	IdleTimeout   time.Duration
-	IdlePerTarget int
+	// IdleTimeout bounds the time for which a connection is kept.
+	IdleTimeout time.Duration
 }
 
 // DefaultOptions returns options for targets within tens of milliseconds.
 func DefaultOptions() Options {
 	return Options{
 		DialTimeout: 400 * time.Millisecond, UnackedTimeout: 800 * time.Millisecond, KeepAliveIdle: time.Second,
-		IdleTimeout: 4 * time.Second, IdlePerTarget: 8,
+		IdleTimeout: 4 * time.Second,
 	}
 }
 
@@ -59,6 +58,8 @@
 	Dispatch Dispatch
 	// Fresh asks for a new connection.
 	Fresh bool
+	// MaxIdle bounds the connections to the target that are kept afterwards.
+	MaxIdle int
 }
 
 // Forwarder sends calls to targets. It is safe for concurrent use.
@@ -79,6 +80,13 @@
 	return f.pool.opened
 }
 
+// Idle returns the number of idle connections to a target.
+func (f *Forwarder) Idle(target string) int {
+	f.pool.mutex.Lock()
+	defer f.pool.mutex.Unlock()
+	return len(f.pool.idle[target])
+}
+
 // Sweep closes idle connections that are not needed any more.
 func (f *Forwarder) Sweep(listed func(target string) bool) { f.pool.sweep(listed) }
 
@@ -91,6 +99,7 @@
 	conn      *connection
 	response  *http.Response
 	answer    Answer
+	maxIdle   int
 	stop      func() bool
 	written   bool
 	complete  bool
@@ -112,7 +121,7 @@
 	if err != nil {
 		return nil, NewError("connect", KindNotSent, err)
 	}
-	e := &Exchange{forwarder: f, conn: c}
+	e := &Exchange{forwarder: f, conn: c, maxIdle: r.MaxIdle}
 	// Closing the connection ends blocked reads and writes and stops the target.
 	e.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if deadline, ok := ctx.Deadline(); ok {
@@ -230,5 +239,5 @@
 		return
 	}
 	_ = e.conn.SetDeadline(time.Time{})
-	e.forwarder.pool.put(e.conn, e.answer.KeepAlive)
+	e.forwarder.pool.put(e.conn, e.answer.KeepAlive, e.maxIdle)
 }
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -112,8 +112,12 @@
 	return err == nil && quiet
 }
 
-// put keeps a connection for later calls.
-func (p *pool) put(c *connection, keepAlive time.Duration) {
+// put keeps a connection for later calls, in place of the oldest of at most limit.
+func (p *pool) put(c *connection, keepAlive time.Duration, limit int) {
+	if limit <= 0 {
+		_ = c.Close()
+		return
+	}
 	keep := p.options.IdleTimeout
 	if keepAlive > 0 {
 		keep = min(keep, keepAlive*4/5)
@@ -122,7 +126,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	list := p.idle[c.target]
-	if len(list) >= p.options.IdlePerTarget {
+	for len(list) >= limit {
 		_ = list[0].Close()
 		list = append(list[:0], list[1:]...)
 	}
--- a/provider/rows.go
+++ b/provider/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -48,6 +49,18 @@
 	return len(t.Conditions) + len(t.Writes) + len(t.Deletes)
 }
 
+// Keys returns the rows that the transaction names.
+func (t *RowTransaction) Keys() []RowKey {
+	keys := slices.Clone(t.Deletes)
+	for i := range t.Conditions {
+		keys = append(keys, t.Conditions[i].RowKey)
+	}
+	for i := range t.Writes {
+		keys = append(keys, t.Writes[i].RowKey)
+	}
+	return keys
+}
+
 // RowRange selects rows of one part with From <= key < To; empty bounds are open.
 type RowRange struct {
 	Table string
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -163,13 +163,22 @@
 		Header: v.request.Header, Body: v.body, CallID: v.call.ID,
 		// An idle connection may be closed by the target at any moment, and whether it read
 		// the call would stay unknown.
-		Fresh: !v.route.MayRepeat() && !v.route.Streaming,
+		Fresh:   !v.route.MayRepeat() && !v.route.Streaming,
+		MaxIdle: v.maxIdle(),
 		Dispatch: forwarder.Dispatch{
 			Target: send.Target.ID, Address: send.Target.Address, Left: v.left(), Priority: send.Rank, LastEvent: v.lastEvent,
 		},
 	}
 }
 
+// maxIdle is this daemon's share of the connections that a target accepts. Connections of
+// daemons that have lost power count at the target for a while, so that all idle ones
+// together stay under a third.
+func (v *visit) maxIdle() int {
+	const idleParts = 3
+	return max(1, v.service.MaxConnections/(idleParts*max(1, v.receiver.parts.Daemons())))
+}
+
 // unanswered decides what follows when no head of an answer arrived.
 func (v *visit) unanswered(err error) (next, dispatcher.Ending) {
 	kind := forwarder.KindOf(err)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -66,6 +66,8 @@
 	Journal   Journal
 	// Alone reports that this daemon has lost the store while others may reach it.
 	Alone func() bool
+	// Daemons is the number of daemons that share the targets.
+	Daemons func() int
 	// Clock counts the time for which the host is suspended.
 	Clock provider.Clock
 }
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -53,30 +53,55 @@
 // Reservation is the answer to a request for the tokens of a turn.
 type Reservation struct {
 	accountant.Decide
+	shares []share
+}
+
+// share is the part of a reservation that an account holds.
+type share struct {
 	account string
 	tokens  int
 }
 
 // Reserve asks for the tokens of one turn. Every admitted turn ends with Finish. The
-// budget is spent only if every account of the program says so.
+// budget is spent only if all accounts of the program say so and do not hold the turn
+// together.
 func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int, underWay bool) Reservation {
 	accounts := accountsOf(program, budget)
 	if len(accounts) == 2 && !r.partUp(programKey(accounts[0].name).Part) {
 		accounts[0], accounts[1] = accounts[1], accounts[0]
 	}
 	worst := Reservation{Decide: accountant.Decide{Verdict: accountant.Spent}}
-	for _, a := range accounts {
+	rests := make([]int, len(accounts))
+	for i, a := range accounts {
 		d := r.reserve(ctx, a, tokens, underWay)
 		if d.Verdict == accountant.Admitted {
-			return Reservation{Decide: d, account: a.name, tokens: tokens}
+			return Reservation{Decide: d, shares: []share{{a.name, tokens}}}
 		}
 		if d.Verdict > worst.Verdict || worst.Version == 0 {
 			worst.Decide = d
 		}
+		rests[i] = d.Rest
+	}
+	if worst.Verdict == accountant.Spent && len(accounts) == 2 && rests[0] > 0 && rests[0]+rests[1] >= tokens {
+		return r.combine(ctx, accounts, rests[0], tokens)
 	}
 	return worst
 }
 
+// combine takes what is left of the first account and the rest of a turn from the second.
+func (r *Recorder) combine(ctx context.Context, accounts []account, first, tokens int) Reservation {
+	reservation := Reservation{}
+	for i, amount := range []int{first, tokens - first} {
+		reservation.Decide = r.reserve(ctx, accounts[i], amount, true)
+		if reservation.Verdict != accountant.Admitted {
+			r.Finish(reservation, 0)
+			return Reservation{Decide: reservation.Decide}
+		}
+		reservation.shares = append(reservation.shares, share{accounts[i].name, amount})
+	}
+	return reservation
+}
+
 func (r *Recorder) reserve(ctx context.Context, a account, tokens int, underWay bool) accountant.Decide {
 	ticket := accountant.Ticket(r.tickets.Add(1))
 	reply := make(chan accountant.Decide, 1)
@@ -105,7 +130,14 @@
 
 // Finish ends an admitted turn with the tokens that it generated.
 func (r *Recorder) Finish(reservation Reservation, used int) {
-	r.finish(reservation.account, reservation.tokens, used)
+	for i, s := range reservation.shares {
+		part := used
+		if i < len(reservation.shares)-1 {
+			part = min(used, s.tokens)
+		}
+		r.finish(s.account, s.tokens, part)
+		used -= part
+	}
 }
 
 func (r *Recorder) finish(account string, reserved, used int) {
