Follow silent changes of the settings; say when log lines are dropped

The settings file can change without SIGHUP: its time of change is looked at every 2 s. Lines that the log queue cannot take are counted in a line of their own, with a test of an output that nobody reads.

--- a/assembler/logger.go
+++ b/assembler/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"sync/atomic"
 	"time"
@@ -61,6 +62,9 @@
 			}
 		case <-timer:
 			timer = nil
+			if n := w.dropped.Swap(0); n > 0 {
+				_, _ = fmt.Fprintf(buffer, "{\"level\":\"warn\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", n)
+			}
 			_ = buffer.Flush()
 		}
 	}
@@ -79,9 +83,6 @@
 	)
 	log := zap.New(core)
 	return log, func() {
-		if n := w.dropped.Load(); n > 0 {
-			log.Warn("log lines dropped", zap.Int64("lines", n))
-		}
 		close(w.lines)
 		<-w.done
 	}
--- /dev/null
+++ b/assembler/logger_test.go
@@ -0,0 +1,50 @@
+package assembler_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/assembler"
+)
+
+// stuckWriter blocks until it is released.
+type stuckWriter struct {
+	release chan struct{}
+	mutex   sync.Mutex
+	written bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.written.Write(p)
+}
+
+// TestLoggerNeverBlocks guards against daemons that stand still because nobody reads their
+// output: lines beyond the queue are dropped, counted, and said.
+func TestLoggerNeverBlocks(t *testing.T) {
+	output := &stuckWriter{release: make(chan struct{})}
+	log, flush := assembler.NewLogger(output)
+	began := time.Now()
+	for i := range 20_000 {
+		// Different messages are not sampled.
+		log.Info(strings.Repeat("x", i%500), zap.Int("line", i))
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("20,000 lines took %s before a stuck output", took)
+	}
+	close(output.release)
+	time.Sleep(300 * time.Millisecond)
+	log.Info("last")
+	time.Sleep(300 * time.Millisecond)
+	flush()
+	if text := output.written.String(); !strings.Contains(text, "log lines dropped") {
+		t.Errorf("dropped lines are not mentioned in %d bytes of output", len(text))
+	}
+}
--- a/cmd/dogwoodweir-entry/main.go
+++ b/cmd/dogwoodweir-entry/main.go
@@ -16,6 +16,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -28,8 +29,19 @@
 	softMemoryShare = 0.5
 	// collectorPercent trades processor time for memory, which costs more.
 	collectorPercent = 40
+	// settingsInterval is the interval at which the settings file is looked at.
+	settingsInterval = 2 * time.Second
 )
 
+// modified returns the time of the file's last change, zero when there is no file.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
 func main() {
 	path := flag.String("settings", platform.SettingsPath(), "settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
@@ -65,15 +77,23 @@
 	return assembler.New(settings, adapter, log).Run(ctx)
 }
 
-// reload reads the settings again at each SIGHUP. Only the store's address can change
-// while the daemon runs.
+// reload reads the settings again at each SIGHUP, and when the file has changed without a
+// signal. Only the store's address can change while the daemon runs.
 func reload(ctx context.Context, hangup <-chan os.Signal, path string, store *platform.Store, log *zap.Logger) {
+	tick := time.NewTicker(settingsInterval)
+	defer tick.Stop()
+	read := modified(path)
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-hangup:
+		case <-tick.C:
+			if !modified(path).After(read) {
+				continue
+			}
 		}
+		read = modified(path)
 		settings, err := platform.ReadSettings(path)
 		if err != nil {
 			log.Error("settings not reloaded", zap.Error(err))
