Deflate in one place; check for names of the platform in the lint

Packages historian and committer had the same pool of deflaters: package packer serves both. make lint fails when a name of the platform stands outside platform/. make race runs the tests of concurrent packages with the race detector.

--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,10 @@
-# Targets: demo, test, check, soak, bench, capacity, generate, build.
+# Targets: demo, test, race, check, soak, bench, capacity, generate, build.
 SHELL := /bin/bash
 TOOLS := go tool -modfile=tools/go.mod
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: build test check fmt lint generate demo soak bench capacity
+.PHONY: race build test check fmt lint generate demo soak bench capacity
 
 build:
 	go build -o bin/ ./cmd/...
@@ -20,12 +20,17 @@
 
 lint:
 	@test -z "$$(gofmt -l .)" || { echo "gofmt: files need formatting:"; gofmt -l .; exit 1; }
+	@bash .ci/dialect.sh
 	go vet ./...
 	$(TOOLS) staticcheck ./...
 	$(TOOLS) revive -config revive.toml -set_exit_status ./...
 
 check: lint test
 
+# The tests of what runs in several goroutines, with the race detector.
+race:
+	go test -race -timeout 20m ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger
+
 SCHEMAS := $(wildcard encoder/*.schema.json)
 
 generate: $(SCHEMAS:.schema.json=.gen.go)
--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -57,6 +57,20 @@
 	return options
 }
 
+// replay runs messages at their times and compares the commands.
+func replay(t *testing.T, input []timed, want []string) {
+	t.Helper()
+	state := batcher.New(oneFlight())
+	got, now := []string{}, start
+	for _, in := range input {
+		now = now.Add(in.after)
+		got = append(got, describe(state.Update(now, in.message))...)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("commands differ (-want +got):\n%s", diff)
+	}
+}
+
 func TestState(t *testing.T) {
 	tests := []struct {
 		name  string
@@ -125,15 +139,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			state := batcher.New(oneFlight())
-			got, now := []string{}, start
-			for _, in := range test.input {
-				now = now.Add(in.after)
-				got = append(got, describe(state.Update(now, in.message))...)
-			}
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Errorf("commands differ (-want +got):\n%s", diff)
-			}
+			replay(t, test.input, test.want)
 		})
 	}
 }
@@ -174,15 +180,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			state := batcher.New(oneFlight())
-			got, now := []string{}, start
-			for _, in := range test.input {
-				now = now.Add(in.after)
-				got = append(got, describe(state.Update(now, in.message))...)
-			}
-			if diff := cmp.Diff(test.want, got); diff != "" {
-				t.Errorf("commands differ (-want +got):\n%s", diff)
-			}
+			replay(t, test.input, test.want)
 		})
 	}
 }
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -2,19 +2,17 @@
 
 import (
 	"bytes"
-	"compress/flate"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"io"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -100,12 +98,6 @@
 	return fmt.Sprintf("%s/%0*d", key, segmentDigits, number)
 }
 
-var deflaters = sync.Pool{New: func() any {
-	// The error only concerns the level, which is valid.
-	w, _ := flate.NewWriter(nil, flate.BestSpeed)
-	return w
-}}
-
 // Encode returns the rows of a turn, each of at most rowBytes, and its entry in the list
 // of expiries.
 func Encode(t *Turn, rowBytes int) ([]provider.RowWrite, error) {
@@ -113,14 +105,7 @@
 	if err != nil {
 		return nil, NewError("encode turn", KindCorrupt, err)
 	}
-	var packed bytes.Buffer
-	w := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(w)
-	w.Reset(&packed)
-	// Writes to a buffer do not fail.
-	_, _ = w.Write(plain)
-	_ = w.Close()
-	return split(t, packed.Bytes(), rowBytes)
+	return split(t, packer.Deflate(plain), rowBytes)
 }
 
 // frameBytes is the room that a row keeps beside its data.
@@ -174,7 +159,7 @@
 	if len(rows) < segments {
 		return nil, NewError(operation, KindCorrupt, fmt.Errorf("%d of %d rows", len(rows), segments))
 	}
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(&packed), maxTurnBytes))
+	plain, err := packer.Inflate(packed.Bytes(), maxTurnBytes)
 	if err != nil {
 		return nil, NewError(operation, KindCorrupt, err)
 	}
