Close the listener before the last look at the calls being served

Cause: a daemon that is to stop waited until it served no call, then returned its unused tokens for up to 0.1 s with its listener open, and then cut what had arrived meanwhile. Change: http.Server.Shutdown, then the return. Test: TestCallsUntilTheEnd, which failed three times of three before.

--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -113,4 +113,8 @@
 // open, since new connections arrive until the platform has noticed.
 func (s *callerServer) retire() { s.server.SetKeepAlivesEnabled(false) }
 
+// shutdown closes the listener and the idle connections and waits for the calls that are
+// being served.
+func (s *callerServer) shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
 func (s *callerServer) close() error { return s.server.Close() }
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -34,8 +34,9 @@
 	targetGrace = 2200 * time.Millisecond
 	// cacheShare is the share of the memory limit that texts of turns may take.
 	cacheShare = 0.06
-	// stopMargin is kept between the end of the daemon and the end of its grace time.
-	stopMargin = 400 * time.Millisecond
+	// stopMargin is kept between the last answers and the end of the grace time, for the
+	// return of tokens.
+	stopMargin = 900 * time.Millisecond
 	// returnTime bounds the return of unused tokens at the end.
 	returnTime = 500 * time.Millisecond
 	// peerSilence ends a connection to another daemon on which an answer is overdue.
@@ -195,22 +196,23 @@
 	return nil
 }
 
-// stop takes the daemon out of rotation and lets what runs finish.
+// stop takes the daemon out of rotation, lets what runs finish, and then returns unused
+// tokens. Nothing that callers send is read after the listener has closed.
 func (d *Daemon) stop() {
 	began := time.Now()
 	d.beliefs.stopping.Store(true)
 	d.log.Info("stopping", zap.Int64("serving", d.receiver.Serving()))
 	d.callers.retire()
+	time.Sleep(d.settings.Linger)
 	end := began.Add(d.settings.Grace - stopMargin)
-	for time.Now().Before(end) {
-		if time.Since(began) >= d.settings.Linger && d.receiver.Serving() == 0 {
-			break
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), min(returnTime, max(0, time.Until(end))))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	d.recorder.ReturnTokens(ctx)
+	if err := d.callers.shutdown(ctx); err != nil {
+		d.log.Warn("callers cut at the end of the grace time", zap.Int64("serving", d.receiver.Serving()), zap.Error(err))
+	}
+	returning, cancelReturn := context.WithTimeout(context.Background(), returnTime)
+	defer cancelReturn()
+	d.recorder.ReturnTokens(returning)
 	d.log.Info("callers finished", zap.Int64("serving", d.receiver.Serving()), zap.Duration("took", time.Since(began)))
 }
 
--- a/assembler/daemon_test.go
+++ b/assembler/daemon_test.go
@@ -6,14 +6,17 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/assembler"
@@ -428,6 +431,43 @@
 	<-b.stopped
 }
 
+// TestCallsUntilTheEnd sends calls on new connections until the daemon does not listen any
+// more. It guards against calls that arrive between the last look at the calls being served
+// and the end of the process: each answer that has begun is whole.
+func TestCallsUntilTheEnd(t *testing.T) {
+	b := newTestbed(t, "i-1")
+	b.targets["i-1"].Pause = 30 * time.Millisecond
+	headers := map[string]string{"X-Dogwoodweir-Token-Budget": "9000", "X-Dogwoodweir-Token-Counts": "10,40"}
+	var cut, whole atomic.Int64
+	var callers conc.WaitGroup
+	for i := range 3 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-b.stopped:
+					return
+				default:
+				}
+				own := map[string]string{"X-Dogwoodweir-Program-Id": fmt.Sprint("p", i, "-", n), "Connection": "close"}
+				maps.Copy(own, headers)
+				switch got := b.call("/chat/", fmt.Sprint("c", i, "-", n), own, "x"); {
+				case got.status == http.StatusOK && !got.whole:
+					cut.Add(1)
+				case got.whole:
+					whole.Add(1)
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	b.shutdown()
+	callers.Wait()
+	if cut.Load() > 0 || whole.Load() == 0 {
+		t.Errorf("%d answers were cut and %d whole", cut.Load(), whole.Load())
+	}
+}
+
 // TestLimits sends a body above the limit of the configuration.
 func TestLimits(t *testing.T) {
 	b := newTestbed(t, "i-1")
