--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 
 # The tests of what runs in several goroutines, with the race detector.
 race:
-	go test -race -timeout 20m ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger
+	go test -race -timeout 20m ./platform ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger
 
 SCHEMAS := $(wildcard encoder/*.schema.json)
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -16,9 +16,21 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
-	"github.com/dogwoodweir/dogwoodweir/platform"
 )
 
+// dialect names a call in one header and nothing else.
+type dialect struct{}
+
+func (dialect) Call(r *http.Request) forwarder.Call {
+	return forwarder.Call{ID: r.Header.Get("Call-Id")}
+}
+func (dialect) Forward(caller http.Header, _ *forwarder.Dispatch) http.Header { return caller }
+func (dialect) Answer(r *http.Response) forwarder.Answer {
+	return forwarder.Answer{Status: r.StatusCode, ID: r.Header.Get("Call-Id")}
+}
+func (dialect) Return(http.Header, http.Header)           {}
+func (dialect) Refuse(http.Header, string, time.Duration) {}
+
 func TestEvents(t *testing.T) {
 	tests := []struct {
 		name, stream string
@@ -119,12 +131,12 @@
 }
 
 func answer(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Dogwoodweir-Request-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nCall-Id: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 func send(ctx context.Context, f *forwarder.Forwarder, a *answerer, id string) (string, error) {
 	e, err := f.Send(ctx, forwarder.Request{
-		Method: http.MethodGet, URL: &url.URL{Path: "/x"}, URI: "/x", Host: "h", Header: http.Header{"X-Dogwoodweir-Request-Id": {id}},
+		Method: http.MethodGet, URL: &url.URL{Path: "/x"}, URI: "/x", Host: "h", Header: http.Header{"Call-Id": {id}},
 		CallID: id, MaxIdle: 4, Dispatch: forwarder.Dispatch{Target: "i-1", Address: a.listener.Addr().String(), Left: time.Second, Priority: -1},
 	})
 	if err != nil {
@@ -152,7 +164,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			target := listen(t, test.answers...)
-			f := forwarder.New(platform.Dialect{}, forwarder.DefaultOptions())
+			f := forwarder.New(dialect{}, forwarder.DefaultOptions())
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			defer cancel()
 			got := []string{}
@@ -191,13 +203,13 @@
 		{"closed port", closed, forwarder.KindNotSent},
 		{"closed without an answer", listen(t, ""), forwarder.KindUncertain},
 		{"not an answer", listen(t, "garbage\r\n\r\n"), forwarder.KindUncertain},
-		{"body cut", listen(t, "HTTP/1.1 200 OK\r\nX-Dogwoodweir-Request-Id: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabc", ""), forwarder.KindUncertain},
+		{"body cut", listen(t, "HTTP/1.1 200 OK\r\nCall-Id: 1\r\nContent-Length: 9\r\nConnection: close\r\n\r\nabc", ""), forwarder.KindUncertain},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			_, err := send(ctx, forwarder.New(platform.Dialect{}, forwarder.DefaultOptions()), test.target, "1")
+			_, err := send(ctx, forwarder.New(dialect{}, forwarder.DefaultOptions()), test.target, "1")
 			if got := forwarder.KindOf(err); got != test.want {
 				t.Errorf("error %v is %s, want %s", err, got, test.want)
 			}
@@ -209,7 +221,7 @@
 // connections of daemons that have lost power still count as open.
 func TestIdleConnectionsAreBounded(t *testing.T) {
 	target := listen(t, answer("1", "a"))
-	f := forwarder.New(platform.Dialect{}, forwarder.DefaultOptions())
+	f := forwarder.New(dialect{}, forwarder.DefaultOptions())
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	var exchanges []*forwarder.Exchange
@@ -256,7 +268,7 @@
 	}()
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err = send(ctx, forwarder.New(platform.Dialect{}, forwarder.DefaultOptions()), &answerer{listener: l}, "1")
+	_, err = send(ctx, forwarder.New(dialect{}, forwarder.DefaultOptions()), &answerer{listener: l}, "1")
 	if forwarder.KindOf(err) != forwarder.KindCancelled || !errors.Is(err, context.Canceled) {
 		t.Errorf("the call ended with %v", err)
 	}
