Remove settings and functions that nothing uses

The entry daemon read limits that it did not apply, and the row store had a listing of parts and a few accessors without a caller. Usage sections of the packages follow the present signatures.

--- a/accountant/doc.go
+++ b/accountant/doc.go
@@ -6,13 +6,14 @@
 //
 // State takes typed messages and the time, and returns commands. It does no I/O:
 //
-//	state := accountant.New(accountant.DefaultOptions(), holder)
+//	state := accountant.New(accountant.DefaultOptions(), host, holder)
 //	commands := state.Update(now, accountant.Requested{Ticket: 1, Program: "p", Budget: 4608, Tokens: 576})
 //	for _, c := range commands {
 //		switch c := c.(type) {
 //		case accountant.Decide: // admit or refuse the turn
 //		case accountant.Write:  // write the row under its condition, report Written
 //		case accountant.Read:   // read the row, report Loaded
+//		case accountant.Borrow: // ask other daemons, report Received
 //		}
 //	}
 //	state.Update(now, accountant.Finished{Program: "p", Reserved: 576, Used: 240})
--- a/assembler/journal.go
+++ b/assembler/journal.go
@@ -27,6 +27,6 @@
 		zap.Duration("expected", e.Expected), zap.Int("inFlight", e.InFlight), zap.Int("chain", e.ChainTurns),
 		zap.Int("budget", e.Call.Budget), zap.Int("maxTokens", e.Call.MaxTokens),
 		zap.Int64("budgetVersion", e.BudgetVersion), zap.Int("budgetGranted", e.BudgetGranted),
-		zap.Int("tokens", e.Events), zap.Duration("firstEvent", e.FirstEvent), zap.Duration("took", e.Took),
+		zap.Int("tokens", e.Tokens), zap.Duration("firstEvent", e.FirstEvent), zap.Duration("took", e.Took),
 		zap.Duration("retryAfter", e.RetryAfter), zap.Bool("storeUp", e.StoreUp), zap.Error(e.Err))
 }
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -18,28 +18,18 @@
 	PeerAddress string
 	// MetricsPort serves metrics on the callers' IP address; 0 for none.
 	MetricsPort int
-	// MemoryBytes is the limit of the process; Descriptors that of its open files.
+	// MemoryBytes is the limit of the process.
 	MemoryBytes int64
-	Descriptors int
 	// Grace is the time between the request to stop and the end of the process.
 	Grace time.Duration
 	// Linger is how long a daemon that is to stop takes new connections.
 	Linger time.Duration
-	// DrainBound is the time within which a leaving target gets nothing new.
-	DrainBound time.Duration
-	// ListHeartbeat is the interval at which targets renew their entries.
-	ListHeartbeat time.Duration
-	Store         StoreSettings
+	Store  StoreSettings
 }
 
 // StoreSettings describe the platform's store.
 type StoreSettings struct {
 	Address string
-	// WritesPerSecond and ReadsPerSecond bound the calls of all daemons.
-	WritesPerSecond float64
-	ReadsPerSecond  float64
 	// RowBytes is the largest value of a row.
 	RowBytes int
-	// AcrossParts allows transactions over several parts of a table.
-	AcrossParts bool
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -86,9 +86,6 @@
 	}
 }
 
-// InFlight returns the number of calls at targets.
-func (s *State) InFlight() int { return len(s.flights) }
-
 // Update applies a message.
 func (s *State) Update(now time.Time, message Message) []Command {
 	switch m := message.(type) {
@@ -346,12 +343,3 @@
 	case Abandoned:
 	}
 }
-
-// Target returns the target with an ID, false when it is not in use.
-func (s *State) Target(id string) (follower.Target, bool) {
-	n := s.nodes[id]
-	if n == nil {
-		return follower.Target{}, false
-	}
-	return n.target, true
-}
--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -149,20 +149,6 @@
 	return page, nil
 }
 
-// Parts implements provider.RowStore.
-func (r *Rows) Parts(_ context.Context, table, after string) ([]string, error) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	var parts []string
-	for key := range r.rows {
-		if key.Table == table && key.Part > after && !slices.Contains(parts, key.Part) {
-			parts = append(parts, key.Part)
-		}
-	}
-	slices.Sort(parts)
-	return parts, nil
-}
-
 // Feed implements provider.RowStore.
 func (r *Rows) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
 	timeout := time.After(wait)
--- a/follower/configuration.go
+++ b/follower/configuration.go
@@ -88,14 +88,11 @@
 	CacheTokens int
 	// TokensPerEvent is the number of tokens in one event of a stream.
 	TokensPerEvent int
-	// MaxPin is the longest time for which a prompt can be pinned.
-	MaxPin time.Duration
 }
 
 // Service is a group of targets that serve the same requests.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections bounds the connections to one target from all daemons.
 	MaxConnections int
 	// Engine is nil for plain services.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -49,8 +49,6 @@
 	Left time.Duration
 	// Priority ranks the call in the target's queue, 0 first; negative for none.
 	Priority int
-	// Pin keeps the prompt in the target's memory after the call.
-	Pin time.Duration
 	// LastEvent resumes a stream after the event with this ID.
 	LastEvent string
 }
--- a/provider/rows.go
+++ b/provider/rows.go
@@ -93,8 +93,6 @@
 	Apply(ctx context.Context, transaction RowTransaction) (int64, error)
 	// Range reads one page of a part.
 	Range(ctx context.Context, r RowRange) (RowPage, error)
-	// Parts lists the parts of a table after the given one, in pages.
-	Parts(ctx context.Context, table, after string) ([]string, error)
 	// Feed returns the rows of a table that changed after a version. It waits up to
 	// the given time for the first change. KindNotFound means that the history is
 	// gone and the table must be read anew.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -50,12 +50,13 @@
 	BudgetVersion int64
 	BudgetGranted int
 	ChainTurns    int
-	Events        int
-	FirstEvent    time.Duration
-	Took          time.Duration
-	RetryAfter    time.Duration
-	StoreUp       bool
-	Err           error
+	// Tokens is the number of tokens that the caller got.
+	Tokens     int
+	FirstEvent time.Duration
+	Took       time.Duration
+	RetryAfter time.Duration
+	StoreUp    bool
+	Err        error
 }
 
 // Parts are what a Receiver works with.
--- a/receiver/visit.go
+++ b/receiver/visit.go
@@ -67,7 +67,7 @@
 func (v *visit) log() {
 	v.event.Took = v.elapsed()
 	v.event.StoreUp = v.receiver.parts.Recorder.Up()
-	v.event.Events = v.generated
+	v.event.Tokens = v.generated
 	v.receiver.parts.Journal.Ended(&v.event)
 }
 
--- a/recorder/doc.go
+++ b/recorder/doc.go
@@ -4,10 +4,10 @@
 //
 // # Usage
 //
-//	r := recorder.New(store, options, logger)
+//	r := recorder.New(store, neighbours, options, logger)
 //	r.Run(ctx)                                        // until the context ends
-//	verdict, err := r.Reserve(ctx, program, budget, tokens)
+//	reservation := r.Reserve(ctx, program, budget, tokens, underWay)
 //	turns, err := r.Chain(ctx, previous)              // newest first
-//	err = r.Commit(ctx, turn, turns)                  // the turn counts after this
-//	r.Finish(program, reserved, used)
+//	err = r.Commit(ctx, turn, turns, retention)       // the turn counts after this
+//	r.Finish(reservation, used)
 package recorder
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -4,8 +4,8 @@
 //
 // # Usage
 //
-//	s := relayer.New(direct, messenger, peers, relayer.DefaultOptions(), logger)
+//	s := relayer.New(direct, messenger, peers, relayer.DefaultOptions(), observe, logger)
 //	version, err := s.Apply(ctx, transaction) // as any provider.RowStore
-//	s.Reach(now)                              // Direct, Relayed, Outage or Alone
+//	s.Reach()                                 // Direct, Relayed, Outage or Alone
 //	result, handled, err := s.Handle(ctx, method, params) // for other daemons
 package relayer
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -154,11 +154,6 @@
 	return page, err
 }
 
-// Parts implements provider.RowStore.
-func (s *Store) Parts(ctx context.Context, table, after string) ([]string, error) {
-	return s.direct.Parts(ctx, table, after)
-}
-
 // Feed implements provider.RowStore. It always takes the direct way, and so finds out
 // when that is open again.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
