--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -6,8 +6,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/dogwoodweir/dogwoodweir/follower"
 )
 
 const (
