Keep a repeated call at its target when that refuses the repetition

Cause, found by reading: a stream that broke off at a target was repeated there, and if the target then had no room the call went to another one, so that a route with one allowed target could run a call at two. Only a target that cannot be reached has ended.

--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -16,8 +16,10 @@
 const (
 	// done means that the caller has its answer, whole or visibly broken.
 	done next = iota
-	// elsewhere means that the call has not run and may be sent to another target.
+	// elsewhere means that the target refused the call, which may be sent to another one.
 	elsewhere
+	// unreachable means that the target could not be reached, so that it has ended.
+	unreachable
 	// again means that the call may have run and may be repeated.
 	again
 )
@@ -45,12 +47,14 @@
 		if !ok {
 			return
 		}
-		switch v.attempt(&a, send) {
+		switch result := v.attempt(&a, send); result {
 		case done:
 			return
-		case elsewhere:
+		case elsewhere, unreachable:
 			a.excluded = append(a.excluded, send.Target.ID)
-			a.targets = slices.DeleteFunc(a.targets, func(id string) bool { return id == send.Target.ID })
+			if result == unreachable {
+				a.targets = slices.DeleteFunc(a.targets, func(id string) bool { return id == send.Target.ID })
+			}
 			if a.refusals++; a.refusals >= v.receiver.options.MaxRefusals {
 				v.giveUp(&a, http.StatusBadGateway, "targetsRefuse")
 				return
@@ -187,7 +191,7 @@
 		v.event.Reason, v.event.Err = "callerLeft", err
 		return done, dispatcher.Abandoned
 	case kind == forwarder.KindNotSent:
-		return elsewhere, dispatcher.Failed
+		return unreachable, dispatcher.Failed
 	case v.route.MayRepeat() && v.left() > 0:
 		return again, dispatcher.Failed
 	case v.began:
