Log the age of the feeds and why they were lost

The logs could not tell the hypotheses of the incident apart: a call's line named the version of the configuration, not how long ago the store had confirmed it; a failed poll after the first left no trace; nothing said whether it had been sent over a connection that had fallen silent, or until when a target without an entry stays in use.

No decision changed.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -94,8 +94,11 @@
 	recorder     *recorder.Recorder
 	receiver     *receiver.Receiver
 	follower     *followerRunner
-	callers      *callerServer
-	targets      atomic.Pointer[map[string]follower.Target]
+	// configurationFeed and targetFeed bring the follower up to date.
+	configurationFeed *feed
+	targetFeed        *feed
+	callers           *callerServer
+	targets           atomic.Pointer[map[string]follower.Target]
 }
 
 // New returns a daemon. Run starts it.
@@ -127,6 +130,10 @@
 		CallLog: newCallLogger(log, d.metrics), Clock: bootClock{},
 		DaemonCount: func() int { return len(d.registrar.Peers()) + 1 },
 		Alone:       func() bool { return d.store.AccessMode() == relayer.Alone },
+		FeedAge: func() time.Duration {
+			now := time.Now()
+			return max(d.configurationFeed.age(now), d.targetFeed.age(now))
+		},
 	}, dispatcher.New(dispatcher.DefaultOptions(), location, seed), receiver.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
 	d.follower = &followerRunner{
@@ -139,6 +146,7 @@
 		dispatch:       func(m dispatcher.Message) { d.receiver.UpdateDispatcher(m) },
 		publishTargets: d.publishTargets, onStoreResponse: d.recorder.NotifyStoreReachable,
 	}
+	d.configurationFeed, d.targetFeed = d.follower.configurationFeed(d.store), d.follower.targetFeed(d.store)
 	return d
 }
 
@@ -171,8 +179,8 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.follower.configurationFeed(background, d.store).run,
-		d.follower.targetFeed(background, d.store).run, d.runMaintenance, d.registrar.Run,
+		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.configurationFeed.run, d.targetFeed.run, d.runMaintenance,
+		d.registrar.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
@@ -281,6 +289,9 @@
 			return ok
 		})
 		d.callers.closeTimedOut(time.Now())
+		for _, f := range []*feed{d.configurationFeed, d.targetFeed} {
+			d.metrics.setFeedAge(f.table, f.age(time.Now()))
+		}
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,14 +37,18 @@
 	log         *zap.Logger
 	version     int64
 	unreachable bool
+	// lastResponse is when the store last responded, nil before the first response. failures
+	// counts the failed requests since then.
+	lastResponse atomic.Pointer[time.Time]
+	failures     int
 	// onSnapshot receives all rows of the table, onChanges the rows that changed since.
-	onSnapshot func(rows []provider.VersionedRow)
-	onChanges  func(rows []provider.VersionedRow)
+	onSnapshot func(ctx context.Context, rows []provider.VersionedRow)
+	onChanges  func(ctx context.Context, rows []provider.VersionedRow)
 	// onResponse is called after each response to a request for changes.
 	onResponse func()
 	// onReachability is called with false when the table becomes unreadable, and with true
 	// when it can be read again.
-	onReachability func(reachable bool)
+	onReachability func(ctx context.Context, reachable bool)
 }
 
 func (f *feed) run(ctx context.Context) {
@@ -58,7 +63,7 @@
 		}
 		if err == nil {
 			listed, backoff = true, initialBackoff
-			f.setReachable(true, nil)
+			f.recordResponse(ctx)
 			continue
 		}
 		if provider.KindOf(err) == provider.KindNotFound {
@@ -70,7 +75,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.setReachable(false, err)
+		f.recordFailure(ctx, err)
 		select {
 		case <-ctx.Done():
 		case <-time.After(backoff):
@@ -79,25 +84,50 @@
 	}
 }
 
+// age returns the time since the store last responded, 0 before the first response.
+func (f *feed) age(now time.Time) time.Duration {
+	last := f.lastResponse.Load()
+	if last == nil {
+		return 0
+	}
+	return now.Sub(*last)
+}
+
+func (f *feed) recordResponse(ctx context.Context) {
+	f.setReachable(ctx, true, nil)
+	now := time.Now()
+	f.lastResponse.Store(&now)
+	f.failures = 0
+}
+
+func (f *feed) recordFailure(ctx context.Context, err error) {
+	f.failures++
+	if f.unreachable {
+		f.log.Info("store feed request failed; retrying", zap.String("table", f.table), zap.Int("failures", f.failures),
+			zap.Duration("age", f.age(time.Now())), zap.Error(err))
+	}
+	f.setReachable(ctx, false, err)
+}
+
 // setReachable records whether the last request succeeded. It logs and reports a change.
-func (f *feed) setReachable(reachable bool, err error) {
+func (f *feed) setReachable(ctx context.Context, reachable bool, err error) {
 	if reachable == !f.unreachable {
 		return
 	}
 	f.unreachable = !reachable
-	f.onReachability(reachable)
+	f.onReachability(ctx, reachable)
 	f.log.Info("reachability of the store feed changed", zap.String("table", f.table), zap.Bool("reachable", reachable),
-		zap.Int64("version", f.version), zap.Error(err))
+		zap.Int64("version", f.version), zap.Int("failures", f.failures), zap.Duration("age", f.age(time.Now())), zap.Error(err))
 }
 
 func (f *feed) readTable(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	var rows []provider.VersionedRow
 	from := ""
 	var version int64
 	for {
-		page, err := f.store.Range(ctx, provider.RowRange{Table: f.table, From: from})
+		page, err := f.store.Range(listCtx, provider.RowRange{Table: f.table, From: from})
 		if err != nil {
 			return err
 		}
@@ -112,7 +142,7 @@
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 	f.version = version
-	f.onSnapshot(rows)
+	f.onSnapshot(ctx, rows)
 	return nil
 }
 
@@ -129,7 +159,7 @@
 	f.onResponse()
 	f.version = max(f.version, page.Version)
 	if len(page.Rows) > 0 {
-		f.onChanges(page.Rows)
+		f.onChanges(ctx, page.Rows)
 	}
 	return nil
 }
@@ -181,7 +211,8 @@
 			targetsChanged = true
 			r.log.Info(change.Kind, zap.String("target", change.Target.ID), zap.String("service", change.Target.Service),
 				zap.String("address", change.Target.Address), zap.String("domain", change.Target.Domain),
-				zap.Bool("leaving", change.Target.Leaving), zap.Int64("born", change.Target.StartedAt))
+				zap.Bool("leaving", change.Target.Leaving), zap.Int64("born", change.Target.StartedAt),
+				zap.Duration("keptFor", change.KeptFor))
 		}
 	}
 	if targetsChanged {
@@ -199,8 +230,8 @@
 }
 
 // configurationFeed follows the table in which operators publish the configuration.
-func (r *followerRunner) configurationFeed(ctx context.Context, store provider.RowStore) *feed {
-	sendConfigurations := func(rows []provider.VersionedRow) {
+func (r *followerRunner) configurationFeed(store provider.RowStore) *feed {
+	sendConfigurations := func(ctx context.Context, rows []provider.VersionedRow) {
 		for i := range rows {
 			if !r.catalog.IsConfiguration(&rows[i]) {
 				continue
@@ -217,12 +248,12 @@
 	return &feed{
 		store: store, table: r.catalog.ConfigurationTable(), log: r.log,
 		onSnapshot: sendConfigurations, onChanges: sendConfigurations,
-		onReachability: func(bool) {}, onResponse: r.onStoreResponse,
+		onReachability: func(context.Context, bool) {}, onResponse: r.onStoreResponse,
 	}
 }
 
 // targetFeed follows the table in which targets register.
-func (r *followerRunner) targetFeed(ctx context.Context, store provider.RowStore) *feed {
+func (r *followerRunner) targetFeed(store provider.RowStore) *feed {
 	decode := func(row *provider.VersionedRow) (follower.Target, bool) {
 		t, err := r.catalog.Target(time.Now(), row.Key, row.Value)
 		if err != nil {
@@ -233,7 +264,7 @@
 	}
 	return &feed{
 		store: store, table: r.catalog.TargetTable(), log: r.log, onResponse: r.onStoreResponse,
-		onSnapshot: func(rows []provider.VersionedRow) {
+		onSnapshot: func(ctx context.Context, rows []provider.VersionedRow) {
 			targets := make([]follower.Target, 0, len(rows))
 			for i := range rows {
 				if t, ok := decode(&rows[i]); ok {
@@ -242,7 +273,7 @@
 			}
 			r.send(ctx, follower.TargetsListed{Targets: targets})
 		},
-		onChanges: func(rows []provider.VersionedRow) {
+		onChanges: func(ctx context.Context, rows []provider.VersionedRow) {
 			for i := range rows {
 				if rows[i].Deleted {
 					r.send(ctx, follower.TargetRemoved{ID: rows[i].Key})
@@ -251,7 +282,7 @@
 				}
 			}
 		},
-		onReachability: func(reachable bool) {
+		onReachability: func(ctx context.Context, reachable bool) {
 			if reachable {
 				r.send(ctx, follower.StoreAvailable{})
 				return
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -54,4 +54,9 @@
 	}
 }
 
+// setFeedAge records the time since the store last responded to the feed of a table.
+func (m *metrics) setFeedAge(table string, age time.Duration) {
+	m.scope.Tagged(map[string]string{"table": table}).Gauge("feed_age_seconds").Update(age.Seconds())
+}
+
 func (m *metrics) setGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/follower/state.go
+++ b/follower/state.go
@@ -61,6 +61,8 @@
 	Kind    string
 	Target  Target
 	Version int64
+	// KeptFor is how long a missing target stays in use if it does not register again.
+	KeptFor time.Duration
 }
 
 // Options configure a State.
@@ -180,7 +182,7 @@
 			end = now.Add(s.options.GracePeriod)
 		}
 		s.missing[id] = end
-		return append(changes, Change{Kind: "targetMissing", Target: t})
+		return append(changes, Change{Kind: "targetMissing", Target: t, KeptFor: end.Sub(now)})
 	}
 	return s.deleteTarget(changes, id)
 }
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -92,7 +92,7 @@
 	if c == nil {
 		return h.reject(http.StatusServiceUnavailable, "noConfiguration", h.receiver.options.StartRetryAfter, nil)
 	}
-	h.record.ConfigurationVersion = c.Version
+	h.record.ConfigurationVersion, h.record.FeedAge = c.Version, h.receiver.deps.FeedAge()
 	h.route = c.Match(h.request.Host, h.request.URL.Path)
 	if h.route == nil {
 		return h.reject(http.StatusNotFound, "noRoute", 0, nil)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -36,7 +36,10 @@
 	Domain string
 	// ConfigurationVersion is the version of the configuration that contains the route.
 	ConfigurationVersion int64
-	Status               int
+	// FeedAge is the age of the configuration or of the list of targets, whichever the store
+	// confirmed longer ago.
+	FeedAge time.Duration
+	Status  int
 	// Reason is empty for complete responses of targets.
 	Reason string
 	// Target is the last target of the call; Attempts counts the attempts.
@@ -68,6 +71,9 @@
 	// Alone reports whether this daemon reaches neither the store nor a peer. Other daemons
 	// may still reach the store.
 	Alone func() bool
+	// FeedAge returns the time since the store confirmed both the configuration and the list of
+	// targets.
+	FeedAge func() time.Duration
 	// DaemonCount returns the number of daemons that share the targets.
 	DaemonCount func() int
 	// Clock includes the time for which the host is suspended.
