--- /dev/null
+++ b/assembler/feeds_test.go
@@ -0,0 +1,120 @@
+package assembler
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/dispatcher"
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/follower"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// jsonCatalog decodes rows whose values are targets in JSON.
+type jsonCatalog struct{ follower.Catalog }
+
+func (jsonCatalog) TargetTable() string { return "targets" }
+
+func (jsonCatalog) Target(_ time.Time, id string, value []byte) (follower.Target, error) {
+	var t follower.Target
+	err := json.Unmarshal(value, &t)
+	t.ID = id
+	return t, err
+}
+
+// failingStore fails requests for changes while it is set.
+type failingStore struct {
+	*emulator.RowStore
+	failing  atomic.Bool
+	failures atomic.Int64
+}
+
+func (s *failingStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	if s.failing.Load() {
+		s.failures.Add(1)
+		return provider.RowPage{}, provider.NewError("store.feed", provider.KindUnavailable, errors.New("status 429"))
+	}
+	return s.RowStore.Feed(ctx, table, after, wait)
+}
+
+// Guards against calls to a target that is gone: any failed request of the feed counted as an
+// outage of the store, in which entries of live targets expire, and kept the target in use.
+func TestFailedRequestIsNoOutage(t *testing.T) {
+	tests := []struct {
+		name string
+		// down is how long requests fail; at least one does.
+		down time.Duration
+		want bool
+	}{
+		{"one failed request", 0, false},
+		{"outage", 3 * time.Second, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			store := &failingStore{RowStore: emulator.NewRowStore()}
+			key := provider.RowKey{Table: "targets", Key: "a"}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			apply := func(transaction provider.RowTransaction) {
+				t.Helper()
+				if _, err := store.Apply(ctx, transaction); err != nil {
+					t.Fatal(err)
+				}
+			}
+			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: key, Value: []byte(`{"Service":"s"}`)}}})
+			var published atomic.Pointer[map[string]follower.Target]
+			runner := &followerRunner{
+				state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
+				inbox: make(chan follower.Message, inboxSize), readiness: &readinessState{},
+				dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {},
+				publishTargets: func(targets map[string]follower.Target) {
+					copied := map[string]follower.Target{}
+					for id, target := range targets {
+						copied[id] = target
+					}
+					published.Store(&copied)
+				},
+			}
+			f := runner.targetFeed(store)
+			go runner.run(ctx)
+			go f.run(ctx)
+			inUse := func() bool {
+				targets := published.Load()
+				return targets != nil && (*targets)["a"].Service != ""
+			}
+			await(t, "target", inUse)
+
+			store.failing.Store(true)
+			// A change of another row ends the request that waits for one.
+			other := provider.RowKey{Table: "targets", Key: "b"}
+			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: other, Value: []byte(`{"Service":"s"}`)}}})
+			await(t, "failed request", func() bool { return store.failures.Load() > 0 })
+			time.Sleep(test.down)
+			store.failing.Store(false)
+			apply(provider.RowTransaction{Deletes: []provider.RowKey{key}})
+			time.Sleep(time.Second)
+			if diff := cmp.Diff(test.want, inUse()); diff != "" {
+				t.Errorf("target without an entry in use (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// await waits for up to 5 s until the condition holds.
+func await(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("no %s after 5 s", what)
+}
