Relay the feeds of a daemon that the store rejects

Callers saw: calls handled by a configuration that others had replaced up to 14 s before (404 on added routes, runs by the old service), and calls sent to targets that had been leaving for as long, from daemons in rotation.

Cause: the relayer carries reads and writes through a peer when the store rejects one daemon, so the daemon stays ready; but Feed was always direct, as the probe of the direct path. Whatever the daemon follows stood still for as long as it was rejected. Class: a state that is kept current over one path while the work that depends on it goes on over another.

Fix: while the access mode is Relayed, Feed waits for changes through the peer in requests of 0.5 s and probes the direct path beside. A relayed response counts as a report that the peer reaches the store. A feed that got no response counts as failing since its response was due, so that silence is noticed as early as a rejection. The store's rows are the same through any daemon and versions only rise, so nothing can come back older.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
@@ -49,7 +50,9 @@
 func (m *metrics) recordStoreCall(operation string, mode relayer.AccessMode, kind provider.Kind, took time.Duration) {
 	scope := m.scope.Tagged(map[string]string{"operation": operation, "way": mode.String(), "kind": kind.String()})
 	scope.Counter("store_calls").Inc(1)
-	if operation != "feed" {
+	switch operation {
+	case "feed", "feedForPeer", messenger.MethodStoreFeed:
+	default:
 		scope.Histogram("store_seconds", latencyBuckets).RecordDuration(took)
 	}
 }
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -308,7 +308,7 @@
 	Subject string `json:"subject"`
 }
 
-// Reply to StoreChange and StoreRange.
+// Reply to StoreChange, StoreRange and StoreFeed.
 type StoreAnswer struct {
 	// Kind of the error; "none" for success.
 	Kind string `json:"kind"`
@@ -338,6 +338,18 @@
 	Writes []StoredRow `json:"writes,omitempty,omitzero"`
 }
 
+// Changes of a table for which a peer waits on behalf of the sender.
+type StoreFeed struct {
+	// Version after which changes are wanted.
+	After int `json:"after"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table string `json:"table"`
+
+	// Time in milliseconds that the peer waits for the first change.
+	WaitMs int `json:"waitMs"`
+}
+
 // A range of rows that a peer reads for the sender.
 type StoreRange struct {
 	// From corresponds to the JSON schema field "from".
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -27,6 +27,7 @@
 	MethodStoreState   = "storeState"
 	MethodStoreApply   = "storeApply"
 	MethodStoreRange   = "storeRange"
+	MethodStoreFeed    = "storeFeed"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
 
--- a/relayer/doc.go
+++ b/relayer/doc.go
@@ -5,7 +5,8 @@
 // # Usage
 //
 //	s := relayer.New(direct, messenger, peers, relayer.DefaultOptions(), observe, logger)
-//	version, err := s.Apply(ctx, transaction) // as any provider.RowStore
+//	version, err := s.Apply(ctx, transaction)         // as any provider.RowStore
+//	page, err := s.Feed(ctx, table, version, 1500*time.Millisecond)
 //	mode := s.AccessMode()                    // Direct, Relayed, Outage or Alone
 //	result, handled, err := s.Handle(ctx, method, params) // for requests of peers
 package relayer
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 	}
 	down := []step{{0, DirectFailed{}}, {300 * time.Millisecond, DirectFailed{}}}
 	downThen := func(more ...step) []step { return append(append([]step{}, down...), more...) }
+	start := time.Unix(1_000, 0)
 	tests := []struct {
 		name  string
 		steps []step
@@ -34,13 +36,16 @@
 		{"no messages", nil, 0, "direct "},
 		{"one failure", []step{{0, DirectFailed{}}}, 50 * time.Millisecond, "direct "},
 		{"direct path down", down, 300 * time.Millisecond, "alone "},
+		{"silence since a response was due", []step{{700 * time.Millisecond, DirectFailed{Due: start}}}, 700 * time.Millisecond, "alone "},
+		{"response after a lost one was due", []step{
+			{600 * time.Millisecond, DirectResponded{}}, {700 * time.Millisecond, DirectFailed{Due: start}},
+		}, 700 * time.Millisecond, "direct "},
 		{"responded again", downThen(step{350 * time.Millisecond, DirectResponded{}}), time.Second, "direct "},
 		{"a peer reaches the store", downThen(step{310 * time.Millisecond, PeerReported{Host: "b", Up: true, Replied: true}}), 400 * time.Millisecond, "relayed b"},
 		{"no peer reaches the store", downThen(step{310 * time.Millisecond, PeerReported{Host: "b", Replied: true}}), 400 * time.Millisecond, "outage "},
 		{"the peer does not reply", downThen(step{310 * time.Millisecond, PeerReported{Host: "b"}}), 400 * time.Millisecond, "alone "},
 		{"the reply is too old", downThen(step{310 * time.Millisecond, PeerReported{Host: "b", Up: true, Replied: true}}), 5 * time.Second, "alone "},
 	}
-	start := time.Unix(1_000, 0)
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			state := newState(DefaultOptions())
@@ -70,20 +75,27 @@
 // cutStore fails while its path to the store is cut.
 type cutStore struct {
 	provider.RowStore
-	cut bool
+	cut atomic.Bool
 }
 
 var errCut = provider.NewError("cut", provider.KindUnavailable, errors.New("path is cut"))
 
 func (c *cutStore) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
-	if c.cut {
+	if c.cut.Load() {
 		return 0, errCut
 	}
 	return c.RowStore.Apply(ctx, t)
 }
 
+func (c *cutStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	if c.cut.Load() {
+		return provider.RowPage{}, errCut
+	}
+	return c.RowStore.Feed(ctx, table, after, wait)
+}
+
 func (c *cutStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
-	if c.cut {
+	if c.cut.Load() {
 		return provider.RowPage{}, errCut
 	}
 	return c.RowStore.Range(ctx, r)
@@ -119,7 +131,7 @@
 		handler.store = stores[name]
 		go func() { _ = m.Serve(network.Listen(name)) }()
 	}
-	paths["a"].cut = true
+	paths["a"].cut.Store(true)
 	key := provider.RowKey{Table: "t", Partition: "p", Key: "k"}
 	write := func(version int64) provider.RowTransaction {
 		return provider.RowTransaction{
@@ -159,4 +171,20 @@
 	if diff := cmp.Diff(want, page.Rows); diff != "" {
 		t.Errorf("rows differ (-want +got):\n%s", diff)
 	}
+	if page, err = stores["a"].Feed(ctx, "t", version-1, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, page.Rows); diff != "" {
+		t.Errorf("changed rows differ (-want +got):\n%s", diff)
+	}
+	rows.DropHistory()
+	if _, err := stores["a"].Feed(ctx, "t", version-1, 0); provider.KindOf(err) != provider.KindNotFound {
+		t.Errorf("error %v of a feed whose history is gone, want kind %s", err, provider.KindNotFound)
+	}
+	paths["a"].cut.Store(false)
+	for stores["a"].AccessMode() != Direct {
+		if _, err := stores["a"].Feed(ctx, "t", version, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
 }
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -40,6 +40,10 @@
 	ProbeTimeout   time.Duration
 	// MaxPeers bounds the number of peers that are queried at once.
 	MaxPeers int
+	// FeedProbeWait is how long a feed waits for changes on the direct path while that is down,
+	// RelayedFeedWait how long it then waits through a peer, before it tries the direct path again.
+	FeedProbeWait   time.Duration
+	RelayedFeedWait time.Duration
 }
 
 // DefaultOptions returns the options of a daemon.
@@ -47,7 +51,7 @@
 	return Options{
 		DownAfter: 200 * time.Millisecond, QueryInterval: 300 * time.Millisecond, QueryTimeout: 250 * time.Millisecond,
 		ReplyMaxAge: time.Second, ResponseMaxAge: 150 * time.Millisecond, ProbeTimeout: 180 * time.Millisecond,
-		MaxPeers: 8,
+		MaxPeers: 8, FeedProbeWait: 20 * time.Millisecond, RelayedFeedWait: 500 * time.Millisecond,
 	}
 }
 
@@ -57,8 +61,9 @@
 // DirectResponded reports that the store has responded to a direct call.
 type DirectResponded struct{}
 
-// DirectFailed reports that a direct call was rejected as unavailable or got no response.
-type DirectFailed struct{}
+// DirectFailed reports that a direct call was rejected as unavailable or got no response, which
+// was due at the given time. Without it, the direct path fails from now on.
+type DirectFailed struct{ Due time.Time }
 
 // PeerReported reports the result of asking a peer whether it reaches the store.
 type PeerReported struct {
@@ -101,6 +106,9 @@
 	case DirectFailed:
 		if s.failingSince.IsZero() {
 			s.failingSince = now
+			if m.Due.After(s.lastResponse) && m.Due.Before(now) {
+				s.failingSince = m.Due
+			}
 		}
 	case PeerReported:
 		if m.Replied {
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -6,6 +6,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -31,6 +32,8 @@
 	options   Options
 	observe   Observer
 	log       *zap.Logger
+	// probing is set while a relayed feed probes the direct path.
+	probing atomic.Bool
 	// probeMutex is held during a probe, so that concurrent queries share one read.
 	probeMutex sync.Mutex
 	mutex      sync.Mutex
@@ -62,12 +65,21 @@
 
 // recordResult reports the result of a direct call to the observer and updates the state.
 func (s *Store) recordResult(operation string, began time.Time, err error) {
+	s.recordResultDue(operation, began, time.Now(), err)
+}
+
+// recordFeedResult does the same for a feed, whose response was due at the end of its wait.
+func (s *Store) recordFeedResult(operation string, began time.Time, wait time.Duration, err error) {
+	s.recordResultDue(operation, began, began.Add(wait), err)
+}
+
+func (s *Store) recordResultDue(operation string, began, due time.Time, err error) {
 	s.observe(operation, Direct, provider.KindOf(err), time.Since(began))
 	if storeResponded(err) {
 		s.update(DirectResponded{})
 		return
 	}
-	s.update(DirectFailed{})
+	s.update(DirectFailed{Due: due})
 }
 
 // storeResponded reports whether the result of a call, which may be an error, is a response
@@ -145,13 +157,10 @@
 func (s *Store) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
 	if mode, host := s.mode(); mode == Relayed {
 		response, err := s.relay(ctx, host, messenger.MethodStoreRange, encodeRange(ctx, &r))
-		if err == nil {
-			err = decodeError("store.range", &response)
-		}
 		if err != nil {
 			return provider.RowPage{}, err
 		}
-		return provider.RowPage{Rows: decodeRows(response.Rows), More: response.More, Version: int64(response.Version)}, nil
+		return decodePage("store.range", &response)
 	}
 	began := time.Now()
 	page, err := s.direct.Range(ctx, r)
@@ -159,15 +168,52 @@
 	return page, err
 }
 
-// Feed implements provider.RowStore. It is always a direct call, so that the state learns
-// when the direct path works again.
+// Feed implements provider.RowStore. While it relays, it probes the direct path beside, so that
+// the state learns when that works again.
 func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	if mode, host := s.mode(); mode == Relayed {
+		if s.probing.CompareAndSwap(false, true) {
+			go func() {
+				defer s.probing.Store(false)
+				// The result only matters for the state.
+				_, _ = s.directFeed(ctx, table, after, s.options.FeedProbeWait)
+			}()
+		}
+		return s.relayFeed(ctx, host, table, after, min(wait, s.options.RelayedFeedWait))
+	}
+	if s.directDown() {
+		wait = min(wait, s.options.FeedProbeWait)
+	}
+	return s.directFeed(ctx, table, after, wait)
+}
+
+func (s *Store) directFeed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
 	began := time.Now()
 	page, err := s.direct.Feed(ctx, table, after, wait)
-	s.recordResult("feed", began, err)
+	s.recordFeedResult("feed", began, wait, err)
 	return page, err
 }
 
+// relayFeed waits for changes of a table through the peer on the host.
+func (s *Store) relayFeed(
+	ctx context.Context, host, table string, after int64, wait time.Duration,
+) (provider.RowPage, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+s.options.QueryTimeout)
+	defer cancel()
+	params := encoder.StoreFeed{Table: table, After: int(after), WaitMs: int(wait.Milliseconds())}
+	response, err := s.relay(ctx, host, messenger.MethodStoreFeed, params)
+	if err != nil {
+		return provider.RowPage{}, err
+	}
+	return decodePage("store.feed", &response)
+}
+
+func (s *Store) directDown() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.state.directDown(time.Now())
+}
+
 // relay sends a call to the store through the peer on the host.
 func (s *Store) relay(ctx context.Context, host, method string, params any) (encoder.StoreAnswer, error) {
 	peer, ok := s.findPeer(host)
@@ -186,6 +232,9 @@
 		}
 		return response, provider.NewError("store.relay", kind, err)
 	}
+	if storeResponded(decodeError(method, &response)) {
+		s.update(PeerReported{Host: host, Up: true, Replied: true})
+	}
 	return response, nil
 }
 
@@ -236,6 +285,16 @@
 		page, err := s.direct.Range(ctx, decodeRange(&r))
 		s.recordResult("rangeForPeer", began, err)
 		return encodeResponse(page, err), true, nil
+	case messenger.MethodStoreFeed:
+		var f encoder.StoreFeed
+		if err := json.Unmarshal(params, &f); err != nil {
+			return nil, true, err
+		}
+		began := time.Now()
+		wait := time.Duration(f.WaitMs) * time.Millisecond
+		page, err := s.direct.Feed(ctx, f.Table, int64(f.After), wait)
+		s.recordFeedResult("feedForPeer", began, wait, err)
+		return encodeResponse(page, err), true, nil
 	}
 	return nil, false, nil
 }
--- a/relayer/translate.go
+++ b/relayer/translate.go
@@ -98,6 +98,13 @@
 	return decoded
 }
 
+func decodePage(operation string, response *encoder.StoreAnswer) (provider.RowPage, error) {
+	if err := decodeError(operation, response); err != nil {
+		return provider.RowPage{}, err
+	}
+	return provider.RowPage{Rows: decodeRows(response.Rows), More: response.More, Version: int64(response.Version)}, nil
+}
+
 func decodeError(operation string, response *encoder.StoreAnswer) error {
 	switch kind := provider.ParseKind(response.Kind); kind {
 	case provider.KindNone:
