Stop using a target whose entry becomes unreadable

Callers saw: calls sent to a target whose entry no longer named one, for example after its state had been overwritten with one that is not defined.

Cause: a changed row that could not be decoded was logged and ignored, so the target stayed in use as it was before, while an unreadable row in a read of the whole table named no target: which of the two held depended on how the row arrived. Class: an event that cannot be understood is taken as no event. The configuration is no such case: a row that cannot be decoded keeps the version in force, as the store accepts only valid ones.

Fix: such a row removes its target at once, on both ways, also during an outage of the store: the entry has not expired. A valid entry brings the target back.

--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -254,32 +254,40 @@
 
 // targetFeed follows the table in which targets register.
 func (r *followerRunner) targetFeed(store provider.RowStore) *feed {
-	decode := func(row *provider.VersionedRow) (follower.Target, bool) {
+	decode := func(row *provider.VersionedRow) follower.Message {
 		t, err := r.catalog.Target(time.Now(), row.Key, row.Value)
 		if err != nil {
-			r.log.Warn("target entry not decoded; ignoring it",
+			r.log.Warn("target entry not decoded; not using the target",
 				zap.String("target", row.Key), zap.Int64("rowVersion", row.Version), zap.Error(err))
+			return follower.TargetUnreadable{ID: row.Key}
 		}
-		return t, err == nil
+		return follower.TargetChanged{Target: t}
 	}
 	return &feed{
 		store: store, table: r.catalog.TargetTable(), log: r.log, onResponse: r.onStoreResponse,
 		onSnapshot: func(ctx context.Context, rows []provider.VersionedRow) {
 			targets := make([]follower.Target, 0, len(rows))
+			var unreadable []follower.Message
 			for i := range rows {
-				if t, ok := decode(&rows[i]); ok {
-					targets = append(targets, t)
+				switch m := decode(&rows[i]).(type) {
+				case follower.TargetChanged:
+					targets = append(targets, m.Target)
+				default:
+					unreadable = append(unreadable, m)
 				}
 			}
 			r.send(ctx, follower.TargetsListed{Targets: targets})
+			for _, m := range unreadable {
+				r.send(ctx, m)
+			}
 		},
 		onChanges: func(ctx context.Context, rows []provider.VersionedRow) {
 			for i := range rows {
 				if rows[i].Deleted {
 					r.send(ctx, follower.TargetRemoved{ID: rows[i].Key})
-				} else if t, ok := decode(&rows[i]); ok {
-					r.send(ctx, follower.TargetChanged{Target: t})
+					continue
 				}
+				r.send(ctx, decode(&rows[i]))
 			}
 		},
 		onReachability: func(ctx context.Context, reachable bool) {
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -102,6 +102,10 @@
 			{5 * time.Second, follower.TargetRemoved{ID: "a"}}, {6 * time.Second, follower.Tick{}},
 			{7 * time.Second, follower.Tick{}},
 		}, []string{"targetAdded a", "targetAdded b", "targetMissing a", "targetRemoved a"}},
+		{"unreadable entry during an outage", []step{
+			{0, list}, {time.Second, follower.StoreUnavailable{}}, {2 * time.Second, follower.TargetUnreadable{ID: "a"}},
+			{2 * time.Second, follower.TargetUnreadable{ID: "c"}},
+		}, []string{"targetAdded a", "targetAdded b", "targetRemoved a"}},
 		{"leaving target removed during an outage", []step{
 			{0, list}, {time.Second, follower.TargetChanged{Target: leaving}}, {time.Second, follower.StoreUnavailable{}},
 			{5 * time.Second, follower.StoreAvailable{}}, {5 * time.Second, follower.TargetRemoved{ID: "b"}},
--- a/follower/state.go
+++ b/follower/state.go
@@ -37,6 +37,9 @@
 // TargetRemoved reports that an entry has been removed from the list.
 type TargetRemoved struct{ ID string }
 
+// TargetUnreadable reports that an entry of the list does not describe a target.
+type TargetUnreadable struct{ ID string }
+
 // StoreUnavailable reports that the list of targets cannot be read.
 type StoreUnavailable struct{}
 
@@ -50,6 +53,7 @@
 func (TargetsListed) message()     {}
 func (TargetChanged) message()     {}
 func (TargetRemoved) message()     {}
+func (TargetUnreadable) message()  {}
 func (StoreUnavailable) message()  {}
 func (StoreAvailable) message()    {}
 func (Tick) message()              {}
@@ -111,6 +115,11 @@
 		return s.putTarget(nil, m.Target)
 	case TargetRemoved:
 		return s.removeTarget(now, nil, m.ID)
+	case TargetUnreadable:
+		// The entry has not expired, so there is nothing to wait for.
+		if _, known := s.targets[m.ID]; known {
+			return s.deleteTarget(nil, m.ID)
+		}
 	case StoreUnavailable:
 		s.storeUnavailable = true
 	case StoreAvailable:
