Tell an outage of the store from a failed request of the feed

Callers saw: calls sent to a target that was gone, for up to 2.2 s longer than needed after each failed request of a daemon's feed, and again after the next.

Cause: live targets lose their entries in an outage of the store, so a removed target is kept for 2.2 s after one. Any failed poll counted as an outage, also a single 429, a connection that fell silent, or a rejection of this daemon alone, during which live targets renew their entries. Class: a fault of the observer is taken for a fault of the observed.

Fix: an outage needs two failed requests in a row and a second without a response. When it ends, entries count as expired by it only if the daemon's peers were affected too, or the daemon had no peers to ask: the feed hands this to the follower with StoreAvailable. The feed reports the end before the rows that were read then.

After: the test passes, with rows for an outage, an outage whose end a peer notices first, a daemon without peers and one that the store rejects.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -145,6 +145,7 @@
 		},
 		dispatch:       func(m dispatcher.Message) { d.receiver.UpdateDispatcher(m) },
 		publishTargets: d.publishTargets, onStoreResponse: d.recorder.NotifyStoreReachable,
+		accessMode: d.store.AccessMode,
 	}
 	d.configurationFeed, d.targetFeed = d.follower.configurationFeed(d.store), d.follower.targetFeed(d.store)
 	return d
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
 
 const (
@@ -25,6 +26,12 @@
 	// up to maxBackoff.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 400 * time.Millisecond
+	// minOutage is the shortest time without a response that counts as an outage. Access through a
+	// peer begins earlier.
+	minOutage = time.Second
+	// minOutageFailures is the number of failed requests in a row that an outage needs. A
+	// connection that falls silent fails one request.
+	minOutageFailures = 2
 	// tickInterval is the interval at which missing targets are checked for expiry.
 	tickInterval = 250 * time.Millisecond
 )
@@ -41,14 +48,19 @@
 	// counts the failed requests since then.
 	lastResponse atomic.Pointer[time.Time]
 	failures     int
+	// outage is set while failures count as an outage, peersAffected once peers have reported since
+	// the last response that they do not reach the store either.
+	outage        bool
+	peersAffected bool
+	accessMode    func() relayer.AccessMode
 	// onSnapshot receives all rows of the table, onChanges the rows that changed since.
 	onSnapshot func(ctx context.Context, rows []provider.VersionedRow)
 	onChanges  func(ctx context.Context, rows []provider.VersionedRow)
 	// onResponse is called after each response to a request for changes.
 	onResponse func()
-	// onReachability is called with false when the table becomes unreadable, and with true
-	// when it can be read again.
-	onReachability func(ctx context.Context, reachable bool)
+	// onOutage is called with StoreUnavailable when an outage begins, and with StoreAvailable when
+	// it ends, before the rows that were read then.
+	onOutage func(ctx context.Context, m follower.Message)
 }
 
 func (f *feed) run(ctx context.Context) {
@@ -63,7 +75,6 @@
 		}
 		if err == nil {
 			listed, backoff = true, initialBackoff
-			f.recordResponse(ctx)
 			continue
 		}
 		if provider.KindOf(err) == provider.KindNotFound {
@@ -94,30 +105,39 @@
 }
 
 func (f *feed) recordResponse(ctx context.Context) {
-	f.setReachable(ctx, true, nil)
+	f.setReachable(true, nil)
+	if f.outage {
+		f.onOutage(ctx, follower.StoreAvailable{OnlyHere: !f.peersAffected && f.accessMode() == relayer.Relayed})
+	}
 	now := time.Now()
 	f.lastResponse.Store(&now)
-	f.failures = 0
+	f.failures, f.outage, f.peersAffected = 0, false, false
 }
 
 func (f *feed) recordFailure(ctx context.Context, err error) {
 	f.failures++
+	age := f.age(time.Now())
 	if f.unreachable {
 		f.log.Info("store feed request failed; retrying", zap.String("table", f.table), zap.Int("failures", f.failures),
-			zap.Duration("age", f.age(time.Now())), zap.Error(err))
+			zap.Duration("age", age), zap.Error(err))
+	}
+	f.setReachable(false, err)
+	f.peersAffected = f.peersAffected || f.accessMode() == relayer.Outage
+	if !f.outage && f.failures >= minOutageFailures && age >= minOutage {
+		f.outage = true
+		f.onOutage(ctx, follower.StoreUnavailable{})
 	}
-	f.setReachable(ctx, false, err)
 }
 
-// setReachable records whether the last request succeeded. It logs and reports a change.
-func (f *feed) setReachable(ctx context.Context, reachable bool, err error) {
+// setReachable records whether the last request succeeded, and logs a change.
+func (f *feed) setReachable(reachable bool, err error) {
 	if reachable == !f.unreachable {
 		return
 	}
 	f.unreachable = !reachable
-	f.onReachability(ctx, reachable)
 	f.log.Info("reachability of the store feed changed", zap.String("table", f.table), zap.Bool("reachable", reachable),
-		zap.Int64("version", f.version), zap.Int("failures", f.failures), zap.Duration("age", f.age(time.Now())), zap.Error(err))
+		zap.Int64("version", f.version), zap.Int("failures", f.failures), zap.Duration("age", f.age(time.Now())),
+		zap.Bool("outage", f.outage), zap.Bool("peersAffected", f.peersAffected), zap.Error(err))
 }
 
 func (f *feed) readTable(ctx context.Context) error {
@@ -142,6 +162,7 @@
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 	f.version = version
+	f.recordResponse(ctx)
 	f.onSnapshot(ctx, rows)
 	return nil
 }
@@ -157,6 +178,7 @@
 		return err
 	}
 	f.onResponse()
+	f.recordResponse(ctx)
 	f.version = max(f.version, page.Version)
 	if len(page.Rows) > 0 {
 		f.onChanges(ctx, page.Rows)
@@ -179,6 +201,7 @@
 	readiness      *readinessState
 	// onStoreResponse is called when the store responds.
 	onStoreResponse func()
+	accessMode      func() relayer.AccessMode
 }
 
 func (r *followerRunner) run(ctx context.Context) {
@@ -248,7 +271,7 @@
 	return &feed{
 		store: store, table: r.catalog.ConfigurationTable(), log: r.log,
 		onSnapshot: sendConfigurations, onChanges: sendConfigurations,
-		onReachability: func(context.Context, bool) {}, onResponse: r.onStoreResponse,
+		onOutage: func(context.Context, follower.Message) {}, onResponse: r.onStoreResponse, accessMode: r.accessMode,
 	}
 }
 
@@ -290,12 +313,6 @@
 				r.send(ctx, decode(&rows[i]))
 			}
 		},
-		onReachability: func(ctx context.Context, reachable bool) {
-			if reachable {
-				r.send(ctx, follower.StoreAvailable{})
-				return
-			}
-			r.send(ctx, follower.StoreUnavailable{})
-		},
+		onOutage: r.send, accessMode: r.accessMode,
 	}
 }
--- a/assembler/feeds_test.go
+++ b/assembler/feeds_test.go
@@ -15,6 +15,7 @@
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
 
 // jsonCatalog decodes rows whose values are targets in JSON.
@@ -49,12 +50,17 @@
 func TestFailedRequestIsNoOutage(t *testing.T) {
 	tests := []struct {
 		name string
-		// down is how long requests fail; at least one does.
-		down time.Duration
-		want bool
+		// down is how long requests fail; at least one does. The access modes are those during
+		// that time and at its end.
+		down         time.Duration
+		during, then relayer.AccessMode
+		want         bool
 	}{
-		{"one failed request", 0, false},
-		{"outage", 3 * time.Second, true},
+		{"one failed request", 0, relayer.Direct, relayer.Direct, false},
+		{"outage", 3 * time.Second, relayer.Outage, relayer.Direct, true},
+		{"outage whose end a peer notices first", 3 * time.Second, relayer.Outage, relayer.Relayed, true},
+		{"cut off from the store and from the peers", 3 * time.Second, relayer.Alone, relayer.Direct, true},
+		{"rejected by the store", 3 * time.Second, relayer.Alone, relayer.Relayed, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -71,10 +77,12 @@
 			}
 			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: key, Value: []byte(`{"Service":"s"}`)}}})
 			var published atomic.Pointer[map[string]follower.Target]
+			var mode atomic.Int64
 			runner := &followerRunner{
 				state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
 				inbox: make(chan follower.Message, inboxSize), readiness: &readinessState{},
 				dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {},
+				accessMode: func() relayer.AccessMode { return relayer.AccessMode(mode.Load()) },
 				publishTargets: func(targets map[string]follower.Target) {
 					copied := map[string]follower.Target{}
 					for id, target := range targets {
@@ -92,12 +100,14 @@
 			}
 			await(t, "target", inUse)
 
+			mode.Store(int64(test.during))
 			store.failing.Store(true)
 			// A change of another row ends the request that waits for one.
 			other := provider.RowKey{Table: "targets", Key: "b"}
 			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: other, Value: []byte(`{"Service":"s"}`)}}})
 			await(t, "failed request", func() bool { return store.failures.Load() > 0 })
 			time.Sleep(test.down)
+			mode.Store(int64(test.then))
 			store.failing.Store(false)
 			apply(provider.RowTransaction{Deletes: []provider.RowKey{key}})
 			time.Sleep(time.Second)
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -102,6 +102,10 @@
 			{5 * time.Second, follower.TargetRemoved{ID: "a"}}, {6 * time.Second, follower.Tick{}},
 			{7 * time.Second, follower.Tick{}},
 		}, []string{"targetAdded a", "targetAdded b", "targetMissing a", "targetRemoved a"}},
+		{"gone while only this daemon could not read the list", []step{
+			{0, list}, {time.Second, follower.StoreUnavailable{}}, {5 * time.Second, follower.StoreAvailable{OnlyHere: true}},
+			{5 * time.Second, follower.TargetRemoved{ID: "a"}},
+		}, []string{"targetAdded a", "targetAdded b", "targetRemoved a"}},
 		{"unreadable entry during an outage", []step{
 			{0, list}, {time.Second, follower.StoreUnavailable{}}, {2 * time.Second, follower.TargetUnreadable{ID: "a"}},
 			{2 * time.Second, follower.TargetUnreadable{ID: "c"}},
--- a/follower/state.go
+++ b/follower/state.go
@@ -44,7 +44,11 @@
 type StoreUnavailable struct{}
 
 // StoreAvailable reports that the list of targets can be read again.
-type StoreAvailable struct{}
+type StoreAvailable struct {
+	// OnlyHere means that only this daemon could not read the list. Live targets could renew
+	// their entries, so that a missing entry says that its target is gone.
+	OnlyHere bool
+}
 
 // Tick removes missing targets whose grace period has ended. Send it periodically.
 type Tick struct{}
@@ -125,7 +129,9 @@
 	case StoreAvailable:
 		if s.storeUnavailable {
 			s.storeUnavailable = false
-			s.graceEnd = now.Add(s.options.GracePeriod)
+			if !m.OnlyHere {
+				s.graceEnd = now.Add(s.options.GracePeriod)
+			}
 		}
 	case Tick:
 		return s.expireMissing(now)
