--- a/Makefile
+++ b/Makefile
@@ -49,10 +49,11 @@
 	bin/exercise -binary bin/dogwoodweir-entry -calm -duration 8s
 
 # Runs entry daemons as separate processes under injected faults, once for each of RUNS
-# consecutive seeds that start at SEED.
+# consecutive seeds that start at SEED. FAULTS limits the faults to a comma-separated list of kinds.
 RUNS ?= 1
+FAULTS ?=
 soak: build
-	go run ./cmd/exercise -seed $(SEED) -duration $(DURATION) -runs $(RUNS)
+	go run ./cmd/exercise -seed $(SEED) -duration $(DURATION) -runs $(RUNS) -faults '$(FAULTS)'
 
 # Runs daemons with the project's own interface in one process under injected faults.
 soak-own:
--- a/cmd/exercise/main.go
+++ b/cmd/exercise/main.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/dogwoodweir/dogwoodweir/platform/exerciser"
@@ -31,7 +32,11 @@
 	flag.IntVar(&o.Hosts, "hosts", 0, "number of daemons, 0 for the default")
 	flag.IntVar(&o.Callers, "callers", 0, "number of concurrent programs, 0 for the default")
 	flag.BoolVar(&o.NoFaults, "calm", false, "run without faults")
+	kinds := flag.String("faults", "", "comma-separated kinds of faults, all kinds if empty")
 	flag.Parse()
+	if *kinds != "" {
+		o.FaultKinds = strings.Split(*kinds, ",")
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	failed, err := run(ctx, o, runs)
