Bound the head of a target's response

Callers saw: a call whose target sends bytes without end in place of a head was held until its deadline and ended with 504, while the daemon's memory filled up: it would be killed at its limit, with all its calls.

Cause: http.ReadResponse reads lines of any length; only http.Transport, which is not used here, bounds a head. Class: input of a faulty peer without a bound of its own.

Evidence: TestHeadWithoutEnd failed for an endless status line, header field, list of header fields and bytes that are no HTTP: no call ended before its deadline of 3 s (10 s of attempts). An endless series of interim responses was bounded already.

Fix: a connection counts the bytes that it reads while a head is read and fails after 64 KiB. The call ends with 502, since it may have run, and the connection is closed.

After: the test passes, each call in well under a second.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -192,7 +192,9 @@
 // call may precede it and is recognized by its call ID.
 func (e *Exchange) readHead(callID string, request *http.Request) error {
 	for range maxStaleResponses {
+		e.conn.limiter.begin()
 		response, err := http.ReadResponse(e.conn.reader, request)
+		e.conn.limiter.end()
 		if err != nil {
 			return err
 		}
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -15,10 +16,41 @@
 // readBufferBytes is enough for the head of a response and for most events.
 const readBufferBytes = 4096
 
+// maxHeadBytes bounds the head of a response.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = errors.New("head of the response exceeds the size limit")
+
+// headLimiter reads from a connection and fails once a head exceeds its limit.
+type headLimiter struct {
+	reader io.Reader
+	// inHead is set while a head is read, of which remaining bytes are still allowed.
+	inHead    bool
+	remaining int
+}
+
+func (l *headLimiter) begin() { l.inHead, l.remaining = true, maxHeadBytes }
+func (l *headLimiter) end()   { l.inHead = false }
+
+// Read implements io.Reader.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.reader.Read(p)
+	}
+	if l.remaining <= 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := l.reader.Read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
 // connection is an open connection to a target.
 type connection struct {
 	net.Conn
-	reader *bufio.Reader
+	// reader buffers what limiter reads from the connection.
+	reader  *bufio.Reader
+	limiter *headLimiter
 	// target is the ID of the target for which the connection was opened.
 	target string
 	// idleUntil is the time from which the connection must not be used again.
@@ -69,7 +101,8 @@
 	p.mutex.Lock()
 	p.opened++
 	p.mutex.Unlock()
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), target: target}, nil
+	limiter := &headLimiter{reader: conn}
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, target: target}, nil
 }
 
 // takeIdle returns the most recently used idle connection that is still usable, or nil. It
