Go to another target without waiting for the end of a rejection

Callers saw: 503 at the deadline of a call, although other targets were free, when a target rejected it with a body that trickles without end.

Cause: the body of a rejection was read up to 1 MiB, so that its connection could be used again, with no bound in time but the call's deadline. Class: work for a later call (a connection kept) delays the present one.

Fix: the body is read for at most 100 ms and 16 KiB; a connection on which it has not ended is closed. The call goes on to the next target as before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -222,6 +222,13 @@
 	return n, err
 }
 
+// Drain reads the rest of a short response, so that its connection can be used again. If the
+// response does not end within the bounds, Close closes the connection.
+func (e *Exchange) Drain(maxBytes int64, timeout time.Duration) {
+	_ = e.conn.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, io.LimitReader(e, maxBytes))
+}
+
 // Complete reports whether the whole response has been read.
 func (e *Exchange) Complete() bool { return e.complete }
 
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -13,6 +13,13 @@
 	"github.com/dogwoodweir/dogwoodweir/historian"
 )
 
+// A rejection's body is read to its end within these bounds, so that its connection can be used
+// again. They are far above a short text that arrives with its head.
+const (
+	maxDrainedBytes = 16 << 10
+	drainTimeout    = 100 * time.Millisecond
+)
+
 // handleResponse processes a response whose head has arrived.
 func (h *callHandler) handleResponse(
 	a *attempts, send dispatcher.Send, e *forwarder.Exchange, firstEventTimer *time.Timer,
@@ -20,10 +27,10 @@
 	head := e.Head()
 	switch {
 	case head.NotRun && head.Status == http.StatusMisdirectedRequest:
-		h.discardBody(e)
+		e.Drain(maxDrainedBytes, drainTimeout)
 		return tryOtherTarget, dispatcher.Misdirected
 	case head.NotRun && head.Status >= http.StatusInternalServerError, head.NotRun && head.Status == http.StatusTooManyRequests:
-		h.discardBody(e)
+		e.Drain(maxDrainedBytes, drainTimeout)
 		return tryOtherTarget, dispatcher.TargetFull
 	case head.Status >= 200 && head.Status < 300 && !head.Sealed:
 		// The response does not come from the target, so it does not show that the call has run.
@@ -34,12 +41,6 @@
 	return h.forwardPlain(a, send, e)
 }
 
-// discardBody reads a short response to its end, so that its connection can be used again.
-func (h *callHandler) discardBody(e *forwarder.Exchange) {
-	// If this fails, Close closes the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(e, h.receiver.options.MaxBufferedResponseBytes))
-}
-
 // handleUnusableResponse decides how to proceed after a response that cannot be forwarded.
 func (h *callHandler) handleUnusableResponse(a *attempts, err error) (nextStep, dispatcher.Result) {
 	a.lastErr = err
