Bound the streams and the plain responses of targets

Callers saw: a stream or a body of a target in trouble that goes on without end was passed on until the deadline of the call. A turn could deliver many times the tokens that it had reserved, so that the budget of its program did not hold; on paid links hundreds of megabytes crossed; and the output kept for the history filled the memory.

Cause: only a single event was bounded (1 MiB), not their number or sum, and a plain response was copied beyond its buffer to its end.

Fix: a stream breaks off at 1 MiB, or one event beyond the tokens that the call may generate (the last event may hold fewer). It is not sent to another target: that could only go on beyond the limit. A plain response breaks off at 16 MiB, and 256 KiB of it are buffered in place of 1 MiB. All look incomplete to the caller.

--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -34,6 +34,8 @@
 	// reservation holds the tokens of the turn. At the end of the call, unused ones are returned.
 	reservation     *recorder.Reservation
 	generatedTokens int
+	// streamBytes is the size of the events sent to the caller.
+	streamBytes int
 	// output is the data of the events so far, for the history.
 	output []byte
 	// lastEventID is the ID of the last event sent to the caller.
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -41,6 +41,10 @@
 	// MaxBufferedResponseBytes is the size up to which a plain response is read completely
 	// before it is forwarded.
 	MaxBufferedResponseBytes int64
+	// MaxResponseBytes bounds the body of a plain response and MaxStreamBytes the events of a
+	// stream. A response that exceeds its bound is broken off.
+	MaxResponseBytes int64
+	MaxStreamBytes   int
 }
 
 // DefaultOptions returns the options of a daemon.
@@ -54,6 +58,7 @@
 		ContendedRetryAfter:     250 * time.Millisecond,
 		StartRetryAfter:         400 * time.Millisecond,
 		FirstEventTimeoutFactor: 6, MinFirstEventTimeout: 700 * time.Millisecond,
-		MaxBodyBytes: 4 << 20, MaxBufferedResponseBytes: 1 << 20,
+		MaxBodyBytes: 4 << 20, MaxBufferedResponseBytes: 256 << 10,
+		MaxResponseBytes: 16 << 20, MaxStreamBytes: 1 << 20,
 	}
 }
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -50,7 +51,13 @@
 		return stopAttempts, dispatcher.Cancelled
 	case h.route.MayRepeat() && h.remaining() > 0:
 		return repeatCall, dispatcher.Failed
-	case h.headWritten:
+	}
+	return h.breakOff(err)
+}
+
+// breakOff ends a call whose response cannot be forwarded to its end.
+func (h *callHandler) breakOff(err error) (nextStep, dispatcher.Result) {
+	if h.headWritten {
 		h.abortResponse("answerBroken", err)
 	}
 	_ = h.reject(http.StatusBadGateway, "answerBroken", 0, err)
@@ -87,9 +94,13 @@
 		return stopAttempts, dispatcher.Cancelled
 	}
 	if !e.Complete() {
-		if _, err := io.Copy(h.writer, e); err != nil {
+		rest := h.receiver.options.MaxResponseBytes - int64(len(body))
+		if _, err := io.Copy(h.writer, io.LimitReader(e, rest)); err != nil {
 			h.abortResponse("answerBroken", err)
 		}
+		if !e.Complete() {
+			h.abortResponse("answerBroken", fmt.Errorf("response exceeds %d bytes", h.receiver.options.MaxResponseBytes))
+		}
 	}
 	if failed {
 		h.record.Reason = "targetError"
@@ -125,6 +136,10 @@
 			firstEventTimer.Stop()
 		}
 		h.receiver.UpdateDispatcher(dispatcher.ResponseStarted{Ticket: send.Ticket})
+		if err := h.countEvent(&event); err != nil {
+			// Another target would have to generate more than it may, too.
+			return h.breakOff(err)
+		}
 		if err := h.forwardEvent(e, &event); err != nil {
 			h.record.Reason, h.record.Err = "callerLeft", err
 			return stopAttempts, dispatcher.Cancelled
@@ -164,9 +179,6 @@
 	if event.ID != "" {
 		h.lastEventID = event.ID
 	}
-	if h.service.Engine != nil {
-		h.generatedTokens += h.service.Engine.TokensPerEvent
-	}
 	if h.route.KeepsHistory && event.HasData {
 		h.output = append(h.output, event.Data...)
 		h.output = append(h.output, '\n')
@@ -174,6 +186,24 @@
 	return nil
 }
 
+// countEvent adds an event to the stream's size. It returns an error, without adding the event, if
+// the stream would exceed the tokens that the call may generate or the bound on its bytes.
+func (h *callHandler) countEvent(event *forwarder.Event) error {
+	if h.streamBytes+len(event.Raw) > h.receiver.options.MaxStreamBytes {
+		return fmt.Errorf("stream exceeds %d bytes", h.receiver.options.MaxStreamBytes)
+	}
+	if h.service.Engine != nil {
+		tokens := h.service.Engine.TokensPerEvent
+		// The last event may hold fewer tokens than the others.
+		if h.call.MaxTokens > 0 && h.generatedTokens >= h.call.MaxTokens+tokens {
+			return fmt.Errorf("stream exceeds %d tokens", h.call.MaxTokens)
+		}
+		h.generatedTokens += tokens
+	}
+	h.streamBytes += len(event.Raw)
+	return nil
+}
+
 // commitTurn stores the turn if the route keeps a history.
 func (h *callHandler) commitTurn() error {
 	if !h.route.KeepsHistory || h.call.ID == "" {
