Keep a feed's late responses, and feeds on connections of their own

Callers saw, in overload and without any fault: calls sent to targets more than 4 s after the store had acknowledged that they were leaving (DRAIN), from daemons in the region without the store. A configuration is late in the same way (CONFIG).

Cause: a full link between the regions delays responses of the store, and the client waited only 0.7 s beyond the long poll. It gave the request up, opened another connection, for which it waited 0.5 s, and sent the next request, whose response came too late again. Above these delays nothing arrived, although each change would have been there a second later. Class: a timeout shorter than the delays of overload, whose retries add to the overload and throw away what is already under way.

Fix: relayer.Feed sends a second direct request on a new connection when the first one is 0.7 s overdue, one through a peer while the direct path is down, leaves the first one open for 3 s and takes the first response. Silence is still noticed after 0.7 s. The feeds have connections of their own, which are opened with more patience, so that timeouts of calls do not close them; an idle connection of the calls is closed after a timeout only if no response has come since the request began. This replaces the probe that the relayed feed sent beside it. A whole table may take 2 s.

TestFeedAfterConnectionsFallSilent now runs through relayer.Feed, which holds the repetition, with the same bound.

After: the tests pass, with the race detector.

--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// feedWait is how long a feed request waits for a change. It also limits the time until
-	// a stalled connection is detected, which must be less than the time within which
-	// changes take effect.
+	// feedWait is how long a feed request waits for a change. It is part of the time until a
+	// stalled connection is detected, which must be less than the time within which changes
+	// take effect.
 	feedWait = 1500 * time.Millisecond
 	// feedWaitAfterError replaces feedWait from an error until the next response.
 	feedWaitAfterError = 20 * time.Millisecond
 	// listTimeout limits the reading of a whole table.
-	listTimeout = time.Second
+	listTimeout = 2 * time.Second
 	// initialBackoff is the delay after the first failure. Each further failure doubles it,
 	// up to maxBackoff.
 	initialBackoff = 50 * time.Millisecond
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -6,7 +6,6 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,8 +31,6 @@
 	options   Options
 	observe   Observer
 	log       *zap.Logger
-	// probing is set while a relayed feed probes the direct path.
-	probing atomic.Bool
 	// probeMutex is held during a probe, so that concurrent queries share one read.
 	probeMutex sync.Mutex
 	mutex      sync.Mutex
@@ -168,46 +165,6 @@
 	return page, err
 }
 
-// Feed implements provider.RowStore. While it relays, it probes the direct path beside, so that
-// the state learns when that works again.
-func (s *Store) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
-	if mode, host := s.mode(); mode == Relayed {
-		if s.probing.CompareAndSwap(false, true) {
-			go func() {
-				defer s.probing.Store(false)
-				// The result only matters for the state.
-				_, _ = s.directFeed(ctx, table, after, s.options.FeedProbeWait)
-			}()
-		}
-		return s.relayFeed(ctx, host, table, after, min(wait, s.options.RelayedFeedWait))
-	}
-	if s.directDown() {
-		wait = min(wait, s.options.FeedProbeWait)
-	}
-	return s.directFeed(ctx, table, after, wait)
-}
-
-func (s *Store) directFeed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
-	began := time.Now()
-	page, err := s.direct.Feed(ctx, table, after, wait)
-	s.recordFeedResult("feed", began, wait, err)
-	return page, err
-}
-
-// relayFeed waits for changes of a table through the peer on the host.
-func (s *Store) relayFeed(
-	ctx context.Context, host, table string, after int64, wait time.Duration,
-) (provider.RowPage, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+s.options.QueryTimeout)
-	defer cancel()
-	params := encoder.StoreFeed{Table: table, After: int(after), WaitMs: int(wait.Milliseconds())}
-	response, err := s.relay(ctx, host, messenger.MethodStoreFeed, params)
-	if err != nil {
-		return provider.RowPage{}, err
-	}
-	return decodePage("store.feed", &response)
-}
-
 func (s *Store) directDown() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
