Announce the closing of connections without turning keep-alive off

Cause: the shutdown turned the HTTP library's keep-alive off. The library then closes a connection whose call has just ended without having announced it, if this falls between the end of the response and the change of the connection to idle, where the server's own Close could not tell it from a connection in a call.

Fix: keep-alive stays on. While the server stops, each response whose head is written says Connection: close, which closes its connection afterwards; a connection whose last response did not say so stays open until the shutdown closes the idle ones. The mark for idle connections is no longer needed. The library's own answer to an oversized body does not reach a wrapped response, so the receiver closes that connection itself.

--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -60,10 +60,7 @@
 	log    *zap.Logger
 	limits atomic.Pointer[follower.CallerLimits]
 	// stopping is set when the shutdown begins.
-	stopping atomic.Bool
-	// keepIdle is set during the shutdown delay, while calls may still arrive on idle
-	// connections.
-	keepIdle    atomic.Bool
+	stopping    atomic.Bool
 	mutex       sync.Mutex
 	listener    net.Listener
 	connections map[*callerConnection]bool
@@ -72,12 +69,53 @@
 func newCallerServer(handler http.Handler, log *zap.Logger) *callerServer {
 	s := &callerServer{log: log, connections: map[*callerConnection]bool{}}
 	s.server = http.Server{
-		Handler: handler, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.trackState,
+		Handler: s.announceClose(handler), MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: readHeaderTimeout, ConnState: s.trackState,
 		ErrorLog: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
 	return s
 }
 
+// closeAnnouncer is a response that tells the caller to close the connection if the server is
+// stopping when its head is sent.
+type closeAnnouncer struct {
+	http.ResponseWriter
+	server      *callerServer
+	headWritten bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *closeAnnouncer) WriteHeader(status int) {
+	if a.server.stopping.Load() {
+		a.Header().Set("Connection", "close")
+	}
+	a.headWritten = true
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *closeAnnouncer) Write(p []byte) (int, error) {
+	if !a.headWritten {
+		a.WriteHeader(http.StatusOK)
+	}
+	return a.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the HTTP library's response, for http.ResponseController.
+func (a *closeAnnouncer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+// announceClose returns a handler whose responses tell their callers to close the connection while
+// the server is stopping. The HTTP library's own way, turning keep-alive off, also closes the
+// connections whose last response did not say so.
+func (s *callerServer) announceClose(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a := &closeAnnouncer{ResponseWriter: w, server: s}
+		handler.ServeHTTP(a, r)
+		if !a.headWritten {
+			a.WriteHeader(http.StatusOK)
+		}
+	})
+}
+
 func (s *callerServer) setLimits(l follower.CallerLimits) { s.limits.Store(&l) }
 
 func (s *callerServer) trackState(c net.Conn, state http.ConnState) {
@@ -137,15 +175,12 @@
 // not ready. Idle connections stay open too, since a call may be in transit on them.
 func (s *callerServer) beginShutdown() {
 	s.stopping.Store(true)
-	s.keepIdle.Store(true)
-	s.server.SetKeepAlivesEnabled(false)
 }
 
 // shutdown closes the listener and the idle connections, and waits for the calls that are
 // being served or read. The HTTP library's Shutdown runs last, since it drops calls whose
 // heads are being read. On a context error, calls may still be running.
 func (s *callerServer) shutdown(ctx context.Context) error {
-	s.keepIdle.Store(false)
 	s.closeIdle()
 	for headDeadline := time.Now().Add(shutdownHeadTimeout); s.hasCalls(time.Now().Before(headDeadline)); {
 		select {
--- a/assembler/connection.go
+++ b/assembler/connection.go
@@ -70,11 +70,10 @@
 }
 
 // Close implements net.Conn. While the server stops, it ignores the HTTP library's closing
-// of connections on which a call may be in transit.
+// of connections on which a call is being read.
 func (c *callerConnection) Close() error {
 	c.mutex.Lock()
-	keep := c.server.stopping.Load() && !c.closed &&
-		(c.phase == readingHead || c.phase == waitingForCall && c.server.keepIdle.Load())
+	keep := c.server.stopping.Load() && !c.closed && c.phase == readingHead
 	c.mutex.Unlock()
 	if keep {
 		return nil
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -163,6 +163,8 @@
 	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
+		// The rest of the body would be taken for the next call.
+		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0, nil)
 	}
 	return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
