Take only a refused connection as proof that a target has ended

Cause: a call that may have run is repeated only at targets that may have run it, less those that have ended since. A target counted as ended when no connection to it could be opened within 0.4 s: behind a full link, or with a full queue of new connections, that says nothing about the target.

Evidence: TestCrowdedTargetMayStillRunCall failed: a stream broke off, its target took no more connections in time, and the call ran at a second target.

Fix: a refused connection (KindGone) shows that nothing listens there; any other failure to connect leaves the target among those that may have run the call, which then ends with 502. Attempts that come before any run go to other targets as before. TestKinds expects the new kind for a closed port, where KindNotSent covered both.

After: the test passes.

--- a/forwarder/doc.go
+++ b/forwarder/doc.go
@@ -7,6 +7,7 @@
 //	exchange, err := f.Send(ctx, forwarder.Request{...})
 //	switch forwarder.KindOf(err) {
 //	case forwarder.KindNotSent:   // the target cannot have run the call
+//	case forwarder.KindGone:      // nor can it run any other, since it has ended
 //	case forwarder.KindUncertain: // the target may have run it
 //	}
 //	defer exchange.Close()
--- a/forwarder/error.go
+++ b/forwarder/error.go
@@ -10,6 +10,9 @@
 	KindNone Kind = iota
 	// KindNotSent means that no byte of the call was sent, so it has not run.
 	KindNotSent
+	// KindGone means that nothing listens at the target's address: the call was not sent, and the
+	// target has ended.
+	KindGone
 	// KindUncertain means that the call was sent, wholly or in part, and may have run.
 	KindUncertain
 	// KindCancelled means that the caller's context ended after the call was sent.
@@ -20,7 +23,7 @@
 
 // String returns the kind's name in logs.
 func (k Kind) String() string {
-	return [...]string{"none", "notSent", "uncertain", "cancelled", "broken"}[k]
+	return [...]string{"none", "notSent", "gone", "uncertain", "cancelled", "broken"}[k]
 }
 
 // Error is the error type of the package.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -120,6 +121,9 @@
 // its kind whether the call may have run. Close the exchange when it is no longer needed.
 func (f *Forwarder) Send(ctx context.Context, r Request) (*Exchange, error) {
 	c, err := f.pool.get(ctx, r.Attempt.Target, r.Attempt.Address, r.NewConnection)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, NewError("connect", KindGone, err)
+	}
 	if err != nil {
 		return nil, NewError("connect", KindNotSent, err)
 	}
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -16,11 +16,11 @@
 const (
 	// stopAttempts means that the caller's response has ended, completely or with an error.
 	stopAttempts nextStep = iota
-	// tryOtherTarget means that the target rejected the call, which may be sent to another one.
+	// tryOtherTarget means that the call was not sent or the target rejected it, and that it may be
+	// sent to another one.
 	tryOtherTarget
-	// targetUnreachable means that no connection to the target could be opened: it no longer
-	// runs.
-	targetUnreachable
+	// targetGone means that the target no longer runs.
+	targetGone
 	// repeatCall means that the call may have run and may be repeated.
 	repeatCall
 )
@@ -31,7 +31,7 @@
 	rejections int
 	// possibleRuns counts the attempts that may have run the call.
 	possibleRuns int
-	// possibleTargets are the targets that may have run the call and can still be reached.
+	// possibleTargets are the targets that may have run the call and have not ended since.
 	possibleTargets []string
 	lastErr         error
 }
@@ -51,9 +51,9 @@
 		switch next := h.attemptTarget(&a, send); next {
 		case stopAttempts:
 			return
-		case tryOtherTarget, targetUnreachable:
+		case tryOtherTarget, targetGone:
 			a.excluded = append(a.excluded, send.Target.ID)
-			if next == targetUnreachable {
+			if next == targetGone {
 				a.possibleTargets = slices.DeleteFunc(a.possibleTargets, func(id string) bool { return id == send.Target.ID })
 			}
 			if a.rejections++; a.rejections >= h.receiver.options.MaxRejections {
@@ -202,8 +202,10 @@
 	case h.request.Context().Err() != nil:
 		h.record.Reason, h.record.Err = "callerLeft", err
 		return stopAttempts, dispatcher.Cancelled
+	case kind == forwarder.KindGone:
+		return targetGone, dispatcher.Failed
 	case kind == forwarder.KindNotSent:
-		return targetUnreachable, dispatcher.Failed
+		return tryOtherTarget, dispatcher.Failed
 	case h.route.MayRepeat() && h.remaining() > 0:
 		return repeatCall, dispatcher.Failed
 	case h.headWritten:
