Keep the renewed copy of a turn in memory

Callers saw nothing but slower turns of long chains: a turn whose rows had been renewed was renewed again by each later turn of the chain.

Cause: Commit wrote the renewed copy and left the old one, with the old time of expiry, in the cache; Cache.Add ignored a turn that it had.

Evidence: TestRenewedTurnIsRenewedOnce failed: 2 transactions for each of the three commits in place of 2, 1 and 1, and the copy in memory expired in 30 s.

Fix: the renewed copy is added, and the cache keeps the copy that expires later.

After: the test passes.

--- a/historian/cache.go
+++ b/historian/cache.go
@@ -32,12 +32,15 @@
 }
 
 // Add adds a turn that is already written to the store, and evicts others if the cache is
-// above its limit.
+// above its limit. Of two copies of a turn it keeps the one that expires later.
 func (c *Cache) Add(t *Turn) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.turns.Contains(t.ID) {
-		return
+	if old, ok := c.turns.Peek(t.ID); ok {
+		if !t.Expires.After(old.Expires) {
+			return
+		}
+		c.bytes -= len(old.Text)
 	}
 	c.bytes += len(t.Text)
 	c.turns.Add(t.ID, t)
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -135,6 +135,38 @@
 	}
 }
 
+// Guards against a turn that is renewed again by each later turn of its chain: the copy in memory
+// kept the old time of expiry.
+func TestRenewedTurnIsRenewedOnce(t *testing.T) {
+	rows := emulator.NewRowStore()
+	r := start(t, rows, "host", noPeers{})
+	old := &historian.Turn{ID: "old", Text: []byte("A")}
+	if err := r.Commit(timeout(t, time.Second), old, nil, time.Minute); err != nil {
+		t.Fatal(err)
+	}
+	old.Expires = time.Now().Add(30 * time.Second)
+	previous := "old"
+	var applied []int
+	for _, id := range []string{"first", "second", "third"} {
+		before := rows.Applied()
+		chain, err := r.Chain(timeout(t, time.Second), previous)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Commit(timeout(t, time.Second), &historian.Turn{ID: id, Previous: previous, Text: []byte("B")}, chain, time.Minute); err != nil {
+			t.Fatal(err)
+		}
+		previous = id
+		applied = append(applied, rows.Applied()-before)
+	}
+	if diff := cmp.Diff([]int{2, 1, 1}, applied); diff != "" {
+		t.Errorf("transactions of the commits differ (-want +got):\n%s", diff)
+	}
+	if renewed := r.Turn("old"); !renewed.Expires.After(time.Now().Add(time.Minute)) {
+		t.Errorf("the turn in memory expires in %s", time.Until(renewed.Expires))
+	}
+}
+
 // TestSplitBudgetIsFullyUsed checks that turns for which the whole budget suffices are
 // admitted, also when the budget is split into two rows.
 func TestSplitBudgetIsFullyUsed(t *testing.T) {
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -137,6 +137,7 @@
 		if err := r.writeEntry(ctx, old.Partition, entry); err != nil {
 			return err
 		}
+		r.turns.Add(&renewed)
 	}
 	turn.Expires = expires
 	if err := r.writeNewTurn(ctx, turn); err != nil {
