Keep a turn that was renewed when an older expiry row of it is due

Cause: a removal was conditional on the expiry row only, which says when the turn was to expire, not when it does.

Fix: the clean-up reads the turn, and removes it only if the turn itself has expired, on the condition that its first row has not changed either; otherwise only the expiry row goes. One read more for each expired turn, in the background.

Evidence: from reading; the removal of the code before had no argument that could tell the two cases apart, so that the new rows of TestRemoval do not compile on it.

After: the tests of historian and recorder pass.

--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -46,14 +46,23 @@
 
 func partitionName(number int) string { return "t" + strconv.Itoa(number) }
 
-// Removal returns the transaction that deletes an expiry row and its turn, unless the expiry
-// row has changed.
-func Removal(row *provider.VersionedRow) provider.RowTransaction {
+// Removal returns the transaction that deletes an expiry row and its turn, whose rows are given in
+// the order of their keys. It deletes the expiry row only, if the turn has been renewed by several
+// daemons and expires later than this row says. The transaction fails if the expiry row or the
+// turn has changed.
+func Removal(row *provider.VersionedRow, turnRows []provider.VersionedRow, now time.Time) provider.RowTransaction {
 	_, key, _ := strings.Cut(row.Key, "/")
 	t := provider.RowTransaction{
 		Conditions: []provider.RowCondition{{RowKey: row.RowKey, Version: row.Version}},
 		Deletes:    []provider.RowKey{row.RowKey},
 	}
+	if len(turnRows) > 0 {
+		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: turnRows[0].RowKey, Version: turnRows[0].Version})
+	}
+	// A turn that cannot be decoded cannot be continued either.
+	if turn, err := Decode(key, turnRows); err == nil && turn.Expires.After(now) {
+		return t
+	}
 	segments, err := strconv.Atoi(string(row.Value))
 	if err != nil || segments < 1 || segments > maxSegments {
 		segments = 1
@@ -63,3 +72,9 @@
 	}
 	return t
 }
+
+// ExpiredTurnRange selects the rows of the turn that an expiry row names.
+func ExpiredTurnRange(row *provider.VersionedRow) provider.RowRange {
+	_, key, _ := strings.Cut(row.Key, "/")
+	return Range(key, row.Partition)
+}
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// TestRemoval checks that a removal deletes every row of a turn and its expiry row.
+// TestRemoval checks that a removal deletes every row of an expired turn and its expiry row, and
+// only the expiry row of a turn that expires later.
 func TestRemoval(t *testing.T) {
 	text := make([]byte, 5000)
 	for i := range text {
@@ -84,20 +85,33 @@
 	}
 	remaining := map[provider.RowKey]bool{}
 	var expiry provider.VersionedRow
+	var turnRows []provider.VersionedRow
 	for _, w := range writes {
 		remaining[w.RowKey] = true
 		if w.RowKey == historian.ExpiryKey(turn) {
 			expiry = provider.VersionedRow{RowKey: w.RowKey, Value: w.Value, Version: 3}
+			continue
 		}
+		turnRows = append(turnRows, provider.VersionedRow{RowKey: w.RowKey, Value: w.Value, Version: 5})
 	}
-	removal := historian.Removal(&expiry)
+	want := []provider.RowCondition{{RowKey: expiry.RowKey, Version: 3}, {RowKey: turnRows[0].RowKey, Version: 5}}
+
+	// Guards against the loss of a turn that another daemon has renewed meanwhile.
+	renewed := historian.Removal(&expiry, turnRows, time.Unix(99, 0))
+	if diff := cmp.Diff([]provider.RowKey{expiry.RowKey}, renewed.Deletes); diff != "" {
+		t.Errorf("rows that are removed of a turn that has been renewed differ (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(want, renewed.Conditions); diff != "" {
+		t.Errorf("conditions for a turn that has been renewed differ (-want +got):\n%s", diff)
+	}
+
+	removal := historian.Removal(&expiry, turnRows, time.Unix(101, 0))
 	for _, k := range removal.Deletes {
 		delete(remaining, k)
 	}
 	if len(remaining) != 0 {
 		t.Errorf("rows not removed: %v", remaining)
 	}
-	want := []provider.RowCondition{{RowKey: expiry.RowKey, Version: 3}}
 	if diff := cmp.Diff(want, removal.Conditions); diff != "" {
 		t.Errorf("conditions differ (-want +got):\n%s", diff)
 	}
--- a/recorder/cleanup.go
+++ b/recorder/cleanup.go
@@ -52,16 +52,23 @@
 func (r *Recorder) cleanUpTurns(ctx context.Context) int {
 	partitions := historian.Partitions()
 	partition := partitions[rand.IntN(len(partitions))]
-	return r.cleanUpRange(ctx, historian.ExpiredRange(partition, time.Now(), cleanupRows), func(row *provider.VersionedRow) (provider.RowTransaction, bool) {
-		return historian.Removal(row), true
-	})
+	now := time.Now()
+	remove := func(ctx context.Context, row *provider.VersionedRow) (provider.RowTransaction, bool) {
+		page, err := r.readRange(ctx, historian.ExpiredTurnRange(row))
+		if err != nil {
+			r.log.Warn("cannot read an expired turn; a later clean-up retries", zap.String("part", partition), zap.Error(err))
+			return provider.RowTransaction{}, false
+		}
+		return historian.Removal(row, page.Rows, now), true
+	}
+	return r.cleanUpRange(ctx, historian.ExpiredRange(partition, now, cleanupRows), remove)
 }
 
 func (r *Recorder) cleanUpBudgets(ctx context.Context) int {
 	partition := "p" + strconv.Itoa(rand.IntN(programPartitions))
 	now := time.Now().Unix()
 	rows := provider.RowRange{Table: programTable, Partition: partition, From: r.cleanupStart[partition]}
-	return r.cleanUpRange(ctx, rows, func(row *provider.VersionedRow) (provider.RowTransaction, bool) {
+	return r.cleanUpRange(ctx, rows, func(_ context.Context, row *provider.VersionedRow) (provider.RowTransaction, bool) {
 		var budget encoder.ProgramBudget
 		if err := json.Unmarshal(row.Value, &budget); err == nil && int64(budget.ExpiresAt) > now {
 			return provider.RowTransaction{}, false
@@ -77,7 +84,7 @@
 // their number, 0 if the read fails.
 func (r *Recorder) cleanUpRange(
 	ctx context.Context, rows provider.RowRange,
-	removal func(*provider.VersionedRow) (provider.RowTransaction, bool),
+	removal func(context.Context, *provider.VersionedRow) (provider.RowTransaction, bool),
 ) int {
 	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
 	defer cancel()
@@ -95,7 +102,7 @@
 		if removed == cleanupRows {
 			break
 		}
-		if t, expired := removal(&page.Rows[i]); expired {
+		if t, expired := removal(ctx, &page.Rows[i]); expired {
 			r.removeRows(t)
 			removed++
 		}
