Notice an outage in which the store is silent

Evidence: the new row 'silent outage' of TestFailedRequestIsNoOutage failed.

Fix: a feed gives up 3 s after its wait (TestFeedGivesUp), and a response after 2.5 s without one counts as the end of an outage, also if no request failed meanwhile.

After: the tests pass, with the race detector.

--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -29,9 +29,11 @@
 	// minOutage is the shortest time without a response that counts as an outage. Access through a
 	// peer begins earlier.
 	minOutage = time.Second
-	// minOutageFailures is the number of failed requests in a row that an outage needs. A
-	// connection that falls silent fails one request.
+	// minOutageFailures is the number of failed requests in a row that an outage needs.
 	minOutageFailures = 2
+	// minSilentOutage is the shortest time without a response that counts as an outage although no
+	// request has failed. It is above the time in which a feed replaces a silent connection.
+	minSilentOutage = 2500 * time.Millisecond
 	// tickInterval is the interval at which missing targets are checked for expiry.
 	tickInterval = 250 * time.Millisecond
 )
@@ -104,16 +106,22 @@
 	return now.Sub(*last)
 }
 
+// recordResponse records that the store has responded, and reports the end of an outage.
 func (f *feed) recordResponse(ctx context.Context) {
+	now := time.Now()
 	f.setReachable(true, nil)
-	if f.outage {
+	switch {
+	case f.outage:
 		f.onOutage(ctx, follower.StoreAvailable{OnlyHere: !f.peersAffected && f.accessMode() == relayer.Relayed})
+	case f.age(now) >= minSilentOutage:
+		f.onOutage(ctx, follower.StoreUnavailable{})
+		f.onOutage(ctx, follower.StoreAvailable{})
 	}
-	now := time.Now()
 	f.lastResponse.Store(&now)
 	f.failures, f.outage, f.peersAffected = 0, false, false
 }
 
+// recordFailure records that a request has failed, and reports the beginning of an outage.
 func (f *feed) recordFailure(ctx context.Context, err error) {
 	f.failures++
 	age := f.age(time.Now())
--- a/assembler/feeds_test.go
+++ b/assembler/feeds_test.go
@@ -35,9 +35,17 @@
 	*emulator.RowStore
 	failing  atomic.Bool
 	failures atomic.Int64
+	// silent leaves requests without a response for as long as it is set.
+	silent atomic.Bool
 }
 
 func (s *failingStore) Feed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+	if s.silent.Load() {
+		s.failures.Add(1)
+		for s.silent.Load() && ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
 	if s.failing.Load() {
 		s.failures.Add(1)
 		return provider.RowPage{}, provider.NewError("store.feed", provider.KindUnavailable, errors.New("status 429"))
@@ -54,13 +62,17 @@
 		// that time and at its end.
 		down         time.Duration
 		during, then relayer.AccessMode
-		want         bool
+		// silent requests fail by getting no response.
+		silent bool
+		want   bool
 	}{
-		{"one failed request", 0, relayer.Direct, relayer.Direct, false},
-		{"outage", 3 * time.Second, relayer.Outage, relayer.Direct, true},
-		{"outage whose end a peer notices first", 3 * time.Second, relayer.Outage, relayer.Relayed, true},
-		{"cut off from the store and from the peers", 3 * time.Second, relayer.Alone, relayer.Direct, true},
-		{"rejected by the store", 3 * time.Second, relayer.Alone, relayer.Relayed, false},
+		{"one failed request", 0, relayer.Direct, relayer.Direct, false, false},
+		{"outage", 3 * time.Second, relayer.Outage, relayer.Direct, false, true},
+		{"outage whose end a peer notices first", 3 * time.Second, relayer.Outage, relayer.Relayed, false, true},
+		{"cut off from the store and from the peers", 3 * time.Second, relayer.Alone, relayer.Direct, false, true},
+		{"rejected by the store", 3 * time.Second, relayer.Alone, relayer.Relayed, false, false},
+		{"silent outage", 3 * time.Second, relayer.Outage, relayer.Relayed, true, true},
+		{"silent connection", 700 * time.Millisecond, relayer.Direct, relayer.Direct, true, false},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -101,7 +113,8 @@
 			await(t, "target", inUse)
 
 			mode.Store(int64(test.during))
-			store.failing.Store(true)
+			store.failing.Store(!test.silent)
+			store.silent.Store(test.silent)
 			// A change of another row ends the request that waits for one.
 			other := provider.RowKey{Table: "targets", Key: "b"}
 			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: other, Value: []byte(`{"Service":"s"}`)}}})
@@ -109,6 +122,7 @@
 			time.Sleep(test.down)
 			mode.Store(int64(test.then))
 			store.failing.Store(false)
+			store.silent.Store(false)
 			apply(provider.RowTransaction{Deletes: []provider.RowKey{key}})
 			time.Sleep(time.Second)
 			if diff := cmp.Diff(test.want, inUse()); diff != "" {
--- a/relayer/feed.go
+++ b/relayer/feed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
@@ -24,6 +25,8 @@
 	due := time.Now().Add(directWait)
 	overdue := time.NewTimer(directWait + s.options.FeedOverdue)
 	defer overdue.Stop()
+	patience := time.NewTimer(directWait + s.options.FeedPatience)
+	defer patience.Stop()
 	r.startDirect(ctx, directWait)
 	r.startRelayed(ctx, wait)
 	for {
@@ -48,6 +51,8 @@
 			}
 			r.startRelayed(ctx, wait)
 			overdue.Reset(s.options.QueryInterval)
+		case <-patience.C:
+			return provider.RowPage{}, provider.NewError("store.feed", provider.KindUnknown, errors.New("no response"))
 		case <-ctx.Done():
 			return provider.RowPage{}, provider.NewError("store.feed", provider.KindUnknown, ctx.Err())
 		}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -113,6 +113,32 @@
 	return encoder.CallResult{}, errCut
 }
 
+// silentStore never responds to requests for changes.
+type silentStore struct{ provider.RowStore }
+
+func (silentStore) Feed(ctx context.Context, _ string, _ int64, _ time.Duration) (provider.RowPage, error) {
+	<-ctx.Done()
+	return provider.RowPage{}, provider.NewError("silent", provider.KindUnknown, ctx.Err())
+}
+
+// Guards against a feed that sends one request after the other to a silent store and never ends,
+// so that the outage is not noticed.
+func TestFeedGivesUp(t *testing.T) {
+	t.Parallel()
+	m := messenger.New(messenger.Settings{Host: "a"}, &peer{}, zap.NewNop())
+	defer m.Close()
+	store := New(silentStore{}, m, func() []messenger.Peer { return nil }, DefaultOptions(),
+		func(string, AccessMode, provider.Kind, time.Duration) {}, zap.NewNop())
+	began := time.Now()
+	_, err := store.Feed(t.Context(), "t", 0, 10*time.Millisecond)
+	if took := time.Since(began); err == nil || took > DefaultOptions().FeedPatience+time.Second {
+		t.Errorf("error %v after %s", err, took)
+	}
+	if mode := store.AccessMode(); mode != Alone {
+		t.Errorf("access mode is %s after silence, want alone", mode)
+	}
+}
+
 // TestRelay cuts one daemon off from the store: its calls go through the other one, with the
 // same results as direct calls.
 func TestRelay(t *testing.T) {
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -44,8 +44,10 @@
 	// RelayedFeedWait how long it then waits through a peer, before it tries the direct path again.
 	FeedProbeWait   time.Duration
 	RelayedFeedWait time.Duration
-	// FeedOverdue is the time after the wait of a direct feed request from which it is overdue.
-	FeedOverdue time.Duration
+	// FeedOverdue is the time after the wait of a direct feed request from which it is overdue,
+	// FeedPatience the time after which Feed gives up.
+	FeedOverdue  time.Duration
+	FeedPatience time.Duration
 }
 
 // DefaultOptions returns the options of a daemon.
@@ -53,7 +55,8 @@
 	return Options{
 		DownAfter: 200 * time.Millisecond, QueryInterval: 300 * time.Millisecond, QueryTimeout: 250 * time.Millisecond,
 		ReplyMaxAge: time.Second, ResponseMaxAge: 150 * time.Millisecond, ProbeTimeout: 180 * time.Millisecond,
-		MaxPeers: 8, FeedProbeWait: 20 * time.Millisecond, RelayedFeedWait: 500 * time.Millisecond, FeedOverdue: 700 * time.Millisecond,
+		MaxPeers: 8, FeedProbeWait: 20 * time.Millisecond, RelayedFeedWait: 500 * time.Millisecond,
+		FeedOverdue: 700 * time.Millisecond, FeedPatience: 3 * time.Second,
 	}
 }
 
