Do not take a call that was given up for a failure of the store

Callers would have seen 503 from a daemon in good order, just after another daemon had been killed or a caller had left.

Cause: a daemon waits for changes on behalf of a peer that the store rejects. When the peer went, its request was cancelled, and the relayer took the error for a failed direct call: 200 ms later the daemon counted itself as alone, and not ready, until its next response. Reads of its own whose caller left had the same effect before.

Evidence: TestGivenUpFeedIsNoFailure failed with access mode alone.

Fix: a call whose context was cancelled does not change the state; one whose time ran out does. Comments of the options of the feeds are brought in line.

After: the tests of relayer pass, with the race detector, and those of the feeds.

--- a/relayer/feed.go
+++ b/relayer/feed.go
@@ -94,7 +94,7 @@
 func (r *feedRace) startDirect(ctx context.Context, wait time.Duration) {
 	r.lastDirect = time.Now()
 	r.start(ctx, func() feedResult {
-		page, err := r.store.directFeed(ctx, r.table, r.after, wait)
+		page, err := r.store.directFeed(ctx, "feed", r.table, r.after, wait)
 		return feedResult{page: page, err: err}
 	})
 }
@@ -112,13 +112,13 @@
 	})
 }
 
-// directFeed sends one request. It does not record the result of a request that Feed has given up.
-func (s *Store) directFeed(ctx context.Context, table string, after int64, wait time.Duration) (provider.RowPage, error) {
+// directFeed sends one request, whose response is due at the end of its wait.
+func (s *Store) directFeed(
+	ctx context.Context, operation, table string, after int64, wait time.Duration,
+) (provider.RowPage, error) {
 	began := time.Now()
 	page, err := s.direct.Feed(ctx, table, after, wait)
-	if ctx.Err() == nil {
-		s.recordFeedResult("feed", began, wait, err)
-	}
+	s.recordResultDue(ctx, operation, began, began.Add(wait), err)
 	return page, err
 }
 
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -139,6 +139,29 @@
 	}
 }
 
+// Guards against a daemon that takes the leaving of a peer, for which it waits for changes, for a
+// failure of the store.
+func TestGivenUpFeedIsNoFailure(t *testing.T) {
+	t.Parallel()
+	m := messenger.New(messenger.Settings{Host: "a"}, &peer{}, zap.NewNop())
+	defer m.Close()
+	store := New(silentStore{}, m, func() []messenger.Peer { return nil }, DefaultOptions(),
+		func(string, AccessMode, provider.Kind, time.Duration) {}, zap.NewNop())
+	params, err := json.Marshal(encoder.StoreFeed{Table: "t", WaitMs: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, leave := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, leave)
+	if _, _, err := store.Handle(ctx, messenger.MethodStoreFeed, params); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * DefaultOptions().DownAfter)
+	if mode := store.AccessMode(); mode != Direct {
+		t.Errorf("access mode is %s after a peer has left, want direct", mode)
+	}
+}
+
 // TestRelay cuts one daemon off from the store: its calls go through the other one, with the
 // same results as direct calls.
 func TestRelay(t *testing.T) {
--- a/relayer/state.go
+++ b/relayer/state.go
@@ -40,8 +40,8 @@
 	ProbeTimeout   time.Duration
 	// MaxPeers bounds the number of peers that are queried at once.
 	MaxPeers int
-	// FeedProbeWait is how long a feed waits for changes on the direct path while that is down,
-	// RelayedFeedWait how long it then waits through a peer, before it tries the direct path again.
+	// FeedProbeWait is how long a direct feed request waits for changes while the direct path is
+	// down, RelayedFeedWait how long one through a peer does.
 	FeedProbeWait   time.Duration
 	RelayedFeedWait time.Duration
 	// FeedOverdue is the time after the wait of a direct feed request from which it is overdue,
@@ -66,9 +66,11 @@
 // DirectResponded reports that the store has responded to a direct call.
 type DirectResponded struct{}
 
-// DirectFailed reports that a direct call was rejected as unavailable or got no response, which
-// was due at the given time. Without it, the direct path fails from now on.
-type DirectFailed struct{ Due time.Time }
+// DirectFailed reports that a direct call was rejected as unavailable or got no response.
+type DirectFailed struct {
+	// Due is when the response was due, zero if that is not known.
+	Due time.Time
+}
 
 // PeerReported reports the result of asking a peer whether it reaches the store.
 type PeerReported struct {
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -60,23 +60,21 @@
 	return s.state.accessMode(time.Now())
 }
 
-// recordResult reports the result of a direct call to the observer and updates the state.
-func (s *Store) recordResult(operation string, began time.Time, err error) {
-	s.recordResultDue(operation, began, time.Now(), err)
+// recordResult reports the result of a direct call to the observer and updates the state. A call
+// that its caller has given up says nothing about the store.
+func (s *Store) recordResult(ctx context.Context, operation string, began time.Time, err error) {
+	s.recordResultDue(ctx, operation, began, time.Now(), err)
 }
 
-// recordFeedResult does the same for a feed, whose response was due at the end of its wait.
-func (s *Store) recordFeedResult(operation string, began time.Time, wait time.Duration, err error) {
-	s.recordResultDue(operation, began, began.Add(wait), err)
-}
-
-func (s *Store) recordResultDue(operation string, began, due time.Time, err error) {
+// recordResultDue does the same for a call whose response was due at the given time.
+func (s *Store) recordResultDue(ctx context.Context, operation string, began, due time.Time, err error) {
 	s.observe(operation, Direct, provider.KindOf(err), time.Since(began))
-	if storeResponded(err) {
+	switch {
+	case storeResponded(err):
 		s.update(DirectResponded{})
-		return
+	case !errors.Is(ctx.Err(), context.Canceled):
+		s.update(DirectFailed{Due: due})
 	}
-	s.update(DirectFailed{Due: due})
 }
 
 // storeResponded reports whether the result of a call, which may be an error, is a response
@@ -146,7 +144,7 @@
 	}
 	began := time.Now()
 	version, err := s.direct.Apply(ctx, t)
-	s.recordResult("apply", began, err)
+	s.recordResult(ctx, "apply", began, err)
 	return version, err
 }
 
@@ -161,7 +159,7 @@
 	}
 	began := time.Now()
 	page, err := s.direct.Range(ctx, r)
-	s.recordResult("range", began, err)
+	s.recordResult(ctx, "range", began, err)
 	return page, err
 }
 
@@ -210,7 +208,7 @@
 	defer cancel()
 	began := time.Now()
 	_, err := s.direct.Range(ctx, provider.RowRange{Table: "daemons", Partition: "probe", Limit: 1})
-	s.recordResult("probe", began, err)
+	s.recordResult(ctx, "probe", began, err)
 	return storeResponded(err)
 }
 
@@ -229,7 +227,7 @@
 		defer cancel()
 		began := time.Now()
 		version, err := s.direct.Apply(ctx, decodeChange(&change))
-		s.recordResult("applyForPeer", began, err)
+		s.recordResult(ctx, "applyForPeer", began, err)
 		return encodeResponse(provider.RowPage{Version: version}, err), true, nil
 	case messenger.MethodStoreRange:
 		var r encoder.StoreRange
@@ -240,17 +238,15 @@
 		defer cancel()
 		began := time.Now()
 		page, err := s.direct.Range(ctx, decodeRange(&r))
-		s.recordResult("rangeForPeer", began, err)
+		s.recordResult(ctx, "rangeForPeer", began, err)
 		return encodeResponse(page, err), true, nil
 	case messenger.MethodStoreFeed:
 		var f encoder.StoreFeed
 		if err := json.Unmarshal(params, &f); err != nil {
 			return nil, true, err
 		}
-		began := time.Now()
 		wait := time.Duration(f.WaitMs) * time.Millisecond
-		page, err := s.direct.Feed(ctx, f.Table, int64(f.After), wait)
-		s.recordFeedResult("feedForPeer", began, wait, err)
+		page, err := s.directFeed(ctx, "feedForPeer", f.Table, int64(f.After), wait)
 		return encodeResponse(page, err), true, nil
 	}
 	return nil, false, nil
