Read the list of daemons again soon while it is empty

Cause: host-0 started before the others and read an empty list. The next read comes 0.75 to 2.25 s later; the store rejected the daemon 1.6 s after its start, before that read, and without peers it could follow nothing. The logs: no 'number of listed daemons changed', 'list of daemons ... status 503' each second, access mode alone. Not a matter of load: the wait is drawn at random.

Fix: while no other daemon is listed, the list is read again after 0.1 to 0.3 s, five times at most.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -23,6 +23,10 @@
 	// after the first round; daemons that started at the same time have registered by then.
 	listInterval    = 10 * time.Second
 	startupInterval = 1500 * time.Millisecond
+	// emptyInterval replaces it while no other daemon is listed, in the first emptyRounds rounds: a
+	// daemon that knows no peer cannot reach the store through one.
+	emptyInterval = 200 * time.Millisecond
+	emptyRounds   = 5
 	// readsPerRenewal is the number of reads of the list per renewal of this daemon's entry.
 	readsPerRenewal = 6
 	// entryLifetime is how long an entry is valid without a renewal.
@@ -88,17 +92,15 @@
 // Run registers the daemon, renews its entry and reads the list until the context ends. Then
 // it removes the entry.
 func (r *Registrar) Run(ctx context.Context) {
-	round := 0
+	round, starting := 0, true
 	for {
-		delay := listInterval
-		if round == 0 {
-			delay = startupInterval
-		}
+		var delay time.Duration
 		if err := r.runRound(ctx, round); err != nil {
 			r.log.Warn("list of daemons", zap.Int("round", round), zap.Error(err))
 			delay = retryDelay
 		} else {
 			round++
+			delay, starting = r.nextDelay(round, starting)
 		}
 		select {
 		case <-ctx.Done():
@@ -109,6 +111,17 @@
 	}
 }
 
+// nextDelay returns the mean delay after so many rounds, and whether the daemon is still starting.
+func (r *Registrar) nextDelay(rounds int, starting bool) (delay time.Duration, stillStarting bool) {
+	switch {
+	case !starting:
+		return listInterval, false
+	case len(*r.peers.Load()) == 0 && rounds < emptyRounds:
+		return emptyInterval, true
+	}
+	return startupInterval, false
+}
+
 // runRound renews this daemon's entry if it is due and reads the list.
 func (r *Registrar) runRound(ctx context.Context, round int) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -40,3 +40,28 @@
 		t.Error("Refresh succeeded although the store is down")
 	}
 }
+
+// Guards against a daemon that starts before all others and knows no peer for its first seconds:
+// when the store rejects it then, it cannot read the list either, and follows nothing.
+func TestFirstDaemonFindsLaterOnes(t *testing.T) {
+	rows := emulator.NewRowStore()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for range 5 {
+		first := registrar.New(rows, registrar.Entry{Host: "a", Address: "127.0.0.1:1"}, zap.NewNop())
+		go first.Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		second, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			registrar.New(rows, registrar.Entry{Host: "b", Address: "127.0.0.1:2"}, zap.NewNop()).Run(second)
+		}()
+		time.Sleep(550 * time.Millisecond)
+		if len(first.Peers()) != 1 {
+			t.Error("a daemon does not know the one that started 0.55 s ago")
+		}
+		leave()
+		<-left
+	}
+}
