Estimate the speed of engines from observed calls

Cause: the dispatcher held the prefill rate, first-event time and slot time of the first two deployments. Also, a session's last segment grows with each turn, and a target that had served an early turn counted as having all of it.

Change: package dispatcher fits the time to a first event against the tokens to prefill for each service (median of pair slopes, samples kept by octave of prompt size), decides for shared prompts whether other daemons' calls had them cached, and learns the slot time from completed calls. Only the part of a history that was sent to a target counts as cached there.

Ruled out: another constant (it is right for one deployment only); beginning the fit with each assumption about shared prompts and keeping the best (it did not escape the case with one informative sample and cost more time).

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -114,6 +114,20 @@
 	}
 }
 
+// TestPartlyCachedHistory checks that of a session's history only the part that was sent to a target
+// counts as cached there. A target that had served an early turn counted as having the whole history.
+func TestPartlyCachedHistory(t *testing.T) {
+	state := newState(target("a", "ams"))
+	request := turn()
+	place(state, start, request)
+	request.Prompt = []forwarder.PromptSegment{{ID: 1, Tokens: 12_600}, {ID: 2, Tokens: 5_000}}
+	request.PromptTokens = 17_600
+	command, ok := requestPlacement(state, start, request).(dispatcher.Send)
+	if want := 14_000; !ok || command.CachedTokens != want {
+		t.Errorf("%d tokens count as cached, want %d", command.CachedTokens, want)
+	}
+}
+
 // TestFullTarget checks that a target without room gets no calls for a short time, and that a
 // call is rejected at once if all targets are full.
 func TestFullTarget(t *testing.T) {
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -16,21 +16,26 @@
 type attempt struct {
 	node   *node
 	sentAt time.Time
-	// uncachedTokens is the number of prompt tokens that the target must prefill before the
-	// first event.
-	uncachedTokens int
+	// service is nil for calls of plain services.
+	service *service
+	prompt  promptEstimate
+	// pendingBefore is the number of tokens that the target had to prefill for earlier calls.
+	pendingBefore float64
 	// idleFirstEvent is the estimated time to the first event if the target were idle.
 	idleFirstEvent time.Duration
 	started        bool
+	startedAt      time.Time
 }
 
 // node is a target with its load as far as this daemon knows it.
 type node struct {
-	target   follower.Target
-	region   string
-	inFlight int
-	// pendingTokens counts the uncached prompt tokens of attempts without a first event.
-	pendingTokens int
+	target follower.Target
+	region string
+	// emptySince is when the target was first listed or restarted.
+	emptySince time.Time
+	inFlight   int
+	// pendingTokens counts the prompt tokens to prefill of attempts without a first event.
+	pendingTokens float64
 	// queueDelay is the smoothed time to the first event beyond that of an idle target, as of
 	// queueDelayAt. It decays while nothing is observed.
 	queueDelay   time.Duration
@@ -45,34 +50,21 @@
 	segments   *lru.LRU[uint64, int]
 }
 
-func newNode(t follower.Target) *node {
+func newNode(now time.Time, t follower.Target) *node {
 	n := &node{slowness: 1}
-	n.reset(t)
+	n.reset(now, t)
 	return n
 }
 
 // reset discards what was known of a target, for example after it restarted.
-func (n *node) reset(t follower.Target) {
-	n.target = t
+func (n *node) reset(now time.Time, t follower.Target) {
+	n.target, n.emptySince = t, now
 	n.queueDelay, n.failures = 0, 0
 	n.avoidUntil, n.fullUntil = time.Time{}, time.Time{}
 	// NewLRU fails only for sizes below 1.
 	n.segments, _ = lru.NewLRU[uint64, int](maxSegments, nil)
 }
 
-// cachedTokens returns the estimated number of tokens at the start of a prompt that are in
-// the target's cache.
-func (n *node) cachedTokens(prompt []forwarder.PromptSegment) int {
-	tokens := 0
-	for _, p := range prompt {
-		if _, ok := n.segments.Get(p.ID); !ok {
-			break
-		}
-		tokens += p.Tokens
-	}
-	return tokens
-}
-
 // recordPrompt adds a prompt to the target's estimated cache and evicts the least recently
 // used segments beyond its capacity in tokens.
 func (n *node) recordPrompt(prompt []forwarder.PromptSegment, capacity int) {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -17,6 +17,9 @@
 	slownessSmoothing = 0.2
 	// maxSlownessRatio bounds the effect of one observation.
 	maxSlownessRatio = 10
+	// batchDelayShare is the share of the time to a first event that each running call of this
+	// daemon adds to it: an engine's steps take longer the more calls run.
+	batchDelayShare = 0.04
 )
 
 // Location is the failure domain and the region of a daemon.
@@ -27,14 +30,8 @@
 
 // Options configure a State.
 type Options struct {
-	// PrefillTokensPerMs is the number of prompt tokens that an engine prefills in a millisecond.
-	PrefillTokensPerMs float64
-	// FirstEventTime is the time to the first event at an idle engine that has the prompt cached.
-	FirstEventTime time.Duration
 	// PlainResponseTime is the time to the response of a plain service.
 	PlainResponseTime time.Duration
-	// SlotTime is the time for which one call occupies a slot of an engine.
-	SlotTime time.Duration
 	// OtherDomainCost and OtherRegionCost are the costs of a target in another failure domain
 	// or region: the round trip and the price of the bytes.
 	OtherDomainCost time.Duration
@@ -60,9 +57,8 @@
 // DefaultOptions returns the options that a daemon uses.
 func DefaultOptions() Options {
 	return Options{
-		PrefillTokensPerMs: 200, FirstEventTime: 25 * time.Millisecond, PlainResponseTime: 20 * time.Millisecond,
-		SlotTime: 250 * time.Millisecond, OtherDomainCost: 6 * time.Millisecond, OtherRegionCost: 40 * time.Millisecond,
-		RegionBytesPerMs: 1000, FullBackoff: 60 * time.Millisecond,
+		PlainResponseTime: 20 * time.Millisecond,
+		OtherDomainCost:   6 * time.Millisecond, OtherRegionCost: 40 * time.Millisecond, RegionBytesPerMs: 1000, FullBackoff: 60 * time.Millisecond,
 		InitialFailureBackoff: 200 * time.Millisecond, MaxFailureBackoff: 3 * time.Second, AffinityBonus: 4 * time.Millisecond,
 		MinRetryAfter: 100 * time.Millisecond, MaxRetryAfter: 800 * time.Millisecond,
 	}
@@ -74,7 +70,7 @@
 	location   Location
 	random     *rand.Rand
 	nodes      map[string]*node
-	services   map[string][]*node
+	services   map[string]*service
 	attempts   map[Ticket]*attempt
 	lastTicket Ticket
 }
@@ -83,7 +79,7 @@
 func New(options Options, location Location, seed uint64) *State {
 	return &State{
 		options: options, location: location, random: rand.New(rand.NewPCG(seed, seed)),
-		nodes: map[string]*node{}, services: map[string][]*node{}, attempts: map[Ticket]*attempt{},
+		nodes: map[string]*node{}, services: map[string]*service{}, attempts: map[Ticket]*attempt{},
 	}
 }
 
@@ -92,7 +88,7 @@
 func (s *State) Update(now time.Time, message Message) []Command {
 	switch m := message.(type) {
 	case TargetsChanged:
-		s.updateTargets(m)
+		s.updateTargets(now, m)
 	case PlacementRequested:
 		return []Command{s.choose(now, &m.Request)}
 	case ResponseStarted:
@@ -103,36 +99,39 @@
 	return nil
 }
 
-func (s *State) updateTargets(m TargetsChanged) {
+func (s *State) updateTargets(now time.Time, m TargetsChanged) {
 	for id, t := range m.Targets {
 		n := s.nodes[id]
 		switch {
 		case n == nil:
-			n = newNode(t)
+			n = newNode(now, t)
 			s.nodes[id] = n
 		case n.target.StartedAt != t.StartedAt || n.target.Address != t.Address:
-			n.reset(t)
+			n.reset(now, t)
 		}
 		n.target = t
 		n.region = m.Regions[t.Domain]
 	}
-	clear(s.services)
+	for _, v := range s.services {
+		v.nodes = v.nodes[:0]
+	}
 	for id, n := range s.nodes {
 		if _, listed := m.Targets[id]; !listed {
 			delete(s.nodes, id)
 			continue
 		}
-		s.services[n.target.Service] = append(s.services[n.target.Service], n)
+		v := s.service(n.target.Service)
+		v.nodes = append(v.nodes, n)
 	}
-	for _, list := range s.services {
-		slices.SortFunc(list, func(a, b *node) int { return cmp.Compare(a.target.ID, b.target.ID) })
+	for _, v := range s.services {
+		slices.SortFunc(v.nodes, func(a, b *node) int { return cmp.Compare(a.target.ID, b.target.ID) })
 	}
 }
 
 // candidate is a target with its cost for a call.
 type candidate struct {
-	node         *node
-	cachedTokens int
+	node   *node
+	prompt promptEstimate
 	// idleFirstEvent is the time to the first event if the target were idle, expectedFirstEvent
 	// the time with its load. cost adds the cost of the location and random noise that breaks ties.
 	idleFirstEvent     time.Duration
@@ -147,7 +146,7 @@
 	var best, avoided *candidate
 	full := 0
 	preferred := s.preferred(r)
-	for _, n := range s.services[r.Service] {
+	for _, n := range s.service(r.Service).nodes {
 		if n.target.Leaving || slices.Contains(r.Excluded, n.target.ID) || (r.RequiredTarget != "" && r.RequiredTarget != n.target.ID) {
 			continue
 		}
@@ -196,7 +195,7 @@
 	}
 	var best *node
 	var highest uint64
-	for _, n := range s.services[r.Service] {
+	for _, n := range s.service(r.Service).nodes {
 		if n.target.Leaving || (r.Engine != nil && n.target.Domain != s.location.Domain) {
 			continue
 		}
@@ -236,13 +235,13 @@
 		c.expectedFirstEvent = c.idleFirstEvent + s.options.PlainResponseTime*time.Duration(waiting)/time.Duration(slots)
 		c.expectedFirstEvent += s.options.PlainResponseTime * time.Duration(n.inFlight) / time.Duration(slots)
 	} else {
-		c.cachedTokens = n.cachedTokens(r.Prompt)
-		uncachedTokens := max(0, r.PromptTokens-c.cachedTokens)
-		c.idleFirstEvent = s.options.FirstEventTime + s.prefillTime(uncachedTokens)
-		c.expectedFirstEvent = c.idleFirstEvent + s.prefillTime(n.pendingTokens)
+		v := s.service(r.Service)
+		c.prompt = v.estimatePrompt(now, n, r)
+		c.idleFirstEvent = v.engines.idleFirstEvent(c.prompt.expectedTokens)
+		c.expectedFirstEvent = c.idleFirstEvent + v.engines.prefillTime(n.pendingTokens)
 		waiting := max(0, n.inFlight+1-slots)
-		c.expectedFirstEvent += s.options.SlotTime * time.Duration(waiting) / time.Duration(slots)
-		c.expectedFirstEvent += time.Millisecond * time.Duration(n.inFlight)
+		c.expectedFirstEvent += milliseconds(v.engines.slotTime * float64(waiting) / float64(slots))
+		c.expectedFirstEvent += milliseconds(batchDelayShare * v.engines.firstEvent * float64(n.inFlight))
 	}
 	c.expectedFirstEvent = time.Duration(float64(c.expectedFirstEvent)*n.slowness) + n.decayedQueueDelay(now)
 	if now.Before(n.target.WarmAt) {
@@ -252,10 +251,6 @@
 	return c
 }
 
-func (s *State) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.options.PrefillTokensPerMs * float64(time.Millisecond))
-}
-
 // locationCost returns the cost of the distance to a target.
 func (s *State) locationCost(n *node, r *Request) time.Duration {
 	switch {
@@ -274,15 +269,15 @@
 	otherCalls := n.inFlight
 	n.inFlight++
 	if r.Engine != nil {
-		a.uncachedTokens = max(0, r.PromptTokens-c.cachedTokens)
-		n.pendingTokens += a.uncachedTokens
+		a.service, a.prompt, a.pendingBefore = s.service(r.Service), c.prompt, n.pendingTokens
+		n.pendingTokens += c.prompt.expectedTokens
 		// The engine prefills the prompt once, so calls that follow at once can count on its cache.
 		n.recordPrompt(r.Prompt, r.Engine.CacheTokens)
 	}
 	s.attempts[s.lastTicket] = a
 	return Send{
 		Ticket: s.lastTicket, Target: n.target, QueuePriority: queuePriority(r),
-		CachedTokens: c.cachedTokens, ExpectedFirstEvent: c.expectedFirstEvent, InFlight: otherCalls,
+		CachedTokens: c.prompt.cachedTokens, ExpectedFirstEvent: c.expectedFirstEvent, InFlight: otherCalls,
 	}
 }
 
@@ -321,10 +316,15 @@
 	if a == nil || a.started {
 		return
 	}
-	a.started = true
-	a.node.pendingTokens -= a.uncachedTokens
-	a.node.failures = 0
-	a.node.observeFirstEvent(now, now.Sub(a.sentAt), a.idleFirstEvent)
+	a.started, a.startedAt = true, now
+	n := a.node
+	n.failures = 0
+	took := now.Sub(a.sentAt)
+	if a.service != nil {
+		n.pendingTokens -= a.prompt.expectedTokens
+		a.service.observeFirstEvent(a, took)
+	}
+	n.observeFirstEvent(now, took, a.idleFirstEvent)
 }
 
 func (s *State) recordEnd(now time.Time, m AttemptEnded) {
@@ -335,8 +335,8 @@
 	delete(s.attempts, m.Ticket)
 	n := a.node
 	n.inFlight--
-	if !a.started {
-		n.pendingTokens -= a.uncachedTokens
+	if !a.started && a.service != nil {
+		n.pendingTokens -= a.prompt.expectedTokens
 	}
 	switch m.Result {
 	case TargetFull:
@@ -347,6 +347,9 @@
 		n.avoidUntil = now.Add(backoff)
 	case Completed:
 		n.failures, n.avoidUntil = 0, time.Time{}
+		if a.started && a.service != nil {
+			a.service.engines.observeSlotTime(now.Sub(a.startedAt) + a.idleFirstEvent)
+		}
 	case Cancelled:
 	}
 }
