Do not cancel slow calls that no other target may get

Cause: a call that may be repeated was cancelled 0.7 s after it was sent if no event had arrived, also where its route allows one target only. It then joined the end of the same target's queue, up to four times, and ended with 504.

Change: the timer runs only where another target may get the call, and an event that arrives after it has fired is not forwarded. Connections that no longer deliver are found by TCP_USER_TIMEOUT and keep-alive probes.

TestSlowStreamIsNotCut failed before (the target got the call 4 times, 504) and passes now. TestTricklingTargetEnds and TestSlowReaderEnds passed at once; their guards are the deadline of the attempt and TCP_USER_TIMEOUT.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -271,6 +271,9 @@
 	return server
 }
 
+// InFlightCalls returns the number of calls that are being served.
+func (d *Daemon) InFlightCalls() int64 { return d.receiver.InFlightCalls() }
+
 // runMaintenance closes idle connections and updates gauges at an interval.
 func (d *Daemon) runMaintenance(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -140,7 +140,7 @@
 	defer func() { h.receiver.UpdateDispatcher(dispatcher.AttemptEnded{Ticket: send.Ticket, Result: result}) }()
 	ctx, cancel := context.WithTimeout(h.request.Context(), h.remaining())
 	defer cancel()
-	firstEventTimer := h.startFirstEventTimer(cancel, send)
+	firstEventTimer := h.startFirstEventTimer(a, cancel, send)
 	if firstEventTimer != nil {
 		defer firstEventTimer.Stop()
 	}
@@ -158,10 +158,11 @@
 }
 
 // startFirstEventTimer returns a timer that cancels an attempt whose first event is long
-// overdue, or nil if the call may not be repeated or too little time remains. A lost
-// response or a stalled connection cannot be detected in any other way.
-func (h *callHandler) startFirstEventTimer(cancel context.CancelFunc, send dispatcher.Send) *time.Timer {
-	if !h.route.MayRepeat() {
+// overdue, or nil if no other target may get the call or too little time remains. A silent target
+// is no reason to cancel a call that would only join the end of the same queue: a connection that
+// no longer delivers is detected by its own timeouts.
+func (h *callHandler) startFirstEventTimer(a *attempts, cancel context.CancelFunc, send dispatcher.Send) *time.Timer {
+	if !h.route.MayRepeat() || len(a.possibleTargets)+1 >= h.route.MaxTargets {
 		return nil
 	}
 	o := &h.receiver.options
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -124,6 +124,7 @@
 	a *attempts, send dispatcher.Send, e *forwarder.Exchange, firstEventTimer *time.Timer,
 ) (nextStep, dispatcher.Result) {
 	events := forwarder.NewEventReader(e)
+	started := false
 	for {
 		event, err := events.Next()
 		if err == io.EOF {
@@ -132,9 +133,12 @@
 		if err != nil {
 			return h.handleUnusableResponse(a, err)
 		}
-		if firstEventTimer != nil {
-			firstEventTimer.Stop()
+		if firstEventTimer != nil && !firstEventTimer.Stop() && !started {
+			// The timer has cancelled the attempt. The event is not forwarded, so that another target
+			// may still serve the call from its start.
+			return h.handleUnusableResponse(a, errors.New("first event arrived after its timeout"))
 		}
+		started = true
 		h.receiver.UpdateDispatcher(dispatcher.ResponseStarted{Ticket: send.Ticket})
 		if err := h.countEvent(&event); err != nil {
 			// Another target would have to generate more than it may, too.
