End calls whose callers send their body too slowly

Cause: nothing bounded the reading of a request body. A caller that sent a byte now and then kept its call, connection and memory for as long as it liked.

Change: the body must arrive within the call's deadline; later the call is rejected with 408, bodyTooSlow. TestTricklingCallerEnds failed before (still open 4 s after the start, with a deadline of 1 s).

--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
@@ -155,9 +156,18 @@
 	if h.request.ContentLength > int64(limit) {
 		return h.reject(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0, nil)
 	}
-	var err error
+	// A caller that sends its body too slowly must not keep the call open past its deadline. The
+	// deadline is cleared for the server's own reads, which notice that the caller has left.
+	controller := http.NewResponseController(h.writer)
+	err := controller.SetReadDeadline(time.Now().Add(h.remaining()))
+	if err != nil {
+		return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
+	}
 	h.callerBody, err = readBody(http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), h.request.ContentLength)
 	h.targetBody = h.callerBody
+	if err == nil {
+		err = controller.SetReadDeadline(time.Time{})
+	}
 	if err == nil {
 		return nil
 	}
@@ -167,6 +177,10 @@
 		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0, nil)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.writer.Header().Set("Connection", "close")
+		return h.reject(http.StatusRequestTimeout, "bodyTooSlow", 0, err)
+	}
 	return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
 }
 
