Share the store's tables between the daemons of a large failure domain

Change: package replicator. In a failure domain of more than eight daemons, one of eight follows the tables of the configuration and of the targets at the store; the others follow its copy over their connections, packed. A reply says how long ago the store confirmed the copy. A daemon whose leader does not reply, or whose leader's copy is older than 2 s, follows the store itself for 5 s, so that a change takes at most the wait of a request, the margin and that age. Smaller failure domains are as before.

Ruled out: longer feed waits (they raise the time until a silent connection is noticed above the bound); one leader a failure domain (with 30 Mbit/s it would take seconds to serve 49 daemons).

Tests: leaders paused, gone, and without news from the store; calls of followers to the store stay at zero otherwise.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 	"github.com/dogwoodweir/dogwoodweir/registrar"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
+	"github.com/dogwoodweir/dogwoodweir/replicator"
 )
 
 const (
@@ -88,12 +89,14 @@
 	messenger    *messenger.Messenger
 	registrar    *registrar.Registrar
 	store        *relayer.Store
-	metrics      *metrics
-	readiness    *readinessState
-	forwarder    *forwarder.Forwarder
-	recorder     *recorder.Recorder
-	receiver     *receiver.Receiver
-	follower     *followerRunner
+	// replicas is the store with the tables that daemons of a failure domain share.
+	replicas  *replicator.Store
+	metrics   *metrics
+	readiness *readinessState
+	forwarder *forwarder.Forwarder
+	recorder  *recorder.Recorder
+	receiver  *receiver.Receiver
+	follower  *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
 	configurationFeed *feed
 	targetFeed        *feed
@@ -147,7 +150,9 @@
 		publishTargets: d.publishTargets, onStoreResponse: d.recorder.NotifyStoreReachable,
 		accessMode: d.store.AccessMode,
 	}
-	d.configurationFeed, d.targetFeed = d.follower.configurationFeed(d.store), d.follower.targetFeed(d.store)
+	d.replicas = replicator.New(d.store, d.messenger, settings.Host, func() []messenger.Peer { return d.registrar.DomainPeers() },
+		replicator.DefaultOptions(dependencies.Catalog.ConfigurationTable(), dependencies.Catalog.TargetTable()), log)
+	d.configurationFeed, d.targetFeed = d.follower.configurationFeed(d.replicas), d.follower.targetFeed(d.replicas)
 	return d
 }
 
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -106,9 +106,10 @@
 	return now.Sub(*last)
 }
 
-// recordResponse records that the store has responded, and reports the end of an outage.
-func (f *feed) recordResponse(ctx context.Context) {
-	now := time.Now()
+// recordResponse records that the store has responded, the given time ago if another daemon has
+// passed its response on, and reports the end of an outage.
+func (f *feed) recordResponse(ctx context.Context, age time.Duration) {
+	now := time.Now().Add(-age)
 	f.setReachable(true, nil)
 	switch {
 	case f.outage:
@@ -117,7 +118,9 @@
 		f.onOutage(ctx, follower.StoreUnavailable{})
 		f.onOutage(ctx, follower.StoreAvailable{})
 	}
-	f.lastResponse.Store(&now)
+	if last := f.lastResponse.Load(); last == nil || now.After(*last) {
+		f.lastResponse.Store(&now)
+	}
 	f.failures, f.outage, f.peersAffected = 0, false, false
 }
 
@@ -154,6 +157,7 @@
 	var rows []provider.VersionedRow
 	from := ""
 	var version int64
+	var pageAge time.Duration
 	for {
 		page, err := f.store.Range(listCtx, provider.RowRange{Table: f.table, From: from})
 		if err != nil {
@@ -161,7 +165,7 @@
 		}
 		if version == 0 {
 			// Changes that occur while later pages are read come again with the feed.
-			version = page.Version
+			version, pageAge = page.Version, page.Age
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
@@ -170,7 +174,7 @@
 		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
 	f.version = version
-	f.recordResponse(ctx)
+	f.recordResponse(ctx, pageAge)
 	f.onSnapshot(ctx, rows)
 	return nil
 }
@@ -186,7 +190,7 @@
 		return err
 	}
 	f.onResponse()
-	f.recordResponse(ctx)
+	f.recordResponse(ctx, page.Age)
 	f.version = max(f.version, page.Version)
 	if len(page.Rows) > 0 {
 		f.onChanges(ctx, page.Rows)
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -19,6 +19,9 @@
 // Handle implements messenger.Handler.
 func (h peerHandler) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
 	result, handled, err := h.daemon.store.Handle(ctx, method, params)
+	if !handled {
+		result, handled, err = h.daemon.replicas.Handle(ctx, method, params)
+	}
 	if !handled {
 		result, handled, err = borrower.Handle(ctx, h.daemon.recorder, method, params)
 	}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -269,6 +269,33 @@
 	State string `json:"state"`
 }
 
+// Reply to ReplicaQuestion.
+type ReplicaAnswer struct {
+	// Time in milliseconds since the store confirmed the copy.
+	AgeMs int `json:"ageMs,omitempty,omitzero"`
+
+	// Kind of the error; "none" for success.
+	Kind string `json:"kind"`
+
+	// Deflated JSON array of StoredRow in base64; empty if there are no rows.
+	Packed []byte `json:"packed"`
+
+	// Version of the copy.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// Changes of a replicated table for which a peer waits in its own copy.
+type ReplicaQuestion struct {
+	// Version after which changes are wanted; -1 for the whole table.
+	After int `json:"after"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table string `json:"table"`
+
+	// Time in milliseconds that the peer waits for the first change.
+	WaitMs int `json:"waitMs"`
+}
+
 // State of one host, target or failure domain, spread between daemons by
 // heartbeats.
 type Rumour struct {
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -28,6 +28,7 @@
 	MethodStoreApply   = "storeApply"
 	MethodStoreRange   = "storeRange"
 	MethodStoreFeed    = "storeFeed"
+	MethodReplica      = "replica"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
 
--- a/provider/rows.go
+++ b/provider/rows.go
@@ -78,6 +78,8 @@
 	Rows    []VersionedRow
 	More    bool
 	Version int64
+	// Age is the time since the store confirmed the page, 0 if the store has just returned it.
+	Age time.Duration
 }
 
 // RowConflictError is the cause of a KindConflict error of RowStore.Apply. Rows holds
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,6 +81,15 @@
 	return peersOf(entries)
 }
 
+// DomainPeers returns the other daemons in this daemon's failure domain.
+func (r *Registrar) DomainPeers() []messenger.Peer {
+	entries := *r.peers.Load()
+	if i := slices.IndexFunc(entries, func(e Entry) bool { return e.Domain != r.own.Domain }); i >= 0 {
+		entries = entries[:i]
+	}
+	return peersOf(entries)
+}
+
 func peersOf(entries []Entry) []messenger.Peer {
 	peers := make([]messenger.Peer, len(entries))
 	for i, e := range entries {
--- a/relayer/translate.go
+++ b/relayer/translate.go
@@ -25,6 +25,16 @@
 	return int(max(remaining, time.Millisecond).Milliseconds())
 }
 
+// EncodeRows encodes rows for a message between daemons.
+func EncodeRows(rows []provider.VersionedRow) []encoder.StoredRow {
+	encoded := make([]encoder.StoredRow, len(rows))
+	for i := range rows {
+		encoded[i] = encodeRow(rows[i].RowKey, rows[i].Version, rows[i].Value)
+		encoded[i].Deleted = rows[i].Deleted
+	}
+	return encoded
+}
+
 func encodeRow(k provider.RowKey, version int64, value []byte) encoder.StoredRow {
 	return encoder.StoredRow{Table: k.Table, Part: k.Partition, Key: k.Key, Version: int(version), Value: value}
 }
@@ -80,15 +90,12 @@
 	if errors.As(err, &conflict) {
 		rows = conflict.Rows
 	}
-	for i := range rows {
-		row := encodeRow(rows[i].RowKey, rows[i].Version, rows[i].Value)
-		row.Deleted = rows[i].Deleted
-		response.Rows = append(response.Rows, row)
-	}
+	response.Rows = EncodeRows(rows)
 	return response
 }
 
-func decodeRows(rows []encoder.StoredRow) []provider.VersionedRow {
+// DecodeRows decodes rows of a message between daemons.
+func DecodeRows(rows []encoder.StoredRow) []provider.VersionedRow {
 	decoded := make([]provider.VersionedRow, len(rows))
 	for i := range rows {
 		decoded[i] = provider.VersionedRow{
@@ -102,7 +109,7 @@
 	if err := decodeError(operation, response); err != nil {
 		return provider.RowPage{}, err
 	}
-	return provider.RowPage{Rows: decodeRows(response.Rows), More: response.More, Version: int64(response.Version)}, nil
+	return provider.RowPage{Rows: DecodeRows(response.Rows), More: response.More, Version: int64(response.Version)}, nil
 }
 
 func decodeError(operation string, response *encoder.StoreAnswer) error {
@@ -110,7 +117,7 @@
 	case provider.KindNone:
 		return nil
 	case provider.KindConflict:
-		return provider.NewError(operation, kind, &provider.RowConflictError{Rows: decodeRows(response.Rows)})
+		return provider.NewError(operation, kind, &provider.RowConflictError{Rows: DecodeRows(response.Rows)})
 	default:
 		return provider.NewError(operation, kind, errors.New("reported by the relaying daemon"))
 	}
