Serve connections that were just accepted at a planned stop

Change: a stop first waits up to 0.2 s until the accept queue is empty, keeps connections with unread bytes, and treats connections accepted meanwhile like the others.

TestShutdownServesAcceptedConnections failed before (connection reset by peer).

--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -25,6 +27,8 @@
 	// shutdownHeadTimeout is how long a shutdown waits for request heads that have been
 	// received in part.
 	shutdownHeadTimeout = 500 * time.Millisecond
+	// shutdownAcceptTimeout is how long a shutdown waits for connections to be accepted.
+	shutdownAcceptTimeout = 200 * time.Millisecond
 	// shutdownPollInterval is the interval at which a shutdown checks for open calls.
 	shutdownPollInterval = 5 * time.Millisecond
 	// readHeaderTimeout limits the reading of a request head on a connection that has
@@ -178,33 +182,88 @@
 }
 
 // shutdown closes the listener and the idle connections, and waits for the calls that are
-// being served or read. The HTTP library's Shutdown runs last, since it drops calls whose
-// heads are being read. On a context error, calls may still be running.
+// being served or read. Connections that are accepted meanwhile are treated alike. The HTTP
+// library's Shutdown runs last, since it drops calls whose heads are being read. On a context
+// error, calls may still be running.
 func (s *callerServer) shutdown(ctx context.Context) error {
-	s.closeIdle()
-	for headDeadline := time.Now().Add(shutdownHeadTimeout); s.hasCalls(time.Now().Before(headDeadline)); {
+	s.awaitAccepted(ctx)
+	s.closeListener()
+	for headDeadline := time.Now().Add(shutdownHeadTimeout); ; {
+		s.closeIdle()
+		if !s.hasCalls(time.Now().Before(headDeadline)) {
+			break
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-time.After(shutdownPollInterval):
 		}
 	}
+	s.abortUnfinished()
 	return s.server.Shutdown(ctx)
 }
 
-// closeIdle closes the listener and the connections that have received no byte of a call.
-func (s *callerServer) closeIdle() {
+// awaitAccepted waits for a short time until the connections that callers have opened are accepted:
+// the system resets those that wait when the listener closes, with the calls that were sent on them.
+func (s *callerServer) awaitAccepted(ctx context.Context) {
+	s.mutex.Lock()
+	listener := s.listener
+	s.mutex.Unlock()
+	for end := time.Now().Add(shutdownAcceptTimeout); time.Now().Before(end) && ctx.Err() == nil && hasPendingConnections(listener); {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// hasPendingConnections reports whether connections wait to be accepted.
+func hasPendingConnections(l net.Listener) bool {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	// On an error the listener is closed, and nothing waits.
+	_ = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pending = err == nil && n > 0
+	})
+	return pending
+}
+
+func (s *callerServer) closeListener() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.listener != nil {
 		// The listener accepts nothing more even if Close returns an error.
 		_ = s.listener.Close()
 	}
+}
+
+// closeIdle closes the connections that have received no byte of a call.
+func (s *callerServer) closeIdle() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	for c := range s.connections {
 		c.closeIfIdle()
 	}
 }
 
+// abortUnfinished closes connections whose request heads have not arrived in time.
+func (s *callerServer) abortUnfinished() {
+	s.mutex.Lock()
+	unfinished := slices.Collect(maps.Keys(s.connections))
+	s.mutex.Unlock()
+	for _, c := range unfinished {
+		if c.currentPhase() != inCall {
+			// The connection is closed even if Close returns an error.
+			_ = c.abort()
+		}
+	}
+}
+
 // hasCalls reports whether a call is being served or, with includeHeads, a request head is
 // being read.
 func (s *callerServer) hasCalls(includeHeads bool) bool {
--- a/assembler/callers_test.go
+++ b/assembler/callers_test.go
@@ -122,6 +122,51 @@
 	}
 }
 
+// slowListener accepts connections slowly, like a process that gets little processor time.
+type slowListener struct{ *net.TCPListener }
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(10 * time.Millisecond)
+	return l.TCPListener.Accept()
+}
+
+// Guards against calls without a response at a planned stop under load: their connections waited to
+// be accepted when the listener closed, or had been accepted and their bytes were not read yet.
+func TestShutdownServesAcceptedConnections(t *testing.T) {
+	const callers = 12
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(20 * time.Millisecond) }), zap.NewNop())
+	go s.serve(slowListener{listener.(*net.TCPListener)})
+	t.Cleanup(func() { _ = s.close() })
+	var connections []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+		fmt.Fprint(c, "GET /call HTTP/1.1\r\nHost: x\r\n\r\n")
+		connections = append(connections, c)
+	}
+	s.beginShutdown()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- s.shutdown(ctx) }()
+	for _, c := range connections {
+		if response := readResponse(t, bufio.NewReader(c)); !response.Close {
+			t.Error("response does not tell the caller to close the connection")
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+}
+
 // Guards against the closing of a connection whose idle timeout has passed while the head of a
 // call is being read. A configuration with a shorter timeout affects many connections at once.
 func TestIdleTimeoutKeepsCallsBeingRead(t *testing.T) {
--- a/assembler/connection.go
+++ b/assembler/connection.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/forwarder"
 )
 
 // phase is the state of a caller's connection.
@@ -90,12 +92,12 @@
 	return c.Conn.Close()
 }
 
-// closeIfIdle closes the connection unless bytes of a call have arrived. The server's mutex
-// must be held.
+// closeIfIdle closes the connection unless bytes of a call have arrived, read or not. The server's
+// mutex must be held.
 func (c *callerConnection) closeIfIdle() {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.phase != waitingForCall || c.closed {
+	if c.phase != waitingForCall || c.closed || forwarder.PeekInput(c.Conn) == forwarder.InputWaiting {
 		return
 	}
 	c.closed = true
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -127,24 +127,50 @@
 	}
 }
 
-// usable reports whether the connection is open and has nothing to read. Bytes that arrive
-// while it is idle belong to no call.
-func (c *connection) usable() bool {
-	if c.reader.Buffered() > 0 {
-		return false
+// InputState is what can be read from a connection without waiting.
+type InputState int
+
+const (
+	// NoInput means that the connection is open and nothing has arrived.
+	NoInput InputState = iota
+	// InputWaiting means that bytes have arrived.
+	InputWaiting
+	// InputEnded means that the peer has closed the connection, or that its state is unknown.
+	InputEnded
+)
+
+// PeekInput returns what can be read from a connection without waiting. It consumes no bytes.
+func PeekInput(c net.Conn) InputState {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return InputEnded
 	}
-	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
-		return false
+		return InputEnded
 	}
-	noData := false
+	state := InputEnded
 	var probe [1]byte
-	err = raw.Read(func(fd uintptr) bool {
-		_, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(err, unix.EAGAIN)
-		return true
+	// Control, unlike Read, does not wait for a goroutine that reads.
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := unix.Recvfrom(int(fd), probe[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN):
+			state = NoInput
+		case err == nil && n > 0:
+			state = InputWaiting
+		}
 	})
-	return err == nil && noData
+	if err != nil {
+		return InputEnded
+	}
+	return state
+}
+
+// usable reports whether the connection is open and has nothing to read. Bytes that arrive
+// while it is idle belong to no call.
+func (c *connection) usable() bool {
+	return c.reader.Buffered() == 0 && PeekInput(c.Conn) == NoInput
 }
 
 // put keeps a connection for later calls. It closes the oldest ones so that at most limit
