Read the list of daemons less often the longer it is

Cause: each daemon read the whole list every 10 s. At 350 daemons of about 150 bytes that is over 5 KB a second for each daemon, all that its control may use, and two thirds of it crosses the link between regions for the daemons of the other region.

Change: one more round passes between two reads for each 50 peers; entries are still renewed every 60 s, and a daemon that is missing is looked up at once as before (Refresh).

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -19,18 +19,23 @@
 const (
 	// Table holds one entry per daemon, by host.
 	Table = "daemons"
-	// listInterval is the mean interval between reads of the list. startupInterval replaces it
-	// after the first round; daemons that started at the same time have registered by then.
+	// listInterval is the mean interval between rounds, in which a daemon reads the list or renews
+	// its entry. startupInterval replaces it after the first round; daemons that started at the same time have registered by then.
 	listInterval    = 10 * time.Second
 	startupInterval = 1500 * time.Millisecond
 	// emptyInterval replaces it while no other daemon is listed, in the first emptyRounds rounds: a
 	// daemon that knows no peer cannot reach the store through one.
 	emptyInterval = 200 * time.Millisecond
 	emptyRounds   = 5
-	// readsPerRenewal is the number of reads of the list per renewal of this daemon's entry.
-	readsPerRenewal = 6
+	// roundsPerRenewal is the number of rounds per renewal of this daemon's entry.
+	roundsPerRenewal = 6
+	// peersPerRound is the number of peers for which one more round passes between two reads of the
+	// list, so that the bytes that a daemon reads in a second do not grow with their number.
+	peersPerRound = 50
+	// startupReads is the number of first rounds that all read the list.
+	startupReads = 3
 	// entryLifetime is how long an entry is valid without a renewal.
-	entryLifetime = 3 * readsPerRenewal * listInterval
+	entryLifetime = 3 * roundsPerRenewal * listInterval
 	// callTimeout bounds one call to the store.
 	callTimeout = time.Second
 	// retryDelay is the mean delay after a failed round.
@@ -131,18 +136,28 @@
 	return startupInterval, false
 }
 
-// runRound renews this daemon's entry if it is due and reads the list.
+// runRound renews this daemon's entry and reads the list if these are due.
 func (r *Registrar) runRound(ctx context.Context, round int) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if round%readsPerRenewal == 0 {
+	if round%roundsPerRenewal == 0 {
 		if err := r.renewEntry(ctx); err != nil {
 			return err
 		}
 	}
+	if !r.readDue(round) {
+		return nil
+	}
 	return r.read(ctx, 0)
 }
 
+// readDue reports whether the list is read in a round. The first rounds, in which daemons that
+// start together find each other, all read it.
+func (r *Registrar) readDue(round int) bool {
+	interval := 1 + len(*r.peers.Load())/peersPerRound
+	return round < startupReads || round%interval == 0
+}
+
 // Refresh reads the list unless it has just been read: a daemon that has started since the
 // last read is missing from it.
 func (r *Registrar) Refresh(ctx context.Context) error { return r.read(ctx, minRefreshInterval) }
