Do not read on within a long response to an earlier call

Cause: a late second response to an earlier call is skipped up to 1 MiB; if it was longer, what followed within it was read as the head of the response to the present call.

Change: such a connection is given up, with an uncertain outcome. TestLongLateResponse failed before (the call got the forged body).

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -210,9 +210,14 @@
 			e.response, e.head = response, head
 			return nil
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleResponseBytes)); err != nil {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStaleResponseBytes+1))
+		if err != nil {
 			return err
 		}
+		if skipped > maxStaleResponseBytes {
+			// What follows would be read as the head of a response.
+			return errors.New("response to another call is too long to skip")
+		}
 	}
 	return errors.New("only responses to other calls arrived")
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -218,6 +218,24 @@
 	}
 }
 
+// TestLongLateResponse guards against taking bytes within a late response to an earlier call for the
+// response to this one: the earlier response was skipped up to a limit, and what followed was read as a
+// head.
+func TestLongLateResponse(t *testing.T) {
+	const skipped = 1 << 20
+	late := response("1", strings.Repeat("x", skipped)+response("2", "forged"))
+	target := startTarget(t, response("1", "a"), late+response("2", "b"))
+	f := forwarder.New(dialect{}, forwarder.DefaultOptions())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := send(ctx, f, target, "1"); err != nil {
+		t.Fatal(err)
+	}
+	if body, err := send(ctx, f, target, "2"); forwarder.KindOf(err) != forwarder.KindUncertain {
+		t.Errorf("got %q with error %v, want an uncertain outcome", body, err)
+	}
+}
+
 // TestIdleConnectionsAreBounded guards against a target that resets new connections because
 // connections of daemons that have lost power still count as open.
 func TestIdleConnectionsAreBounded(t *testing.T) {
