Count the delay of running calls into the cost of a prefill

Load pattern: all engines are busy, and a prompt that is not cached is prefilled between the tokens of the calls that run at the target, each of which waits that much longer. The cost of a target held only what the call itself waits for.

Change: the time to prefill, times the calls of this daemon that run there, is added to the cost.

TestPrefillGoesWhereItDelaysFewCalls failed before.

--- a/dispatcher/engine_test.go
+++ b/dispatcher/engine_test.go
@@ -160,6 +160,39 @@
 	}
 }
 
+// TestPrefillGoesWhereItDelaysFewCalls sends long prompts that no target has cached. They must go to a
+// target without calls, although it is farther, as long as the prefill would delay the calls that run at
+// the near one by more than the distance costs; a short prompt stays near.
+func TestPrefillGoesWhereItDelaysFewCalls(t *testing.T) {
+	tests := []struct {
+		name   string
+		tokens int
+		want   string
+	}{
+		{"long prompt", 4000, "b"},
+		{"short prompt", 10, "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := newState(target("a", "ams"), target("b", "ehv"))
+			now := start.Add(time.Minute)
+			for i := range 5 {
+				running := sessionTurn(uint64(i), 100)
+				running.RequiredTarget = "a"
+				_, ticket := place(state, now, running)
+				state.Update(now.Add(20*time.Millisecond), dispatcher.ResponseStarted{Ticket: ticket})
+			}
+			request := dispatcher.Request{
+				Service: "s", Engine: engine, PromptTokens: test.tokens, Remaining: 5 * time.Second,
+				Prompt: []forwarder.PromptSegment{{ID: 77, Tokens: test.tokens}},
+			}
+			if got, _ := place(state, now.Add(10*time.Second), request); got != test.want {
+				t.Errorf("the call went to %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
 // TestPromptCachedByOtherDaemons sends turns to targets that have the shared prompt cached through
 // other daemons' calls. Once that is seen, a turn must not be drawn to the one target to which this
 // daemon has sent the prompt, except that a target which has just started is empty.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -133,10 +133,14 @@
 	node   *node
 	prompt promptEstimate
 	// idleFirstEvent is the time to the first event if the target were idle, expectedFirstEvent
-	// the time with its load. cost adds the cost of the location and random noise that breaks ties.
+	// the time with its load. cost adds the delay of other calls, the cost of the location and random
+	// noise that breaks ties.
 	idleFirstEvent     time.Duration
 	expectedFirstEvent time.Duration
-	cost               time.Duration
+	// delayOfOthers is the time that the call takes from those that run at the target: engines prefill
+	// a prompt between the tokens of other calls.
+	delayOfOthers time.Duration
+	cost          time.Duration
 }
 
 // choose sends the call to the candidate with the lowest cost. Targets that failed recently
@@ -241,13 +245,14 @@
 		c.expectedFirstEvent = c.idleFirstEvent + v.engines.prefillTime(n.pendingTokens)
 		waiting := max(0, n.inFlight+1-slots)
 		c.expectedFirstEvent += milliseconds(v.engines.slotTime * float64(waiting) / float64(slots))
+		c.delayOfOthers = v.engines.prefillTime(c.prompt.expectedTokens) * time.Duration(n.inFlight)
 		c.expectedFirstEvent += milliseconds(batchDelayShare * v.engines.firstEvent * float64(n.inFlight))
 	}
 	c.expectedFirstEvent = time.Duration(float64(c.expectedFirstEvent)*n.slowness) + n.decayedQueueDelay(now)
 	if now.Before(n.target.WarmAt) {
 		c.expectedFirstEvent *= 2
 	}
-	c.cost = c.expectedFirstEvent + s.locationCost(n, r) + time.Duration(s.random.Int64N(int64(time.Millisecond)))
+	c.cost = c.expectedFirstEvent + c.delayOfOthers + s.locationCost(n, r) + time.Duration(s.random.Int64N(int64(time.Millisecond)))
 	return c
 }
 
