Confirm configuration and targets after a pause before calls are placed

Cause: a process that was stopped, starved or suspended for some seconds went on with the configuration and the list of targets that it knew before, until its feed had caught up: calls that were read first went by routes and to targets whose time had run out.

Change: each call, and each choice of a target, notices by the clock that counts suspension that the process stood still for a second or more.

Budgets need no such check: tokens that were granted stay granted, since the row holds them.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -101,6 +101,7 @@
 	configurationFeed *feed
 	targetFeed        *feed
 	callers           *callerServer
+	pauses            *pauseGuard
 	targets           atomic.Pointer[map[string]follower.Target]
 }
 
@@ -131,24 +132,26 @@
 	d.receiver = receiver.New(receiver.Dependencies{
 		Dialect: dependencies.Dialect, Forwarder: d.forwarder, Recorder: d.recorder,
 		CallLog: newCallLogger(log, d.metrics), Clock: bootClock{},
-		DaemonCount: func() int { return len(d.registrar.Peers()) + 1 },
-		Alone:       func() bool { return d.store.AccessMode() == relayer.Alone },
+		DaemonCount:  func() int { return len(d.registrar.Peers()) + 1 },
+		Alone:        func() bool { return d.store.AccessMode() == relayer.Alone },
+		AwaitCurrent: func(ctx context.Context) { d.pauses.await(ctx) },
 		FeedAge: func() time.Duration {
 			now := time.Now()
 			return max(d.configurationFeed.age(now), d.targetFeed.age(now))
 		},
 	}, dispatcher.New(dispatcher.DefaultOptions(), location, seed), receiver.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
+	d.pauses = newPauseGuard(bootClock{}, func() []*feed { return []*feed{d.configurationFeed, d.targetFeed} }, log)
 	d.follower = &followerRunner{
 		state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: dependencies.Catalog,
-		regionByDomain: settings.RegionByDomain, log: log, inbox: make(chan follower.Message, inboxSize), readiness: d.readiness,
+		regionByDomain: settings.RegionByDomain, log: log, inbox: make(chan followerInput, inboxSize), readiness: d.readiness,
 		applyConfiguration: func(c *follower.Configuration) {
 			d.receiver.SetConfiguration(c)
 			d.callers.setLimits(c.Limits)
 		},
 		dispatch:       func(m dispatcher.Message) { d.receiver.UpdateDispatcher(m) },
 		publishTargets: d.publishTargets, onStoreResponse: d.recorder.NotifyStoreReachable,
-		accessMode: d.store.AccessMode,
+		accessMode: d.store.AccessMode, onTick: func() { d.pauses.observe() },
 	}
 	d.replicas = replicator.New(d.store, d.messenger, settings.Host, func() []messenger.Peer { return d.registrar.DomainPeers() },
 		replicator.DefaultOptions(dependencies.Catalog.ConfigurationTable(), dependencies.Catalog.TargetTable()), log)
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -55,6 +55,11 @@
 	outage        bool
 	peersAffected bool
 	accessMode    func() relayer.AccessMode
+	// wanted counts the requests to ask the store anew, confirmed those after which the store's
+	// response was applied. cancelRequest cancels the present request.
+	wanted        atomic.Int64
+	confirmed     atomic.Int64
+	cancelRequest atomic.Pointer[context.CancelFunc]
 	// onSnapshot receives all rows of the table, onChanges the rows that changed since.
 	onSnapshot func(ctx context.Context, rows []provider.VersionedRow)
 	onChanges  func(ctx context.Context, rows []provider.VersionedRow)
@@ -63,6 +68,8 @@
 	// onOutage is called with StoreUnavailable when an outage begins, and with StoreAvailable when
 	// it ends, before the rows that were read then.
 	onOutage func(ctx context.Context, m follower.Message)
+	// afterApplied calls a function once all rows that were passed on before are applied.
+	afterApplied func(ctx context.Context, f func())
 }
 
 func (f *feed) run(ctx context.Context) {
@@ -151,7 +158,26 @@
 		zap.Bool("outage", f.outage), zap.Bool("peersAffected", f.peersAffected), zap.Error(err))
 }
 
+// refresh makes the feed ask the store anew at once, since what it knows may be outdated.
+func (f *feed) refresh() {
+	f.wanted.Add(1)
+	if cancel := f.cancelRequest.Load(); cancel != nil {
+		(*cancel)()
+	}
+}
+
+// current reports whether the store has responded since the last refresh.
+func (f *feed) current() bool { return f.confirmed.Load() >= f.wanted.Load() }
+
+// confirm records that the response to a request was applied which was sent after so many refreshes.
+func (f *feed) confirm(ctx context.Context, wanted int64) {
+	if wanted > f.confirmed.Load() {
+		f.afterApplied(ctx, func() { f.confirmed.Store(wanted) })
+	}
+}
+
 func (f *feed) readTable(ctx context.Context) error {
+	wanted := f.wanted.Load()
 	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	var rows []provider.VersionedRow
@@ -176,16 +202,25 @@
 	f.version = version
 	f.recordResponse(ctx, pageAge)
 	f.onSnapshot(ctx, rows)
+	f.confirm(ctx, wanted)
 	return nil
 }
 
 func (f *feed) readChanges(ctx context.Context) error {
+	requestCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.cancelRequest.Store(&cancel)
+	wanted := f.wanted.Load()
 	wait := feedWait
-	if f.unreachable {
-		// A short wait detects early that the store is reachable again.
+	if f.unreachable || wanted > f.confirmed.Load() {
+		// A short wait detects early that the store is reachable again, or that nothing has changed.
 		wait = feedWaitAfterError
 	}
-	page, err := f.store.Feed(ctx, f.table, f.version, wait)
+	page, err := f.store.Feed(requestCtx, f.table, f.version, wait)
+	if err != nil && requestCtx.Err() != nil && ctx.Err() == nil {
+		// The feed was refreshed meanwhile. The next request has a short wait.
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -195,9 +230,17 @@
 	if len(page.Rows) > 0 {
 		f.onChanges(ctx, page.Rows)
 	}
+	f.confirm(ctx, wanted)
 	return nil
 }
 
+// followerInput is a message for the follower or, without one, a function to call once the messages
+// before it are applied.
+type followerInput struct {
+	message follower.Message
+	applied func()
+}
+
 // followerRunner runs the state machine of configuration and targets in one goroutine and
 // passes its changes on.
 type followerRunner struct {
@@ -205,7 +248,7 @@
 	catalog            follower.Catalog
 	regionByDomain     map[string]string
 	log                *zap.Logger
-	inbox              chan follower.Message
+	inbox              chan followerInput
 	applyConfiguration func(c *follower.Configuration)
 	dispatch           func(m dispatcher.Message)
 	// publishTargets passes on the targets in use, for the pool of connections.
@@ -214,6 +257,8 @@
 	// onStoreResponse is called when the store responds.
 	onStoreResponse func()
 	accessMode      func() relayer.AccessMode
+	// onTick is called at each tick.
+	onTick func()
 }
 
 func (r *followerRunner) run(ctx context.Context) {
@@ -223,9 +268,14 @@
 		select {
 		case <-ctx.Done():
 			return
-		case m := <-r.inbox:
-			r.update(m)
+		case input := <-r.inbox:
+			if input.message == nil {
+				input.applied()
+				continue
+			}
+			r.update(input.message)
 		case <-tick.C:
+			r.onTick()
 			r.update(follower.Tick{})
 		}
 	}
@@ -259,7 +309,15 @@
 
 func (r *followerRunner) send(ctx context.Context, m follower.Message) {
 	select {
-	case r.inbox <- m:
+	case r.inbox <- followerInput{message: m}:
+	case <-ctx.Done():
+	}
+}
+
+// afterApplied calls a function once the messages that were sent before are applied.
+func (r *followerRunner) afterApplied(ctx context.Context, f func()) {
+	select {
+	case r.inbox <- followerInput{applied: f}:
 	case <-ctx.Done():
 	}
 }
@@ -284,6 +342,7 @@
 		store: store, table: r.catalog.ConfigurationTable(), log: r.log,
 		onSnapshot: sendConfigurations, onChanges: sendConfigurations,
 		onOutage: func(context.Context, follower.Message) {}, onResponse: r.onStoreResponse, accessMode: r.accessMode,
+		afterApplied: r.afterApplied,
 	}
 }
 
@@ -325,6 +384,6 @@
 				r.send(ctx, decode(&rows[i]))
 			}
 		},
-		onOutage: r.send, accessMode: r.accessMode,
+		onOutage: r.send, accessMode: r.accessMode, afterApplied: r.afterApplied,
 	}
 }
--- a/assembler/feeds_test.go
+++ b/assembler/feeds_test.go
@@ -92,7 +92,7 @@
 			var mode atomic.Int64
 			runner := &followerRunner{
 				state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
-				inbox: make(chan follower.Message, inboxSize), readiness: &readinessState{},
+				inbox: make(chan followerInput, inboxSize), onTick: func() {}, readiness: &readinessState{},
 				dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {},
 				accessMode: func() relayer.AccessMode { return relayer.AccessMode(mode.Load()) },
 				publishTargets: func(targets map[string]follower.Target) {
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -97,6 +97,7 @@
 // chooseTarget asks the dispatcher for a target. If there is none it ends the call and
 // returns false.
 func (h *callHandler) chooseTarget(a *attempts) (dispatcher.Send, bool) {
+	h.receiver.deps.AwaitCurrent(h.request.Context())
 	request := dispatcher.Request{
 		Service: h.service.Name, Engine: h.service.Engine, Prompt: h.call.Prompt,
 		PromptTokens: h.call.PromptTokens, BodyBytes: len(h.targetBody),
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -91,6 +91,7 @@
 
 // matchRoute finds the route and the service of the call and sets its timeout.
 func (h *callHandler) matchRoute() error {
+	h.receiver.deps.AwaitCurrent(h.request.Context())
 	c := h.receiver.configuration.Load()
 	if c == nil {
 		return h.reject(http.StatusServiceUnavailable, "noConfiguration", h.receiver.options.StartRetryAfter, nil)
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -71,6 +71,9 @@
 	// Alone reports whether this daemon reaches neither the store nor a peer. Other daemons
 	// may still reach the store.
 	Alone func() bool
+	// AwaitCurrent waits for a short time after a pause of the process until the configuration and
+	// the list of targets are current again.
+	AwaitCurrent func(ctx context.Context)
 	// FeedAge returns the time since the store confirmed both the configuration and the list of
 	// targets.
 	FeedAge func() time.Duration
