Prefer a target for each session instead of each shared prompt

A daemon that knows of no cached history preferred one target for all calls with the same shared prompt, so that histories were read again elsewhere, and one target got most first turns.

Change: the preferred target follows from the last prompt segment, which belongs to the session. Daemons that have just started choose the targets that their predecessors chose.

TestSessionsFindTheirCacheAfterRestart failed before: all 45 sessions at one of nine targets.

--- a/dispatcher/engine_test.go
+++ b/dispatcher/engine_test.go
@@ -160,6 +160,49 @@
 	}
 }
 
+// TestSessionsFindTheirCacheAfterRestart lets all daemons start anew while many sessions are under way.
+// The new daemon must send most sessions to the targets that have read their history, although it knows
+// of none: with a preferred target for each shared prompt, histories were read again elsewhere.
+func TestSessionsFindTheirCacheAfterRestart(t *testing.T) {
+	const sessions, wantSame = 45, 30
+	place := func(tokens int) []string {
+		state := newState(targets(9)...)
+		now := start.Add(time.Minute)
+		// The shared prompt is cached at all targets.
+		for i, t := range targets(9) {
+			warm := sessionTurn(uint64(5000+i), 10)
+			warm.RequiredTarget = t.ID
+			command, _ := requestPlacement(state, now, warm).(dispatcher.Send)
+			state.Update(now, dispatcher.AttemptEnded{Ticket: command.Ticket, Result: dispatcher.Cancelled})
+		}
+		chosen := make([]string, sessions)
+		for i := range chosen {
+			now = now.Add(20 * time.Millisecond)
+			command, ok := requestPlacement(state, now, sessionTurn(uint64(i), tokens)).(dispatcher.Send)
+			if !ok {
+				t.Fatalf("session %d was rejected", i)
+			}
+			chosen[i] = command.Target.ID
+			first := now.Add(15 * time.Millisecond)
+			state.Update(first, dispatcher.ResponseStarted{Ticket: command.Ticket})
+			state.Update(first, dispatcher.AttemptEnded{Ticket: command.Ticket, Result: dispatcher.Completed})
+		}
+		return chosen
+	}
+	before, after := place(500), place(1000)
+	same := 0
+	used := map[string]bool{}
+	for i := range before {
+		used[before[i]] = true
+		if before[i] == after[i] {
+			same++
+		}
+	}
+	if same < wantSame || len(used) < 3 {
+		t.Errorf("%d of %d sessions went to the same of %d targets after the restart, want %d of at least 3", same, sessions, len(used), wantSame)
+	}
+}
+
 // TestPrefillGoesWhereItDelaysFewCalls sends long prompts that no target has cached. They must go to a
 // target without calls, although it is farther, as long as the prefill would delay the calls that run at
 // the near one by more than the distance costs; a short prompt stays near.
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -184,15 +184,15 @@
 	return s.send(now, best, r)
 }
 
-// preferred returns the target that all calls with the same affinity key prefer, or all calls
-// with the same first prompt segment if there is no key. An engine is preferred only in this
+// preferred returns the target that all calls with the same affinity key prefer, or all turns of a
+// session, which share the last prompt segment, if there is no key. An engine is preferred only in this
 // failure domain, a plain target in any. Daemons compute the same target without exchanging
-// messages. preferred returns nil if the call has no key and no segment, or no target is
+// messages, also daemons that have just started. preferred returns nil if the call has no key and no segment, or no target is
 // eligible.
 func (s *State) preferred(r *Request) *node {
 	key := r.AffinityKey
 	if key == "" && len(r.Prompt) > 0 {
-		key = string(littleEndian(r.Prompt[0].ID))
+		key = string(littleEndian(r.Prompt[len(r.Prompt)-1].ID))
 	}
 	if key == "" {
 		return nil
