--- a/Makefile
+++ b/Makefile
@@ -64,4 +64,4 @@
 
 # Takes less than five minutes. GOMEMLIMIT keeps memory use below half of a 32 GB machine.
 capacity:
-	GOMEMLIMIT=12GiB go run ./cmd/capacity -data docs/capacity.json -page docs/CAPACITY.md
+	GOMEMLIMIT=12GiB go run ./cmd/capacity -data docs/capacity.json -page docs/capacity-own.md
--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	capacity -data docs/capacity.json -page docs/CAPACITY.md   # all measurements
+//	capacity -data docs/capacity.json -page docs/capacity-own.md   # all measurements
 //	capacity -render -data FILE -page FILE                     # render the page from the data
 //	capacity -news -hosts 9          # propagation of changes; fails when one takes over 3 s
 //	capacity -control 9,50,150,350   # control traffic of idle fleets
@@ -29,7 +29,7 @@
 	warmUp := flag.Duration("warmUp", 10500*time.Millisecond, "time for which each fleet of -control runs before it is measured")
 	window := flag.Duration("window", 3*time.Second, "time for which each fleet of -control is measured")
 	data := flag.String("data", "docs/capacity.json", "file of the measurements")
-	page := flag.String("page", "docs/CAPACITY.md", "file of the rendered page")
+	page := flag.String("page", "docs/capacity-own.md", "file of the rendered page")
 	render := flag.Bool("render", false, "render the page from the data without measuring")
 	flag.Parse()
 	ctx := context.Background()
--- a/measurer/doc.go
+++ b/measurer/doc.go
@@ -9,5 +9,5 @@
 //	samples, err := measurer.MeasurePropagation(ctx, 9)
 //
 // Command capacity writes the results to docs/capacity.json and renders
-// docs/CAPACITY.md from them.
+// docs/capacity-own.md from them.
 package measurer
--- a/measurer/render.go
+++ b/measurer/render.go
@@ -90,7 +90,7 @@
 	return b.String() + "\n"
 }
 
-// Markdown renders the report as docs/CAPACITY.md.
+// Markdown renders the report as docs/capacity-own.md.
 func (r *Report) Markdown() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, `# Capacity
