--- a/assembler/feeds_test.go
+++ b/assembler/feeds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -53,6 +54,19 @@
 	return s.RowStore.Feed(ctx, table, after, wait)
 }
 
+// newTestRunner returns a runner that publishes the targets in use.
+func newTestRunner(published *atomic.Pointer[map[string]follower.Target], accessMode func() relayer.AccessMode) *followerRunner {
+	return &followerRunner{
+		state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
+		inbox: make(chan followerInput, inboxSize), onTick: func() {}, readiness: &readinessState{},
+		dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {}, accessMode: accessMode,
+		publishTargets: func(targets map[string]follower.Target) {
+			copied := maps.Clone(targets)
+			published.Store(&copied)
+		},
+	}
+}
+
 // Guards against calls to a target that is gone: any failed request of the feed counted as an
 // outage of the store, in which entries of live targets expire, and kept the target in use.
 func TestFailedRequestIsNoOutage(t *testing.T) {
@@ -90,19 +104,7 @@
 			apply(provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: key, Value: []byte(`{"Service":"s"}`)}}})
 			var published atomic.Pointer[map[string]follower.Target]
 			var mode atomic.Int64
-			runner := &followerRunner{
-				state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
-				inbox: make(chan followerInput, inboxSize), onTick: func() {}, readiness: &readinessState{},
-				dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {},
-				accessMode: func() relayer.AccessMode { return relayer.AccessMode(mode.Load()) },
-				publishTargets: func(targets map[string]follower.Target) {
-					copied := map[string]follower.Target{}
-					for id, target := range targets {
-						copied[id] = target
-					}
-					published.Store(&copied)
-				},
-			}
+			runner := newTestRunner(&published, func() relayer.AccessMode { return relayer.AccessMode(mode.Load()) })
 			f := runner.targetFeed(store)
 			go runner.run(ctx)
 			go f.run(ctx)
--- a/assembler/pause_test.go
+++ b/assembler/pause_test.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -69,19 +68,7 @@
 			var f *feed
 			clock := &movingClock{}
 			guard := newPauseGuard(clock, func() []*feed { return []*feed{f} }, zap.NewNop())
-			runner := &followerRunner{
-				state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: jsonCatalog{}, log: zap.NewNop(),
-				inbox: make(chan followerInput, inboxSize), onTick: func() {}, readiness: &readinessState{},
-				dispatch: func(dispatcher.Message) {}, onStoreResponse: func() {},
-				accessMode: func() relayer.AccessMode { return relayer.Direct },
-				publishTargets: func(targets map[string]follower.Target) {
-					copied := map[string]follower.Target{}
-					for id, target := range targets {
-						copied[id] = target
-					}
-					published.Store(&copied)
-				},
-			}
+			runner := newTestRunner(&published, func() relayer.AccessMode { return relayer.Direct })
 			f = runner.targetFeed(store)
 			store.stale.Store(true)
 			go runner.run(ctx)
