--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -185,10 +185,10 @@
 }
 
 // preferred returns the target that all calls with the same affinity key prefer, or all turns of a
-// session, which share the last prompt segment, if there is no key. An engine is preferred only in this
-// failure domain, a plain target in any. Daemons compute the same target without exchanging
-// messages, also daemons that have just started. preferred returns nil if the call has no key and no segment, or no target is
-// eligible.
+// session, which share the last prompt segment, if there is no key. An engine is preferred only in
+// this failure domain, a plain target in any. Daemons compute the same target without exchanging
+// messages, also those that have just started. preferred returns nil if the call has no key and no
+// segment, or no target is eligible.
 func (s *State) preferred(r *Request) *node {
 	key := r.AffinityKey
 	if key == "" && len(r.Prompt) > 0 {
