--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -77,7 +77,7 @@
 	beat := func(sequence int) {
 		entry, _ := json.Marshal(map[string]any{
 			"service": service, "address": n.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready",
-			"cold_left_ms": 0, "seq": sequence, "born": born,
+			name("coldLeft"): 0, "seq": sequence, "born": born,
 		})
 		s.put(runnerTable, n.id, entry)
 	}
