--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -211,7 +211,7 @@
 			}
 		},
 		Attempt: forwarder.Attempt{
-			Target: send.Target.ID, Address: send.Target.Address, Remaining: h.remaining(), QueuePriority: send.QueuePriority, LastEventID: h.lastEventID,
+			Target: send.Target.ID, Address: send.Target.Address, Remaining: h.remaining(), QueuePriority: send.QueuePriority, LastEventID: h.resumeEventID(),
 		},
 	}
 }
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -33,14 +33,19 @@
 	targetBody []byte
 	chain      []*historian.Turn
 	// reservation holds the tokens of the turn. At the end of the call, unused ones are returned.
-	reservation     *recorder.Reservation
+	reservation *recorder.Reservation
+	// generatedTokens is the number of tokens sent to the caller. streamTokens and streamBytes are the
+	// size of the stream so far, with the events that the caller already had.
 	generatedTokens int
-	// streamBytes is the size of the events sent to the caller.
-	streamBytes int
+	streamTokens    int
+	streamBytes     int
 	// output is the data of the events so far, for the history.
 	output []byte
-	// lastEventID is the ID of the last event sent to the caller.
+	// lastEventID is the ID of the last event of the stream so far.
 	lastEventID string
+	// skippingKnownEvents is true while the events of a stream that was generated again from its start
+	// are those that the caller received before it resumed the stream.
+	skippingKnownEvents bool
 	// headWritten is true once the head of the response has been sent to the caller.
 	headWritten bool
 	record      CallRecord
@@ -210,10 +215,11 @@
 	if !h.route.KeepsHistory {
 		return nil
 	}
-	options := &h.receiver.options
+	h.skippingKnownEvents = h.call.LastEventID != ""
 	if h.call.Previous == "" {
 		return nil
 	}
+	options := &h.receiver.options
 	timeout := min(options.ChainTimeout, h.remaining()/2)
 	ctx, cancel := context.WithTimeout(h.request.Context(), timeout)
 	defer cancel()
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -141,7 +141,7 @@
 			// may still serve the call from its start.
 			return h.handleUnusableResponse(a, errors.New("first event arrived after its timeout"))
 		}
-		if !started && h.headWritten && !followsEvent(event.ID, h.lastEventID) {
+		if !started && h.lastEventID != "" && !followsEvent(event.ID, h.lastEventID) {
 			return h.handleUnusableResponse(a, fmt.Errorf("resumed stream begins with event %q after event %q", event.ID, h.lastEventID))
 		}
 		started = true
@@ -150,11 +150,19 @@
 			// Another target would have to generate more than it may, too.
 			return h.breakOff(err)
 		}
+		h.recordEvent(&event)
+		if h.skippingKnownEvents {
+			h.skippingKnownEvents = event.ID != h.call.LastEventID
+			continue
+		}
 		if err := h.forwardEvent(e, &event); err != nil {
 			h.record.Reason, h.record.Err = "callerLeft", err
 			return stopAttempts, dispatcher.Cancelled
 		}
 	}
+	if h.skippingKnownEvents {
+		return h.breakOff(fmt.Errorf("stream ends without event %q, which the caller has received", h.call.LastEventID))
+	}
 	if !h.headWritten {
 		h.writeHead(e)
 	}
@@ -166,6 +174,17 @@
 	return stopAttempts, dispatcher.Completed
 }
 
+// resumeEventID returns the ID of the event after which the next target resumes the stream. A turn is
+// recorded with all of its events, and the daemon that sent the first ones to the caller may be gone:
+// a turn that the caller resumes is generated again from its start. Targets repeat the same events,
+// since otherwise a stream could not be resumed at another one.
+func (h *callHandler) resumeEventID() string {
+	if h.lastEventID == "" && !h.route.KeepsHistory {
+		return h.call.LastEventID
+	}
+	return h.lastEventID
+}
+
 // followsEvent reports whether an event may come after the event with the last ID. IDs increase; those
 // that are no numbers must differ.
 func followsEvent(id, last string) bool {
@@ -186,17 +205,8 @@
 	h.writer.WriteHeader(e.Head().Status)
 }
 
-// forwardEvent writes one event to the caller and keeps its data for the history.
-func (h *callHandler) forwardEvent(e *forwarder.Exchange, event *forwarder.Event) error {
-	if !h.headWritten {
-		h.writeHead(e)
-	}
-	if _, err := h.writer.Write(event.Raw); err != nil {
-		return err
-	}
-	if err := http.NewResponseController(h.writer).Flush(); err != nil {
-		return err
-	}
+// recordEvent keeps the ID of an event, and its data for the history.
+func (h *callHandler) recordEvent(event *forwarder.Event) {
 	if event.ID != "" {
 		h.lastEventID = event.ID
 	}
@@ -204,10 +214,23 @@
 		h.output = append(h.output, event.Data...)
 		h.output = append(h.output, '\n')
 	}
-	return nil
 }
 
-// countEvent adds an event to the stream's size. It returns an error, without adding the event, if
+// forwardEvent writes one event to the caller.
+func (h *callHandler) forwardEvent(e *forwarder.Exchange, event *forwarder.Event) error {
+	if !h.headWritten {
+		h.writeHead(e)
+	}
+	if h.service.Engine != nil {
+		h.generatedTokens += h.service.Engine.TokensPerEvent
+	}
+	if _, err := h.writer.Write(event.Raw); err != nil {
+		return err
+	}
+	return http.NewResponseController(h.writer).Flush()
+}
+
+// countEvent adds an event to the size of the stream. It returns an error, without adding the event, if
 // the stream would exceed the tokens that the call may generate or the bound on its bytes.
 func (h *callHandler) countEvent(event *forwarder.Event) error {
 	if h.streamBytes+len(event.Raw) > h.receiver.options.MaxStreamBytes {
@@ -216,10 +239,10 @@
 	if h.service.Engine != nil {
 		tokens := h.service.Engine.TokensPerEvent
 		// The last event may hold fewer tokens than the others.
-		if h.call.MaxTokens > 0 && h.generatedTokens >= h.call.MaxTokens+tokens {
+		if h.call.MaxTokens > 0 && h.streamTokens >= h.call.MaxTokens+tokens {
 			return fmt.Errorf("stream exceeds %d tokens", h.call.MaxTokens)
 		}
-		h.generatedTokens += tokens
+		h.streamTokens += tokens
 	}
 	h.streamBytes += len(event.Raw)
 	return nil
