--- a/accountant/message.go
+++ b/accountant/message.go
@@ -16,6 +16,8 @@
 	Budget int
 	// Tokens is the largest number of tokens that the turn can generate.
 	Tokens int
+	// Overdraft is the number of tokens that may be granted beyond the budget in place of lost ones.
+	Overdraft int
 	// ProgramStarted is set if the program has had a turn, so that peers may hold grants of it.
 	ProgramStarted bool
 }
@@ -54,8 +56,10 @@
 type TokensReceived struct {
 	Program string
 	Tokens  int
-	// Complete is set when every peer that was asked has replied.
-	Complete bool
+	// Silent are the hosts that were asked and did not reply. Ended are those whose daemon has ended
+	// since it was granted tokens: its unused ones are lost.
+	Silent []string
+	Ended  []string
 }
 
 // BorrowRequested is a peer's request for tokens of this daemon's grant.
@@ -124,6 +128,8 @@
 	// Available is the number of tokens that this daemon can still use: those not granted
 	// yet and the unused ones of its own grant.
 	Available int
+	// Lost is the number of tokens that daemons which have ended or do not reply may have had unused.
+	Lost int
 }
 
 // Borrow asks peers for unused tokens of their grants.
@@ -138,6 +144,8 @@
 type Lend struct {
 	Ticket Ticket
 	Tokens int
+	// UnknownProgram is set if this daemon was granted no tokens of the program.
+	UnknownProgram bool
 }
 
 // Write writes the budget row of a program if the row has the given version.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -51,9 +51,12 @@
 	version  int64
 	unused   int
 	rowKnown bool
+	// overdraft is the number of tokens that may be granted beyond the budget in place of lost ones.
+	overdraft int
 	// spare maps each host to the tokens that were unused or reserved there when its daemon
-	// last wrote the row.
+	// last wrote the row. lost is the sum of those of daemons that have ended since.
 	spare map[string]int
+	lost  int
 	// largestRequest is the largest number of tokens requested for one turn.
 	largestRequest int
 	// programStarted is ProgramStarted of the last request.
@@ -64,13 +67,15 @@
 	rowReadAt time.Time
 	// regionAskedAt is when the region peers were last asked for tokens. holdersAskedAt is
 	// when the peers that the row listed with spare tokens were last asked; holdersAsked
-	// are these peers, and holdersReplied is set if all of them replied.
+	// are these peers, and holdersSilent those of them that did not reply.
 	regionAskedAt  time.Time
 	holdersAskedAt time.Time
 	holdersAsked   []string
-	holdersReplied bool
+	holdersSilent  []string
 	// sequence counts this daemon's writes, so that it recognises its own row.
 	sequence int64
+	// hasGrant is set once this daemon has written the row, so that the row lists its tokens.
+	hasGrant bool
 	// pendingRow is the row that is being written, nil when no write is in progress.
 	pendingRow *encoder.ProgramBudget
 	reading    bool
@@ -92,6 +97,21 @@
 	return max(0, need)
 }
 
+// loseSpare counts the tokens that the row lists for a host as lost.
+func (p *program) loseSpare(host string) {
+	p.lost += p.spare[host]
+	delete(p.spare, host)
+}
+
+// silentSpare returns the tokens that the row lists for the hosts that did not reply when asked.
+func (p *program) silentSpare() int {
+	tokens := 0
+	for _, host := range p.holdersSilent {
+		tokens += p.spare[host]
+	}
+	return tokens
+}
+
 func (p *program) busy() bool { return p.pendingRow != nil || p.reading || p.borrowing }
 
 // State holds the budgets of the programs that this daemon serves. It is not safe for
@@ -130,7 +150,8 @@
 	case TokensReceived:
 		s.tokensReceived(m)
 	case BorrowRequested:
-		s.emit(Lend{Ticket: m.Ticket, Tokens: s.lend(m)})
+		p := s.programs[m.Program]
+		s.emit(Lend{Ticket: m.Ticket, Tokens: s.lend(m), UnknownProgram: p == nil || !p.hasGrant})
 	case Stopping:
 		for name, p := range s.programs {
 			s.returnUnused(name, p)
@@ -164,7 +185,10 @@
 	}
 	p.borrowing = false
 	if p.borrowHosts != nil {
-		p.holdersAskedAt, p.holdersAsked, p.holdersReplied = s.now, p.borrowHosts, m.Complete
+		p.holdersAskedAt, p.holdersAsked, p.holdersSilent = s.now, p.borrowHosts, m.Silent
+		for _, host := range m.Ended {
+			p.loseSpare(host)
+		}
 	} else {
 		p.regionAskedAt = s.now
 	}
@@ -193,6 +217,7 @@
 		s.programs[m.Program] = p
 	}
 	p.budget, p.lastUsedAt, p.programStarted = m.Budget, s.now, m.ProgramStarted
+	p.overdraft = max(p.overdraft, m.Overdraft)
 	p.largestRequest = max(p.largestRequest, m.Tokens)
 	p.waiters = append(p.waiters, waiter{ticket: m.Ticket, tokens: m.Tokens})
 	s.serveWaiters(m.Program, p)
@@ -234,7 +259,7 @@
 		return
 	}
 	need := p.needed()
-	if p.granted+need > p.budget {
+	if p.granted+need > p.budget+p.overdraft {
 		if !s.confirmExhausted(name, p) {
 			return
 		}
@@ -261,6 +286,7 @@
 func (s *State) decide(p *program, w waiter, v Verdict) {
 	s.emit(Decision{
 		Ticket: w.ticket, Verdict: v, Granted: p.granted, Version: p.version, HadTokens: p.hadTokens, Available: p.budget - p.granted + max(0, p.unused),
+		Lost: p.lost + p.silentSpare(),
 	})
 }
 
@@ -311,7 +337,7 @@
 // rejectOverBudget rejects the waiters for which the budget does not suffice and returns the
 // tokens that the others lack.
 func (s *State) rejectOverBudget(p *program) int {
-	need, available := 0, p.budget-p.granted+max(0, p.unused)
+	need, available := 0, p.budget+p.overdraft-p.granted+max(0, p.unused)
 	kept := p.waiters[:0]
 	for _, w := range p.waiters {
 		if need+w.tokens <= available {
@@ -320,7 +346,7 @@
 			continue
 		}
 		verdict := Spent
-		if len(s.hostsWithSpare(p)) > 0 && !p.holdersReplied {
+		if p.silentSpare() > 0 {
 			verdict = Contended
 		}
 		s.decide(p, w, verdict)
@@ -352,7 +378,7 @@
 	p.sequence++
 	p.pendingRow = &encoder.ProgramBudget{
 		Granted: p.granted + tokens, Holder: s.incarnation, Sequence: int(p.sequence),
-		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{},
+		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{}, Lost: p.lost,
 	}
 	for host, spare := range p.spare {
 		p.pendingRow.Spare[host] = spare
@@ -372,6 +398,8 @@
 	case provider.KindNone:
 		s.adoptPendingRow(p, m.Version)
 	case provider.KindConflict:
+		// Tokens that the write would have returned can be used again.
+		p.unused += max(0, p.granted-p.pendingRow.Granted)
 		p.pendingRow = nil
 		s.adoptRow(p, m.Row)
 	case provider.KindUnknown:
@@ -388,8 +416,8 @@
 // that it returns have already been deducted from unused.
 func (s *State) adoptPendingRow(p *program, version int64) {
 	p.unused += max(0, p.pendingRow.Granted-p.granted)
-	p.granted, p.version, p.spare = p.pendingRow.Granted, version, p.pendingRow.Spare
-	p.rowKnown, p.rowReadAt, p.pendingRow = true, s.now, nil
+	p.granted, p.version, p.spare, p.lost = p.pendingRow.Granted, version, p.pendingRow.Spare, p.pendingRow.Lost
+	p.rowKnown, p.rowReadAt, p.pendingRow, p.hasGrant = true, s.now, nil, true
 }
 
 // adoptRow makes a row that was read the current one. After a lost response it may be the
@@ -411,7 +439,11 @@
 		}
 		p.pendingRow = nil
 	}
-	p.granted, p.version, p.spare = stored.Granted, version, stored.Spare
+	p.granted, p.version, p.spare, p.lost = stored.Granted, version, stored.Spare, stored.Lost
+	if !p.hasGrant {
+		// An earlier daemon on this host was granted these tokens.
+		p.loseSpare(s.host)
+	}
 	p.hadTokens = p.hadTokens || stored.Granted > 0
 	p.rowKnown, p.rowReadAt = true, s.now
 }
@@ -442,11 +474,15 @@
 	s.serveWaiters(m.Program, p)
 }
 
-// tick removes idle programs from memory. The unused tokens of their grants are lost: later
-// turns need new grants, as long as the budget suffices.
+// tick removes idle programs from memory. Their unused tokens are returned first. Those that cannot be
+// returned are lost.
 func (s *State) tick() {
 	for name, p := range s.programs {
-		if p.reserved == 0 && !p.busy() && len(p.waiters) == 0 && s.now.Sub(p.lastUsedAt) >= s.options.IdleTimeout {
+		if p.reserved != 0 || p.busy() || len(p.waiters) > 0 || s.now.Sub(p.lastUsedAt) < s.options.IdleTimeout {
+			continue
+		}
+		s.returnUnused(name, p)
+		if !p.busy() {
 			delete(s.programs, name)
 		}
 	}
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/dogwoodweir/dogwoodweir/accountant"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/historian"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
@@ -32,7 +33,7 @@
 // unused tokens of its grants.
 type Lender interface {
 	Turn(id string) *historian.Turn
-	LendTokens(ctx context.Context, program string, tokens int) int
+	LendTokens(ctx context.Context, program string, tokens int) accountant.Lend
 }
 
 // Borrower requests turns and tokens from peers. It is safe for concurrent use.
@@ -57,15 +58,19 @@
 	return &Borrower{messenger: m, peers: list, options: options, log: log}
 }
 
-// queryPeers sends a request to all given peers at once and passes each reply to accept. It
-// returns when accept returns true, when all calls have ended, or after ReplyTimeout. It
-// returns false if a call had failed by then or the time ran out. The remaining calls go on,
-// since a new connection takes longer; their replies are passed to onLate.
+// queryPeers sends a request to all given peers at once and passes each reply to accept, with the
+// peer's host. It returns when accept returns true, when all calls have ended, or after
+// ReplyTimeout. The remaining calls go on, since a new connection takes longer; their replies are
+// passed to onLate.
 func queryPeers[Reply any](
 	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, request any,
-	accept func(*Reply) bool, onLate func(*Reply),
-) (complete bool) {
-	replies := make(chan *Reply)
+	accept func(host string, reply *Reply) bool, onLate func(*Reply),
+) {
+	type peerReply struct {
+		host  string
+		reply *Reply
+	}
+	replies := make(chan peerReply)
 	done := make(chan struct{})
 	defer close(done)
 	callsCtx := context.WithoutCancel(ctx)
@@ -80,7 +85,7 @@
 				result = nil
 			}
 			select {
-			case replies <- result:
+			case replies <- peerReply{peer.Host, result}:
 			case <-done:
 				if result != nil {
 					onLate(result)
@@ -89,29 +94,25 @@
 		}()
 	}
 	timeout := time.After(b.options.ReplyTimeout)
-	complete = true
 	for range peers {
 		select {
-		case reply := <-replies:
-			if reply == nil {
-				complete = false
-			} else if accept(reply) {
-				return complete
+		case r := <-replies:
+			if r.reply != nil && accept(r.host, r.reply) {
+				return
 			}
 		case <-timeout:
-			return false
+			return
 		case <-ctx.Done():
-			return false
+			return
 		}
 	}
-	return complete
 }
 
 // Turn returns a turn that a peer in the region has in memory, or nil.
 func (b *Borrower) Turn(ctx context.Context, id string) *historian.Turn {
 	var turn *historian.Turn
 	queryPeers(ctx, b, b.nearestPeers(), messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id},
-		func(reply *encoder.TurnAnswer) bool {
+		func(_ string, reply *encoder.TurnAnswer) bool {
 			if reply.Found {
 				turn = &historian.Turn{
 					ID: id, Partition: reply.Part, Previous: reply.Previous, Text: reply.Text, Expires: time.Unix(int64(reply.ExpiresAt), 0),
@@ -122,23 +123,38 @@
 	return turn
 }
 
-// BorrowTokens returns the number of tokens that peers have lent, and whether all peers that
-// were asked have replied. It asks the peers on the given hosts, or the nearest peers if no
-// host is given. All are asked at once, since the caller waits: if several lend tokens, this
-// daemon keeps the sum. Tokens that arrive after the return are passed to onLate.
+// BorrowTokens borrows unused tokens from peers. It asks the peers on the given hosts, or the nearest
+// peers if no host is given. All are asked at once, since the caller waits: if several lend tokens,
+// this daemon keeps the sum. Tokens that arrive after the return are passed to onLate.
 func (b *Borrower) BorrowTokens(
 	ctx context.Context, program string, tokens int, hosts []string, onLate func(tokens int),
-) (total int, complete bool) {
+) accountant.TokensReceived {
+	received := accountant.TokensReceived{Program: program}
 	peers, current := b.nearestPeers(), true
 	if len(hosts) > 0 {
 		peers, current = b.listedPeers(ctx, hosts)
 	}
-	complete = queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
-		func(reply *encoder.TokenAnswer) bool {
-			total += reply.Tokens
+	replied := map[string]bool{}
+	queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
+		func(host string, reply *encoder.TokenAnswer) bool {
+			replied[host] = true
+			received.Tokens += reply.Tokens
+			if reply.UnknownProgram {
+				received.Ended = append(received.Ended, host)
+			}
 			return false
 		}, func(reply *encoder.TokenAnswer) { onLate(reply.Tokens) })
-	return total, complete && current
+	for _, host := range hosts {
+		isListed := slices.ContainsFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
+		switch {
+		case replied[host]:
+		case !isListed && current:
+			received.Ended = append(received.Ended, host)
+		default:
+			received.Silent = append(received.Silent, host)
+		}
+	}
+	return received
 }
 
 // listedPeers returns the peers on the given hosts. The tokens of a daemon that is missing
@@ -187,7 +203,8 @@
 		if err := json.Unmarshal(params, &request); err != nil {
 			return nil, true, err
 		}
-		return encoder.TokenAnswer{Tokens: lender.LendTokens(ctx, request.Program, request.Tokens)}, true, nil
+		lent := lender.LendTokens(ctx, request.Program, request.Tokens)
+		return encoder.TokenAnswer{Tokens: lent.Tokens, UnknownProgram: lent.UnknownProgram}, true, nil
 	}
 	return nil, false, nil
 }
--- a/borrower/doc.go
+++ b/borrower/doc.go
@@ -6,6 +6,6 @@
 //
 //	b := borrower.New(messenger, registrar, borrower.DefaultOptions(), logger)
 //	turn := b.Turn(ctx, id)
-//	tokens, complete := b.BorrowTokens(ctx, program, 576, hosts, onLate)
+//	received := b.BorrowTokens(ctx, program, 576, hosts, onLate)
 //	result, handled, err := borrower.Handle(ctx, lender, method, params) // for requests of peers
 package borrower
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -430,6 +430,10 @@
 type TokenAnswer struct {
 	// Tokens corresponds to the JSON schema field "tokens".
 	Tokens int `json:"tokens"`
+
+	// The sender was granted no tokens of the program since it started: those that
+	// the row lists for it are lost.
+	UnknownProgram bool `json:"unknownProgram,omitempty,omitzero"`
 }
 
 // Requests unused tokens of a peer's grant.
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -14,6 +14,10 @@
 	// Incarnation of the daemon that last wrote the row.
 	Holder string `json:"holder"`
 
+	// Tokens that were listed as spare for daemons that have ended since. How many of
+	// them were used is not known, so they are not granted again.
+	Lost int `json:"lost,omitempty,omitzero"`
+
 	// Increases by 1 with each write of the holder.
 	Sequence int `json:"sequence"`
 
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -261,7 +261,9 @@
 	}
 	ctx, cancel := context.WithTimeout(h.request.Context(), h.remaining()/2)
 	defer cancel()
-	reservation := h.receiver.deps.Recorder.Reserve(ctx, h.call.Program, h.call.Budget, tokens, h.call.Previous != "")
+	reservation := h.receiver.deps.Recorder.Reserve(ctx, recorder.Request{
+		Program: h.call.Program, Budget: h.call.Budget, Tokens: tokens, MaxOverdraft: h.call.MaxTokens, ProgramStarted: h.call.Previous != "",
+	})
 	h.record.BudgetVersion, h.record.BudgetGranted = reservation.Version, reservation.Granted
 	switch reservation.Verdict {
 	case accountant.Admitted:
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -18,7 +18,7 @@
 // Recorder stores histories and budgets; see package recorder.
 type Recorder interface {
 	Up() bool
-	Reserve(ctx context.Context, program string, budget, tokens int, programStarted bool) recorder.Reservation
+	Reserve(ctx context.Context, request recorder.Request) recorder.Reservation
 	Finish(reservation recorder.Reservation, used int)
 	Chain(ctx context.Context, id string) ([]*historian.Turn, error)
 	Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -68,38 +68,65 @@
 	tokens int
 }
 
+// Request describes the tokens of one turn.
+type Request struct {
+	Program string
+	// Budget is the number of tokens of the whole program.
+	Budget int
+	// Tokens is the largest number of tokens that the turn can generate.
+	Tokens int
+	// MaxOverdraft is the number of tokens beyond the budget that the program may get in place of
+	// those that were lost with daemons.
+	MaxOverdraft int
+	// ProgramStarted is set if the program has had a turn.
+	ProgramStarted bool
+}
+
 // Reserve requests the tokens of one turn. Call Finish for every admitted turn. The verdict
 // is Spent only if neither one row nor all rows together have enough tokens for the turn, and
 // Unavailable if the context ends before the decision.
-func (r *Recorder) Reserve(ctx context.Context, program string, budget, tokens int, programStarted bool) Reservation {
-	rows := splitBudget(program, budget)
+func (r *Recorder) Reserve(ctx context.Context, request Request) Reservation {
+	rows := splitBudget(request.Program, request.Budget)
+	// Only one row grants tokens beyond its share, so that all daemons together keep to the bound.
+	overdraftRow := rows[0]
 	if len(rows) == 2 && !r.partitionUp(programKey(rows[0].name).Partition) {
 		rows[0], rows[1] = rows[1], rows[0]
 	}
 	worst := Reservation{Decision: accountant.Decision{Verdict: accountant.Spent}}
-	available := make([]int, len(rows))
+	available, lost := make([]int, len(rows)), 0
 	for i, row := range rows {
-		d := r.reserveFromRow(ctx, row, tokens, programStarted)
+		d := r.reserveFromRow(ctx, row, request, 0)
 		if d.Verdict == accountant.Admitted {
-			return Reservation{Decision: d, shares: []share{{row.name, tokens}}}
+			return Reservation{Decision: d, shares: []share{{row.name, request.Tokens}}}
 		}
 		if d.Verdict > worst.Verdict || worst.Version == 0 {
 			worst.Decision = d
 		}
 		available[i] = d.Available
+		lost += d.Lost
+	}
+	if worst.Verdict == accountant.Spent && len(rows) == 2 && available[0] > 0 && available[0]+available[1] >= request.Tokens {
+		return r.combine(ctx, rows, available[0], request)
 	}
-	if worst.Verdict == accountant.Spent && len(rows) == 2 && available[0] > 0 && available[0]+available[1] >= tokens {
-		return r.combine(ctx, rows, available[0], tokens)
+	if overdraft := min(request.MaxOverdraft, lost); overdraft > 0 {
+		d := r.reserveFromRow(ctx, overdraftRow, request, overdraft)
+		if d.Verdict == accountant.Admitted {
+			r.log.Info("tokens of daemons that ended or do not reply are replaced", zap.String("program", request.Program),
+				zap.Int("budget", request.Budget), zap.Int("granted", d.Granted), zap.Int("lost", lost))
+			return Reservation{Decision: d, shares: []share{{overdraftRow.name, request.Tokens}}}
+		}
 	}
 	return worst
 }
 
 // combine reserves the first tokens of a turn from the first row and the others from the
 // second. It reserves nothing unless both rows admit the turn.
-func (r *Recorder) combine(ctx context.Context, rows []budgetRow, first, tokens int) Reservation {
+func (r *Recorder) combine(ctx context.Context, rows []budgetRow, first int, request Request) Reservation {
 	reservation := Reservation{}
-	for i, amount := range []int{first, tokens - first} {
-		reservation.Decision = r.reserveFromRow(ctx, rows[i], amount, true)
+	request.ProgramStarted = true
+	for i, amount := range []int{first, request.Tokens - first} {
+		request.Tokens = amount
+		reservation.Decision = r.reserveFromRow(ctx, rows[i], request, 0)
 		if reservation.Verdict != accountant.Admitted {
 			r.Finish(reservation, 0)
 			return Reservation{Decision: reservation.Decision}
@@ -109,12 +136,15 @@
 	return reservation
 }
 
-func (r *Recorder) reserveFromRow(ctx context.Context, row budgetRow, tokens int, programStarted bool) accountant.Decision {
+// reserveFromRow requests the tokens of a turn from one row, which may grant the overdraft beyond its
+// share of the budget.
+func (r *Recorder) reserveFromRow(ctx context.Context, row budgetRow, request Request, overdraft int) accountant.Decision {
 	ticket := accountant.Ticket(r.tickets.Add(1))
 	reply := make(chan accountant.Decision, 1)
 	r.inbox <- reserveRequest{
 		request: accountant.ReservationRequested{
-			Ticket: ticket, Program: row.name, Budget: row.budget, Tokens: tokens, ProgramStarted: programStarted,
+			Ticket: ticket, Program: row.name, Budget: row.budget, Tokens: request.Tokens, Overdraft: overdraft,
+			ProgramStarted: request.ProgramStarted,
 		},
 		reply: reply,
 	}
@@ -128,7 +158,7 @@
 	select {
 	case d := <-reply:
 		if d.Verdict == accountant.Admitted {
-			r.finishInRow(row.name, tokens, 0)
+			r.finishInRow(row.name, request.Tokens, 0)
 		}
 	default:
 	}
@@ -170,20 +200,19 @@
 	}
 }
 
-// LendTokens deducts tokens from this daemon's grant in a budget row for a peer. It returns
-// their number, which may be more or less than requested, and 0 if there are none or the
-// context ends.
-func (r *Recorder) LendTokens(ctx context.Context, row string, tokens int) int {
-	reply := make(chan int, 1)
+// LendTokens deducts tokens from this daemon's grant in a budget row for a peer: more or fewer than
+// requested, and none if there are none or the context ends.
+func (r *Recorder) LendTokens(ctx context.Context, row string, tokens int) accountant.Lend {
+	reply := make(chan accountant.Lend, 1)
 	m := lendRequest{reply: reply, BorrowRequested: accountant.BorrowRequested{
 		Ticket: accountant.Ticket(r.tickets.Add(1)), Program: row, Tokens: tokens,
 	}}
 	r.send(ctx, m)
 	select {
-	case got := <-reply:
-		return got
+	case lent := <-reply:
+		return lent
 	case <-ctx.Done():
-		return 0
+		return accountant.Lend{}
 	}
 }
 
@@ -196,7 +225,7 @@
 				reply <- c
 			}
 		case accountant.Lend:
-			r.lendReplies[c.Ticket] <- c.Tokens
+			r.lendReplies[c.Ticket] <- c
 			delete(r.lendReplies, c.Ticket)
 		case accountant.Borrow:
 			r.tasks.Go(func() { r.borrowTokens(ctx, c) })
@@ -267,12 +296,12 @@
 
 // borrowTokens borrows tokens from peers and passes them to the accountant.
 func (r *Recorder) borrowTokens(ctx context.Context, c accountant.Borrow) {
-	got, complete := r.peers.BorrowTokens(ctx, c.Program, c.Tokens, c.Hosts, func(tokens int) {
+	received := r.peers.BorrowTokens(ctx, c.Program, c.Tokens, c.Hosts, func(tokens int) {
 		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens}})
 	})
-	if got > 0 || !complete {
-		r.log.Info("asked peers for unused tokens", zap.String("program", c.Program), zap.Int("tokens", got),
-			zap.Strings("hosts", c.Hosts), zap.Bool("complete", complete))
+	if received.Tokens > 0 || len(received.Silent) > 0 || len(received.Ended) > 0 {
+		r.log.Info("asked peers for unused tokens", zap.String("program", c.Program), zap.Int("tokens", received.Tokens),
+			zap.Strings("hosts", c.Hosts), zap.Strings("silent", received.Silent), zap.Strings("ended", received.Ended))
 	}
-	r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: got, Complete: complete}})
+	r.send(ctx, budgetMessage{received})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -45,11 +45,8 @@
 // faster; for tokens when a grant is missing or the store is not available.
 type Peers interface {
 	// BorrowTokens borrows tokens from the peers on the given hosts, or from the peers in this
-	// daemon's region if hosts is empty. It returns their number and whether all peers that
-	// were asked have replied. Tokens that arrive after the return are passed to onLate.
-	BorrowTokens(
-		ctx context.Context, program string, tokens int, hosts []string, onLate func(tokens int),
-	) (got int, complete bool)
+	// daemon's region if hosts is empty. Tokens that arrive after the return are passed to onLate.
+	BorrowTokens(ctx context.Context, program string, tokens int, hosts []string, onLate func(tokens int)) accountant.TokensReceived
 	// Turn returns a turn that a peer has in memory, or nil.
 	Turn(ctx context.Context, id string) *historian.Turn
 }
@@ -69,7 +66,7 @@
 // lendRequest requests tokens for a peer.
 type lendRequest struct {
 	accountant.BorrowRequested
-	reply chan int
+	reply chan accountant.Lend
 }
 
 // submit adds an entry to the queue of a partition.
@@ -123,7 +120,7 @@
 	submitReplies  map[batcher.Ticket]chan batcher.Outcome
 	budgetWrites   map[batcher.Ticket]accountant.Write
 	reserveReplies map[accountant.Ticket]chan accountant.Decision
-	lendReplies    map[accountant.Ticket]chan int
+	lendReplies    map[accountant.Ticket]chan accountant.Lend
 }
 
 // New returns a Recorder. Run must be running while turns and tokens are written or requested.
@@ -133,7 +130,7 @@
 		turns: historian.NewCache(options.CacheBytes), queues: map[string]*partitionQueue{},
 		budgets: accountant.New(options.Accountant, options.Host, options.Incarnation), submitReplies: map[batcher.Ticket]chan batcher.Outcome{},
 		budgetWrites: map[batcher.Ticket]accountant.Write{}, reserveReplies: map[accountant.Ticket]chan accountant.Decision{},
-		lendReplies: map[accountant.Ticket]chan int{}, cleanupStart: map[string]string{},
+		lendReplies: map[accountant.Ticket]chan accountant.Lend{}, cleanupStart: map[string]string{},
 	}
 	r.down.Store(&partitionSet{})
 	return r
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -162,10 +162,10 @@
 	return t, nil
 }
 
-// Program returns the budget rows of a program: the tokens granted to daemons, and which
-// daemons may have unused tokens.
+// Program returns the budget rows of a program: the tokens granted to daemons, which daemons may
+// have unused tokens, and how many were lost with daemons.
 func (v *Viewer) Program(ctx context.Context, program string) (*Table, error) {
-	t := &Table{Title: "program " + program, Columns: []string{"ROW", "VERSION", "GRANTED", "WRITTEN BY", "UNUSED AT"}}
+	t := &Table{Title: "program " + program, Columns: []string{"ROW", "VERSION", "GRANTED", "WRITTEN BY", "UNUSED AT", "LOST"}}
 	for _, key := range recorder.BudgetKeys(program) {
 		rows, _, err := v.readRange(ctx, "program", provider.RowRange{
 			Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00",
@@ -184,7 +184,7 @@
 			}
 			t.Rows = append(t.Rows, []string{
 				fmt.Sprintf("%s/%s", key.Table, key.Partition), fmt.Sprint(row.Version), fmt.Sprint(b.Granted), b.Holder,
-				strings.Join(unused, ","),
+				strings.Join(unused, ","), fmt.Sprint(b.Lost),
 			})
 		}
 	}
