Reserve the tokens of whole events for a turn

Callers saw: nothing; the review saw 144 tokens of 120 allowed, over three daemons. Since a program may be granted one turn beyond its budget in place of lost tokens, nothing is left to cover such a turn. Cause: a turn's limit was reserved as given, while its last event counts as a whole; a stream was broken off only one event after its limit. Change: the limit is rounded up to whole events, for the reservation and for the stream. Evidence: TestTurnsReserveWholeEvents failed in 2 of 3 cases before.

--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -250,19 +250,29 @@
 	return wait - rand.N(wait/8+1)
 }
 
+// maxTurnTokens returns the largest number of tokens that the turn can generate. Events are counted as
+// a whole, so that the last one may exceed the caller's limit.
+func (h *callHandler) maxTurnTokens() int {
+	tokens := h.call.MaxTokens
+	if tokens <= 0 {
+		tokens = h.receiver.options.DefaultMaxTokens
+	}
+	if h.service.Engine == nil || h.service.Engine.TokensPerEvent <= 0 {
+		return tokens
+	}
+	eventTokens := h.service.Engine.TokensPerEvent
+	return (tokens + eventTokens - 1) / eventTokens * eventTokens
+}
+
 // reserveTokens takes the tokens of the turn from the program's budget.
 func (h *callHandler) reserveTokens() error {
 	if !h.call.HasBudget || h.call.Program == "" || !h.route.Streaming {
 		return nil
 	}
-	tokens := h.call.MaxTokens
-	if tokens <= 0 {
-		tokens = h.receiver.options.DefaultMaxTokens
-	}
 	ctx, cancel := context.WithTimeout(h.request.Context(), h.remaining()/2)
 	defer cancel()
 	reservation := h.receiver.deps.Recorder.Reserve(ctx, recorder.Request{
-		Program: h.call.Program, Budget: h.call.Budget, Tokens: tokens, MaxOverdraft: h.call.MaxTokens, ProgramStarted: h.call.Previous != "",
+		Program: h.call.Program, Budget: h.call.Budget, Tokens: h.maxTurnTokens(), MaxOverdraft: h.call.MaxTokens, ProgramStarted: h.call.Previous != "",
 	})
 	h.record.BudgetVersion, h.record.BudgetGranted = reservation.Version, reservation.Granted
 	switch reservation.Verdict {
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -238,8 +238,7 @@
 	}
 	if h.service.Engine != nil {
 		tokens := h.service.Engine.TokensPerEvent
-		// The last event may hold fewer tokens than the others.
-		if h.call.MaxTokens > 0 && h.streamTokens >= h.call.MaxTokens+tokens {
+		if h.call.MaxTokens > 0 && h.streamTokens+tokens > h.maxTurnTokens() {
 			return fmt.Errorf("stream exceeds %d tokens", h.call.MaxTokens)
 		}
 		h.streamTokens += tokens
