--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -31,6 +31,9 @@
 // oneSecondLater advances the time by a second between two messages.
 type oneSecondLater struct{ accountant.Tick }
 
+// oneMinuteLater advances the time by a minute between two messages.
+type oneMinuteLater struct{ accountant.Tick }
+
 // replay applies messages and returns the commands in text form.
 func replay(s *accountant.State, messages ...accountant.Message) []string {
 	got, now := []string{}, start
@@ -39,6 +42,10 @@
 			now = now.Add(time.Second)
 			continue
 		}
+		if _, ok := m.(oneMinuteLater); ok {
+			now = now.Add(time.Minute)
+			continue
+		}
 		for _, c := range s.Update(now, m) {
 			switch c := c.(type) {
 			case accountant.Decision:
@@ -175,6 +182,19 @@
 			},
 			want: []string{"write at 0", "read", "write at 0", "1 admitted"},
 		},
+		{
+			// Guards against a grant that is used twice: numbers of writes that began again after the
+			// program was forgotten made the earlier row look like the one being written.
+			name: "a row written before the program was forgotten is not taken for the pending one",
+			messages: []accountant.Message{
+				requested(1, 900, 576), accountant.WriteCompleted{Program: "p", Version: 5},
+				accountant.TurnFinished{Program: "p", Reserved: 576, Used: 576}, oneMinuteLater{}, accountant.Tick{},
+				requested(2, 1800, 576), accountant.WriteCompleted{Program: "p", Kind: provider.KindUnknown},
+				accountant.ReadCompleted{Program: "p", Row: row(5, encoder.ProgramBudget{Granted: 576, Holder: "me", Sequence: 1})},
+				accountant.WriteCompleted{Program: "p", Version: 6},
+			},
+			want: []string{"write at 0", "1 admitted", "write at 0", "read", "write at 5", "2 admitted"},
+		},
 		{
 			name: "a row that cannot be decoded counts as spent",
 			messages: []accountant.Message{
@@ -206,6 +226,7 @@
 // delayed, and responses may be lost.
 type simulation struct {
 	t       *rapid.T
+	now     time.Time
 	row     encoder.ProgramBudget
 	version int64
 	daemons []*daemon
@@ -246,7 +267,7 @@
 }
 
 func (s *simulation) update(d *daemon, m accountant.Message) {
-	for _, c := range d.state.Update(start, m) {
+	for _, c := range d.state.Update(s.now, m) {
 		if decision, ok := c.(accountant.Decision); ok {
 			if decision.Verdict == accountant.Admitted {
 				d.turns++
@@ -272,7 +293,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, rapid.MakeCheck(func(t *rapid.T) {
-			s := &simulation{t: t, overdraft: test.overdraft}
+			s := &simulation{t: t, now: start, overdraft: test.overdraft}
 			for range 3 {
 				s.daemons = append(s.daemons, &daemon{state: accountant.New(accountant.DefaultOptions(), s.newIncarnation(), s.newIncarnation())})
 			}
@@ -431,7 +452,7 @@
 }
 
 func (s *simulation) step(d *daemon, budget, turn int) {
-	switch rapid.SampledFrom([]string{"request", "finish", "respond", "respond", "apply delayed", "restart", "lend", "stop"}).Draw(s.t, "event") {
+	switch rapid.SampledFrom([]string{"request", "finish", "respond", "respond", "apply delayed", "restart", "lend", "stop", "pause"}).Draw(s.t, "event") {
 	case "request":
 		s.tickets++
 		s.update(d, accountant.ReservationRequested{
@@ -455,6 +476,9 @@
 		s.lend(d, s.daemons[rapid.IntRange(0, 2).Draw(s.t, "to")], turn)
 	case "stop":
 		s.update(d, accountant.Stopping{})
+	case "pause":
+		s.now = s.now.Add(accountant.DefaultOptions().IdleTimeout)
+		s.update(d, accountant.Tick{})
 	case "restart":
 		// The running turns may have used all their reserved tokens.
 		s.used += d.turns * turn
@@ -464,7 +488,7 @@
 
 // lend moves tokens of one daemon's grant to a peer; the reply may be lost.
 func (s *simulation) lend(from, to *daemon, turn int) {
-	for _, c := range from.state.Update(start, accountant.BorrowRequested{Program: "p", Tokens: turn}) {
+	for _, c := range from.state.Update(s.now, accountant.BorrowRequested{Program: "p", Tokens: turn}) {
 		lent, ok := c.(accountant.Lend)
 		if ok && lent.Tokens > 0 && rapid.Bool().Draw(s.t, "delivered") {
 			s.update(to, accountant.TokensReceived{Program: "p", Tokens: lent.Tokens})
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -72,8 +72,6 @@
 	holdersAskedAt time.Time
 	holdersAsked   []string
 	holdersSilent  []string
-	// sequence counts this daemon's writes, so that it recognises its own row.
-	sequence int64
 	// hasGrant is set once this daemon has written the row, so that the row lists its tokens.
 	hasGrant bool
 	// pendingRow is the row that is being written, nil when no write is in progress.
@@ -121,8 +119,11 @@
 	host        string
 	incarnation string
 	programs    map[string]*program
-	commands    []Command
-	now         time.Time
+	// sequence counts the writes of all programs, so that the daemon recognises a row that it wrote.
+	// Numbers of a program would begin again after it was removed from memory.
+	sequence int
+	commands []Command
+	now      time.Time
 }
 
 // New returns an empty state. The host names the daemon, the incarnation this run of it.
@@ -375,9 +376,9 @@
 // writeGrant writes the row with the given number of further tokens granted to this daemon.
 // A negative number returns tokens.
 func (s *State) writeGrant(name string, p *program, tokens int) {
-	p.sequence++
+	s.sequence++
 	p.pendingRow = &encoder.ProgramBudget{
-		Granted: p.granted + tokens, Holder: s.incarnation, Sequence: int(p.sequence),
+		Granted: p.granted + tokens, Holder: s.incarnation, Sequence: s.sequence,
 		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{}, Lost: p.lost,
 	}
 	for host, spare := range p.spare {
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -18,7 +18,7 @@
 	// them were used is not known, so they are not granted again.
 	Lost int `json:"lost,omitempty,omitzero"`
 
-	// Increases by 1 with each write of the holder.
+	// Increases with each write of the holder, over all programs.
 	Sequence int `json:"sequence"`
 
 	// Unused and reserved tokens of each daemon when it last wrote the row, by host.
