--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -35,6 +35,9 @@
 	targetGracePeriod = 2200 * time.Millisecond
 	// turnCacheFraction is the fraction of the memory limit that texts of turns may use.
 	turnCacheFraction = 0.06
+	// callMemoryFraction is the fraction of the memory limit that request bodies may use, and also
+	// that of responses. The rest is for the process itself and for memory that is not collected yet.
+	callMemoryFraction = 0.15
 	// tokenReturnMargin is the part of the grace period that is reserved for returning
 	// unused tokens after the last responses.
 	tokenReturnMargin = 900 * time.Millisecond
@@ -140,6 +143,7 @@
 	d.forwarder = forwarder.New(dependencies.Dialect, forwarder.DefaultOptions())
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
+	receiverOptions.MemoryBytes = int64(callMemoryFraction * float64(settings.MemoryLimitBytes))
 	if settings.ConfigurationBound > 0 {
 		// A change arrives before the end of a feed request's wait, so that the age between two
 		// responses says nothing yet.
--- a/forwarder/events.go
+++ b/forwarder/events.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 )
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 1 << 20
 
+var errNoMemory = errors.New("no memory for the event")
+
 // Event is one event of a stream (text/event-stream).
 type Event struct {
 	// Raw is the whole event with its closing empty line. It is valid until the next
@@ -26,13 +29,15 @@
 // EventReader reads the events of a stream one at a time.
 type EventReader struct {
 	reader *bufio.Reader
+	grow   func(size int) bool
 	raw    []byte
 	data   []byte
 }
 
-// NewEventReader returns a reader for the events in r.
-func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(r, readBufferBytes)}
+// NewEventReader returns a reader for the events in r. It calls grow before an event takes more
+// memory, with the size that the reader's buffers will have at most, and fails if grow returns false.
+func NewEventReader(r io.Reader, grow func(size int) bool) *EventReader {
+	return &EventReader{reader: bufio.NewReaderSize(r, readBufferBytes), grow: grow}
 }
 
 // Next returns the next complete event. It returns io.EOF at the end of the stream, and
@@ -65,10 +70,14 @@
 	start := len(r.raw)
 	for {
 		fragment, err := r.reader.ReadSlice('\n')
-		r.raw = append(r.raw, fragment...)
-		if len(r.raw) > maxEventBytes {
+		if len(r.raw)+len(fragment) > maxEventBytes {
 			return nil, NewError("read event", KindBroken, bufio.ErrTooLong)
 		}
+		// The data of an event is at most as large as the event. Appending may double a buffer.
+		if len(r.raw)+len(fragment) > cap(r.raw) && !r.grow(4*(len(r.raw)+len(fragment))) {
+			return nil, NewError("read event", KindBroken, errNoMemory)
+		}
+		r.raw = append(r.raw, fragment...)
 		if err == bufio.ErrBufferFull {
 			continue
 		}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -32,6 +32,9 @@
 func (dialect) CopyResponseHeader(http.Header, http.Header)           {}
 func (dialect) SetRejectionHeader(http.Header, string, time.Duration) {}
 
+// unlimited allows an event reader any size.
+func unlimited(int) bool { return true }
+
 func TestEvents(t *testing.T) {
 	tests := []struct {
 		name, stream string
@@ -49,7 +52,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			reader, got := forwarder.NewEventReader(strings.NewReader(test.stream)), []string{}
+			reader, got := forwarder.NewEventReader(strings.NewReader(test.stream), unlimited), []string{}
 			for {
 				event, err := reader.Next()
 				if err != nil {
@@ -70,7 +73,7 @@
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\n")
 	f.Fuzz(func(t *testing.T, stream string) {
-		reader := forwarder.NewEventReader(strings.NewReader(stream))
+		reader := forwarder.NewEventReader(strings.NewReader(stream), unlimited)
 		total := 0
 		for {
 			event, err := reader.Next()
--- a/historian/cache.go
+++ b/historian/cache.go
@@ -82,13 +82,18 @@
 	return turns, "", nil
 }
 
-// Join returns the text of a chain, given newest first, followed by the new input.
-func Join(turns []*Turn, input []byte) []byte {
+// JoinedSize returns the size of the text that Join returns.
+func JoinedSize(turns []*Turn, input []byte) int {
 	size := len(input)
 	for _, t := range turns {
 		size += len(t.Text)
 	}
-	text := make([]byte, 0, size)
+	return size
+}
+
+// Join returns the text of a chain, given newest first, followed by the new input.
+func Join(turns []*Turn, input []byte) []byte {
+	text := make([]byte, 0, JoinedSize(turns, input))
 	for i := len(turns) - 1; i >= 0; i-- {
 		text = append(text, turns[i].Text...)
 	}
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -28,6 +28,9 @@
 	timeout time.Duration
 	route   *follower.Route
 	service follower.Service
+	// bodyMemory and responseMemory are the call's shares of the memory.
+	bodyMemory     memoryShare
+	responseMemory memoryShare
 	// callerBody is the caller's request body, targetBody the one sent to the target.
 	callerBody []byte
 	targetBody []byte
@@ -172,6 +175,9 @@
 	if h.request.ContentLength > int64(limit) {
 		return h.reject(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0, nil)
 	}
+	if err := h.awaitBodyMemory(int(h.request.ContentLength)); err != nil {
+		return err
+	}
 	// A caller that sends its body too slowly must not keep the call open past its deadline. The
 	// deadline is cleared for the server's own reads, which notice that the caller has left.
 	controller := http.NewResponseController(h.writer)
@@ -179,7 +185,7 @@
 	if err != nil {
 		return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
 	}
-	h.callerBody, err = readBody(http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), h.request.ContentLength)
+	h.callerBody, err = h.readBody(http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), limit)
 	h.targetBody = h.callerBody
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
@@ -187,6 +193,9 @@
 	if err == nil {
 		return nil
 	}
+	if errors.Is(err, errRejected) {
+		return err
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		// The rest of the body would be taken for the next call.
@@ -200,14 +209,41 @@
 	return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
 }
 
-// readBody reads a body of known length into one allocation.
-func readBody(r io.Reader, length int64) ([]byte, error) {
-	if length < 0 {
-		return io.ReadAll(r)
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(r, body)
-	return body, err
+// awaitBodyMemory waits for the memory of a body before the body is read.
+func (h *callHandler) awaitBodyMemory(size int) error {
+	ctx, cancel := context.WithTimeout(h.request.Context(), min(h.receiver.options.MemoryWait, h.remaining()/3))
+	defer cancel()
+	if err := h.bodyMemory.await(ctx, size); err != nil {
+		// The body is not read, and would be taken for the next call.
+		h.writer.Header().Set("Connection", "close")
+		return h.rejectForMemory(err)
+	}
+	return nil
+}
+
+// rejectForMemory rejects a call for which there is no memory. The retries are spread.
+func (h *callHandler) rejectForMemory(err error) error {
+	wait := h.receiver.options.MemoryRetryAfter
+	return h.reject(http.StatusServiceUnavailable, "memoryExhausted", wait+rand.N(wait), err)
+}
+
+// readBody reads a body of known length into one allocation. A body in chunks gets the memory of the
+// largest one once it is no longer small.
+func (h *callHandler) readBody(r io.Reader, limit int) ([]byte, error) {
+	if h.request.ContentLength >= 0 {
+		body := make([]byte, h.request.ContentLength)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(r, smallBytes))
+	if err != nil || len(body) < smallBytes {
+		return body, err
+	}
+	if err := h.awaitBodyMemory(limit); err != nil {
+		return nil, err
+	}
+	rest, err := io.ReadAll(r)
+	return append(body, rest...), err
 }
 
 // loadHistory puts the history of the chain in front of the caller's body.
@@ -232,6 +268,9 @@
 	}
 	h.chain = chain
 	h.record.ChainTurns = len(chain)
+	if !h.bodyMemory.grow(len(h.callerBody) + historian.JoinedSize(chain, h.callerBody)) {
+		return h.rejectForMemory(nil)
+	}
 	h.targetBody = historian.Join(chain, h.callerBody)
 	return nil
 }
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -39,6 +39,12 @@
 	// minimum.
 	FirstEventTimeoutFactor float64
 	MinFirstEventTimeout    time.Duration
+	// MemoryBytes bounds the memory of all request bodies together, and that of all responses.
+	MemoryBytes int64
+	// MemoryWait is how long a call may wait for memory before it is rejected.
+	MemoryWait time.Duration
+	// MemoryRetryAfter is the retry delay after such a rejection.
+	MemoryRetryAfter time.Duration
 	// MaxBodyBytes bounds the request body while the configuration sets no limit.
 	MaxBodyBytes int
 	// MaxBufferedResponseBytes is the size up to which a plain response is read completely
@@ -60,6 +66,9 @@
 		TargetsRetryAfter:       75 * time.Millisecond,
 		ContendedRetryAfter:     250 * time.Millisecond,
 		StartRetryAfter:         400 * time.Millisecond,
+		MemoryBytes:             32 << 20,
+		MemoryWait:              400 * time.Millisecond,
+		MemoryRetryAfter:        400 * time.Millisecond,
 		FirstEventTimeoutFactor: 6, MinFirstEventTimeout: 700 * time.Millisecond,
 		MaxBodyBytes: 4 << 20, MaxBufferedResponseBytes: 256 << 10,
 		MaxResponseBytes: 16 << 20, MaxStreamBytes: 1 << 20,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -97,11 +97,17 @@
 	mutex      sync.Mutex
 	dispatcher *dispatcher.State
 	inFlight   atomic.Int64
+	// bodyMemory is the memory of request bodies, responseMemory that of responses.
+	bodyMemory     *memoryPool
+	responseMemory *memoryPool
 }
 
 // New returns a Receiver without a configuration.
 func New(deps Dependencies, state *dispatcher.State, options Options) *Receiver {
-	return &Receiver{deps: deps, options: options, dispatcher: state}
+	return &Receiver{
+		deps: deps, options: options, dispatcher: state,
+		bodyMemory: newMemoryPool(options.MemoryBytes), responseMemory: newMemoryPool(options.MemoryBytes),
+	}
 }
 
 // SetConfiguration sets the configuration for all calls that follow.
@@ -127,9 +133,14 @@
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	h := &callHandler{receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now()}
+	h := &callHandler{
+		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(),
+		bodyMemory: memoryShare{pool: r.bodyMemory}, responseMemory: memoryShare{pool: r.responseMemory},
+	}
 	h.call = r.deps.Dialect.ParseCall(request)
 	h.record.Call = &h.call
 	defer h.logCall()
+	defer h.bodyMemory.release()
+	defer h.responseMemory.release()
 	h.serve()
 }
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -71,7 +71,7 @@
 // first, so that a broken one can still be replaced by an error.
 func (h *callHandler) forwardPlain(a *attempts, send dispatcher.Send, e *forwarder.Exchange) (nextStep, dispatcher.Result) {
 	h.receiver.UpdateDispatcher(dispatcher.ResponseStarted{Ticket: send.Ticket})
-	body, err := io.ReadAll(io.LimitReader(e, h.receiver.options.MaxBufferedResponseBytes))
+	body, err := h.readStart(e)
 	if err != nil {
 		return h.handleUnusableResponse(a, err)
 	}
@@ -112,6 +112,19 @@
 	return stopAttempts, dispatcher.Completed
 }
 
+// readStart reads a plain response up to MaxBufferedResponseBytes, or as much of it as there is memory
+// for.
+func (h *callHandler) readStart(e *forwarder.Exchange) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(e, smallBytes))
+	limit := h.receiver.options.MaxBufferedResponseBytes
+	// Appending may double the buffer.
+	if err != nil || e.Complete() || !h.responseMemory.grow(2*int(limit)) {
+		return body, err
+	}
+	rest, err := io.ReadAll(io.LimitReader(e, limit-int64(len(body))))
+	return append(body, rest...), err
+}
+
 // claimsNotRun reports whether a status tells the caller that the call has not run.
 func claimsNotRun(status int) bool {
 	switch status {
@@ -126,7 +139,7 @@
 func (h *callHandler) forwardStream(
 	a *attempts, send dispatcher.Send, e *forwarder.Exchange, firstEventTimer *time.Timer,
 ) (nextStep, dispatcher.Result) {
-	events := forwarder.NewEventReader(e)
+	events := forwarder.NewEventReader(e, h.growStreamMemory)
 	started := false
 	for {
 		event, err := events.Next()
@@ -236,6 +249,9 @@
 	if h.streamBytes+len(event.Raw) > h.receiver.options.MaxStreamBytes {
 		return fmt.Errorf("stream exceeds %d bytes", h.receiver.options.MaxStreamBytes)
 	}
+	if !h.growStreamMemory(2 * len(event.Raw)) {
+		return errors.New("no memory for the events of the stream")
+	}
 	if h.service.Engine != nil {
 		tokens := h.service.Engine.TokensPerEvent
 		if h.call.MaxTokens > 0 && h.streamTokens+tokens > h.maxTurnTokens() {
@@ -247,6 +263,16 @@
 	return nil
 }
 
+// growStreamMemory enlarges the call's share of the memory for an event's buffers of a size and for the
+// data that is kept for the history. It reports whether there was room.
+func (h *callHandler) growStreamMemory(eventBytes int) bool {
+	if h.route.KeepsHistory {
+		// Appending may double the buffer.
+		eventBytes += 2 * h.streamBytes
+	}
+	return h.responseMemory.grow(eventBytes)
+}
+
 // commitTurn stores the turn if the route keeps a history.
 func (h *callHandler) commitTurn() error {
 	if !h.route.KeepsHistory || h.call.ID == "" {
