--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -41,6 +41,9 @@
 	// tokenReturnMargin is the part of the grace period that is reserved for returning
 	// unused tokens after the last responses.
 	tokenReturnMargin = 900 * time.Millisecond
+	// lastResponseMargin is the time in which the last responses are written before their connections
+	// are closed.
+	lastResponseMargin = 150 * time.Millisecond
 	// tokenReturnTimeout limits the return of unused tokens at the end.
 	tokenReturnTimeout = 500 * time.Millisecond
 	// peerStallTimeout closes a connection to a peer on which nothing has arrived for
@@ -261,8 +264,9 @@
 	d.readiness.stopping.Store(true)
 	d.log.Info("stopping", zap.Int64("serving", d.receiver.InFlightCalls()))
 	d.callers.beginShutdown()
-	time.Sleep(d.settings.ShutdownDelay)
 	end := began.Add(d.settings.GracePeriod - tokenReturnMargin)
+	d.receiver.BeginStop(bootClock{}.Now().Add(d.settings.ShutdownDelay), bootClock{}.Now().Add(time.Until(end)-lastResponseMargin))
+	time.Sleep(d.settings.ShutdownDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := d.callers.shutdown(ctx); err != nil {
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -163,6 +163,7 @@
 	defer func() { h.receiver.UpdateDispatcher(dispatcher.AttemptEnded{Ticket: send.Ticket, Result: result}) }()
 	ctx, cancel := context.WithTimeout(h.request.Context(), h.remaining())
 	defer cancel()
+	defer h.receiver.cancelAtStop(cancel)()
 	firstEventTimer := h.startFirstEventTimer(a, cancel, send)
 	if firstEventTimer != nil {
 		defer firstEventTimer.Stop()
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -75,7 +75,13 @@
 func (h *callHandler) elapsed() time.Duration { return h.receiver.deps.Clock.Now().Sub(h.arrival) }
 
 // remaining returns the time left until the response must end.
-func (h *callHandler) remaining() time.Duration { return h.timeout - h.elapsed() }
+func (h *callHandler) remaining() time.Duration {
+	left := h.timeout - h.elapsed()
+	if untilStop, stopping := h.receiver.untilStop(); stopping {
+		left = min(left, untilStop)
+	}
+	return left
+}
 
 // logCall completes the record of the call and passes it to the log.
 func (h *callHandler) logCall() {
@@ -121,6 +127,9 @@
 	if h.route.Timeout > 0 {
 		h.timeout = min(h.timeout, h.route.Timeout)
 	}
+	if h.receiver.isTooLate(h.timeout) {
+		return h.reject(http.StatusServiceUnavailable, "stopping", h.receiver.options.PeerRetryAfter, nil)
+	}
 	return nil
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -97,6 +97,10 @@
 	mutex      sync.Mutex
 	dispatcher *dispatcher.State
 	inFlight   atomic.Int64
+	// stopPlan is set when a planned stop begins, callsEnded ends with the plan.
+	stopPlan   atomic.Pointer[stopPlan]
+	callsEnded context.Context
+	endCalls   context.CancelFunc
 	// bodyMemory is the memory of request bodies, responseMemory that of responses.
 	bodyMemory     *memoryPool
 	responseMemory *memoryPool
@@ -104,8 +108,9 @@
 
 // New returns a Receiver without a configuration.
 func New(deps Dependencies, state *dispatcher.State, options Options) *Receiver {
+	callsEnded, endCalls := context.WithCancel(context.Background())
 	return &Receiver{
-		deps: deps, options: options, dispatcher: state,
+		deps: deps, options: options, dispatcher: state, callsEnded: callsEnded, endCalls: endCalls,
 		bodyMemory: newMemoryPool(options.MemoryBytes), responseMemory: newMemoryPool(options.MemoryBytes),
 	}
 }
