--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -238,6 +238,12 @@
 	return n, err
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that only the end of
+// the connection marks its end.
+func (e *Exchange) EndsWithConnection() bool {
+	return e.response.ContentLength < 0 && len(e.response.TransferEncoding) == 0
+}
+
 // Drain reads the rest of a short response, so that its connection can be used again. If the
 // response does not end within the bounds, Close closes the connection.
 func (e *Exchange) Drain(maxBytes int64, timeout time.Duration) {
@@ -262,8 +268,7 @@
 		return
 	}
 	e.closed = true
-	if !e.stop() || !e.complete || !e.written || e.response.Close || e.conn.reader.Buffered() > 0 ||
-		(e.response.ContentLength < 0 && len(e.response.TransferEncoding) == 0) {
+	if !e.stop() || !e.complete || !e.written || e.response.Close || e.conn.reader.Buffered() > 0 || e.EndsWithConnection() {
 		_ = e.conn.Close()
 		return
 	}
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -173,6 +173,10 @@
 			return stopAttempts, dispatcher.Cancelled
 		}
 	}
+	if h.lastEventID == "" && h.call.LastEventID == "" && !h.headWritten && e.EndsWithConnection() {
+		// Targets that end by themselves close their connections in the same way.
+		return h.handleUnusableResponse(a, errors.New("stream has ended with its connection before the first event"))
+	}
 	if h.skippingKnownEvents {
 		return h.breakOff(fmt.Errorf("stream ends without event %q, which the caller has received", h.call.LastEventID))
 	}
