--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -92,6 +92,39 @@
 	}
 }
 
+// Guards against long conversations that are rejected for good once the daemon that sent them is gone: its
+// targets may have them cached, which no other daemon knows.
+func TestLongHistoryIsTriedAtIdleTarget(t *testing.T) {
+	long := turn()
+	long.PromptTokens, long.Prompt = 400_000, []forwarder.PromptSegment{{ID: 1, Tokens: 12_600}, {ID: 2, Tokens: 387_400}}
+	started := long
+	started.ProgramStarted = true
+	short := started
+	short.Remaining = time.Millisecond
+	tests := []struct {
+		name    string
+		running int
+		request dispatcher.Request
+		want    string
+	}{
+		{"first turn", 0, long, "tooSlow"},
+		{"later turn", 0, started, "a"},
+		{"later turn at a busy target", 1, started, "tooSlow"},
+		{"too little time for any turn", 0, short, "tooSlow"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state := newState(target("a", "ams"))
+			for range test.running {
+				place(state, start, turn())
+			}
+			if got, _ := place(state, start, test.request); got != test.want {
+				t.Errorf("call went to %q, want %q", got, test.want)
+			}
+		})
+	}
+}
+
 // TestPromptIsReused sends turns with one long shared prompt. They must go to the target that
 // has the prompt cached until its load costs more than prefilling the prompt elsewhere.
 func TestPromptIsReused(t *testing.T) {
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -182,12 +182,23 @@
 		return s.reject("targetsFull", s.options.FullBackoff)
 	case best == nil:
 		return s.reject("noTarget", s.options.MinRetryAfter)
-	case best.expectedFirstEvent > r.Remaining:
+	case best.expectedFirstEvent > r.Remaining && !s.mayHaveHistory(best, r):
 		return s.reject("tooSlow", best.expectedFirstEvent-r.Remaining)
 	}
 	return s.send(now, best, r)
 }
 
+// mayHaveHistory reports whether an idle target may serve a call in time because it has cached the
+// program's history through another daemon. Only the attempt can show it: if calls with long histories
+// were rejected as too slow instead, no daemon but the one that sent the history would ever serve them.
+func (s *State) mayHaveHistory(c *candidate, r *Request) bool {
+	if r.Engine == nil || !r.ProgramStarted || c.node.inFlight > 0 {
+		return false
+	}
+	prefill := s.service(r.Service).engines.prefillTime(c.prompt.expectedTokens)
+	return c.expectedFirstEvent-time.Duration(float64(prefill)*c.node.slowness) <= r.Remaining
+}
+
 // preferred returns the target that all calls with the same affinity key prefer, or all turns of a
 // session, which share the last prompt segment, if there is no key. An engine is preferred only in
 // this failure domain, a plain target in any. Daemons compute the same target without exchanging
