Authenticate the keys of workspaces

Cause: no line of the entry daemon read the workspaces of the configuration. The caller's key was passed on to targets, no target learned the workspace, and removed keys still worked.

A call of a route that is not public is answered 401 before its body is read unless it carries exactly one key of a workspace. The target gets the workspace's name in place of the key. Turns and budgets belong to a workspace. With strict revocation set, keys are accepted only while the configuration is confirmed.

--- a/assembler/calllog.go
+++ b/assembler/calllog.go
@@ -21,7 +21,7 @@
 	status := strconv.Itoa(r.Status)
 	l.metrics.recordCall(r.Route, status, r.Reason, r.Duration, r.TimeToFirstEvent)
 	l.log.Info("call", zap.String("id", r.Call.ID), zap.String("program", r.Call.Program),
-		zap.String("previous", r.Call.Previous), zap.String("lastEvent", r.Call.LastEventID), zap.String("route", r.Route),
+		zap.String("previous", r.Call.Previous), zap.String("lastEvent", r.Call.LastEventID), zap.String("route", r.Route), zap.String("workspace", r.Workspace),
 		zap.Int64("configuration", r.ConfigurationVersion), zap.Duration("feedAge", r.FeedAge), zap.Int("status", r.Status), zap.String("reason", r.Reason),
 		zap.String("target", r.Target), zap.Int("attempts", r.Attempts), zap.Int("cached", r.CachedTokens),
 		zap.Duration("expected", r.ExpectedFirstEvent), zap.Int("inFlight", r.InFlight), zap.Int("chain", r.ChainTurns),
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -147,6 +147,7 @@
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
 	receiverOptions.MemoryBytes = int64(callMemoryFraction * float64(settings.MemoryLimitBytes))
+	receiverOptions.MaxKeyAge = settings.RevocationBound
 	if settings.ConfigurationBound > 0 {
 		// A change arrives before the end of a feed request's wait, so that the age between two
 		// responses says nothing yet.
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -28,6 +28,9 @@
 	// ConfigurationBound is the time within which a published configuration has to be in force, 0 for
 	// no bound.
 	ConfigurationBound time.Duration
+	// RevocationBound is the time without a confirmed configuration after which no key is accepted, 0
+	// for no bound.
+	RevocationBound time.Duration
 	// ShutdownDelay is how long a stopping daemon still accepts new connections.
 	ShutdownDelay time.Duration
 	Store         StoreSettings
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -115,7 +115,7 @@
 		func(_ string, reply *encoder.TurnAnswer) bool {
 			if reply.Found {
 				turn = &historian.Turn{
-					ID: id, Partition: reply.Part, Previous: reply.Previous, Text: reply.Text, Expires: time.Unix(int64(reply.ExpiresAt), 0),
+					ID: id, Partition: reply.Part, Previous: reply.Previous, Workspace: reply.Workspace, Text: reply.Text, Expires: time.Unix(int64(reply.ExpiresAt), 0),
 				}
 			}
 			return reply.Found
@@ -196,7 +196,8 @@
 			return encoder.TurnAnswer{}, true, nil
 		}
 		return encoder.TurnAnswer{
-			Found: true, Part: turn.Partition, Previous: turn.Previous, Text: turn.Text, ExpiresAt: int(turn.Expires.Unix()),
+			Found: true, Part: turn.Partition, Previous: turn.Previous, Workspace: turn.Workspace, Text: turn.Text,
+			ExpiresAt: int(turn.Expires.Unix()),
 		}, true, nil
 	case messenger.MethodBorrowTokens:
 		var request encoder.TokenQuestion
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -461,6 +461,9 @@
 
 	// Input and output of the turn in base64.
 	Text []byte `json:"text"`
+
+	// Workspace that the turn belongs to.
+	Workspace string `json:"workspace,omitempty,omitzero"`
 }
 
 // Requests a turn that a peer has in memory.
--- a/follower/configuration.go
+++ b/follower/configuration.go
@@ -53,7 +53,9 @@
 	MaxTargets int
 	// Affinity routes are served faster by a target that has served the same object before.
 	Affinity bool
-	Splits   []Split
+	// Public routes serve calls without a key.
+	Public bool
+	Splits []Split
 }
 
 // MayRepeat reports whether a request of the route may be sent again after its outcome became
@@ -121,7 +123,9 @@
 	Services map[string]Service
 	Limits   CallerLimits
 	// routes holds the routes of each host, longest prefix first.
-	routes map[string][]Route
+	routes         map[string][]Route
+	workspaces     []Workspace
+	workspaceByKey map[KeyHash]*Workspace
 }
 
 // NewConfiguration returns a configuration with the given routes and services.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"crypto/sha256"
 	"net/http"
 	"time"
 )
@@ -18,6 +19,8 @@
 	Program string
 	// Session names the session within the program: its main conversation or a sub-agent.
 	Session string
+	// KeyHash is the SHA-256 hash of the key in the request, zero if there is none or more than one.
+	KeyHash [sha256.Size]byte
 	// Previous is the ID of the turn that this one continues.
 	Previous string
 	// Timeout is how long the caller waits, 0 when the request has no deadline.
@@ -49,6 +52,8 @@
 	Remaining time.Duration
 	// QueuePriority orders the call in the target's queue, 0 first; negative for none.
 	QueuePriority int
+	// Workspace is the name of the workspace that the call belongs to, empty for none.
+	Workspace string
 	// LastEventID resumes a stream after the event with this ID.
 	LastEventID string
 }
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -40,6 +40,8 @@
 	Partition string
 	// Previous is the ID of the previous turn, empty at the start of a chain.
 	Previous string
+	// Workspace is the name of the workspace that the turn belongs to, empty for none.
+	Workspace string
 	// Text is the turn's input followed by its output.
 	Text []byte
 	// Expires is when the turn may be removed from the store.
@@ -48,9 +50,10 @@
 
 // storedTurn is the encoding of a turn. It is deflated and split into one or more rows.
 type storedTurn struct {
-	Previous string `cbor:"1,keyasint,omitempty"`
-	Text     []byte `cbor:"2,keyasint"`
-	Expires  int64  `cbor:"3,keyasint"`
+	Previous  string `cbor:"1,keyasint,omitempty"`
+	Text      []byte `cbor:"2,keyasint"`
+	Expires   int64  `cbor:"3,keyasint"`
+	Workspace string `cbor:"4,keyasint,omitempty"`
 }
 
 // segment is the value of one row of a turn. The first one has the number of rows.
@@ -100,7 +103,9 @@
 
 // Encode returns the rows of a turn, each of at most rowBytes, and its expiry row.
 func Encode(t *Turn, rowBytes int) ([]provider.RowWrite, error) {
-	plain, err := cbor.Marshal(storedTurn{Previous: t.Previous, Text: t.Text, Expires: t.Expires.Unix()})
+	plain, err := cbor.Marshal(storedTurn{
+		Previous: t.Previous, Text: t.Text, Expires: t.Expires.Unix(), Workspace: t.Workspace,
+	})
 	if err != nil {
 		return nil, NewError("encode turn", KindCorrupt, err)
 	}
@@ -169,6 +174,7 @@
 		return nil, NewError(operation, KindCorrupt, err)
 	}
 	return &Turn{
-		ID: id, Partition: rows[0].Partition, Previous: stored.Previous, Text: stored.Text, Expires: time.Unix(stored.Expires, 0),
+		ID: id, Partition: rows[0].Partition, Previous: stored.Previous, Workspace: stored.Workspace, Text: stored.Text,
+		Expires: time.Unix(stored.Expires, 0),
 	}, nil
 }
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -212,7 +212,7 @@
 			}
 		},
 		Attempt: forwarder.Attempt{
-			Target: send.Target.ID, Address: send.Target.Address, Remaining: h.remaining(), QueuePriority: send.QueuePriority, LastEventID: h.resumeEventID(),
+			Target: send.Target.ID, Address: send.Target.Address, Remaining: h.remaining(), QueuePriority: send.QueuePriority, Workspace: h.workspaceName(), LastEventID: h.resumeEventID(),
 		},
 	}
 }
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -28,6 +28,8 @@
 	timeout time.Duration
 	route   *follower.Route
 	service follower.Service
+	// workspace holds the key of the call. It is nil if the route needs none.
+	workspace *follower.Workspace
 	// bodyMemory and responseMemory are the call's shares of the memory.
 	bodyMemory     memoryShare
 	responseMemory memoryShare
@@ -113,9 +115,12 @@
 	h.record.ConfigurationVersion, h.record.FeedAge = c.Version, h.receiver.deps.FeedAge()
 	h.route = c.Match(h.request.Host, h.request.URL.Path)
 	if h.route == nil {
-		return h.rejectUnknownRoute()
+		return h.rejectUnknown(http.StatusNotFound, "noRoute")
 	}
 	h.record.Route = h.route.Name
+	if err := h.authenticate(c); err != nil {
+		return err
+	}
 	h.service = c.Services[h.route.ChooseService(h.splitKey())]
 	if h.service.Name == "" {
 		return h.reject(http.StatusServiceUnavailable, "noService", h.receiver.options.StartRetryAfter, nil)
@@ -133,14 +138,39 @@
 	return nil
 }
 
-// rejectUnknownRoute rejects a call that no route matches. If the configuration has not been
-// confirmed for too long, the route may have been added since.
-func (h *callHandler) rejectUnknownRoute() error {
+// authenticate finds the workspace that holds the key of the call.
+func (h *callHandler) authenticate(c *follower.Configuration) error {
+	if !c.NeedsKey(h.route) {
+		return nil
+	}
+	limit := h.receiver.options.MaxKeyAge
+	if limit > 0 && h.receiver.deps.ConfigurationAge() > limit {
+		return h.reject(http.StatusServiceUnavailable, "keysStale", h.receiver.options.StartRetryAfter, nil)
+	}
+	h.workspace = c.WorkspaceOf(h.call.KeyHash)
+	if h.workspace == nil {
+		return h.rejectUnknown(http.StatusUnauthorized, "unknownKey")
+	}
+	h.record.Workspace = h.workspace.Name
+	return nil
+}
+
+// workspaceName returns the name of the call's workspace, empty if it has none.
+func (h *callHandler) workspaceName() string {
+	if h.workspace == nil {
+		return ""
+	}
+	return h.workspace.Name
+}
+
+// rejectUnknown rejects a call whose route or key the configuration does not have. If the
+// configuration has not been confirmed for too long, it may have been added since.
+func (h *callHandler) rejectUnknown(status int, reason string) error {
 	limit := h.receiver.options.MaxConfigurationAge
 	if limit > 0 && h.receiver.deps.ConfigurationAge() > limit {
 		return h.reject(http.StatusServiceUnavailable, "configurationStale", h.receiver.options.StartRetryAfter, nil)
 	}
-	return h.reject(http.StatusNotFound, "noRoute", 0, nil)
+	return h.reject(status, reason, 0, nil)
 }
 
 // splitKey returns a number that selects the side of a split. It is the same for all calls of
@@ -270,6 +300,8 @@
 	defer cancel()
 	chain, err := h.receiver.deps.Recorder.Chain(ctx, h.call.Previous)
 	switch {
+	case err == nil && len(chain) > 0 && chain[0].Workspace != h.workspaceName():
+		return h.reject(http.StatusNotFound, "turnOfOtherWorkspace", 0, nil)
 	case recorder.IsNotFound(err):
 		return h.reject(http.StatusNotFound, "noSuchTurn", 0, err)
 	case err != nil:
@@ -312,6 +344,15 @@
 	return (tokens + eventTokens - 1) / eventTokens * eventTokens
 }
 
+// budgetName returns the name of the program's budget. Programs of different workspaces may have the
+// same ID.
+func (h *callHandler) budgetName() string {
+	if h.workspace == nil {
+		return h.call.Program
+	}
+	return h.workspace.Name + ":" + h.call.Program
+}
+
 // reserveTokens takes the tokens of the turn from the program's budget.
 func (h *callHandler) reserveTokens() error {
 	if !h.call.HasBudget || h.call.Program == "" || !h.route.Streaming {
@@ -320,7 +361,7 @@
 	ctx, cancel := context.WithTimeout(h.request.Context(), h.remaining()/2)
 	defer cancel()
 	reservation := h.receiver.deps.Recorder.Reserve(ctx, recorder.Request{
-		Program: h.call.Program, Budget: h.call.Budget, Tokens: h.maxTurnTokens(), MaxOverdraft: h.call.MaxTokens, ProgramStarted: h.call.Previous != "",
+		Program: h.budgetName(), Budget: h.call.Budget, Tokens: h.maxTurnTokens(), MaxOverdraft: h.call.MaxTokens, ProgramStarted: h.call.Previous != "",
 	})
 	h.record.BudgetVersion, h.record.BudgetGranted = reservation.Version, reservation.Granted
 	switch reservation.Verdict {
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -34,6 +34,9 @@
 	// MaxConfigurationAge is the age of the configuration from which a call without a route may be
 	// for a route that this daemon does not know yet, 0 for never.
 	MaxConfigurationAge time.Duration
+	// MaxKeyAge is the age of the configuration from which calls that need a key are rejected, since
+	// the key may have been removed, 0 for never.
+	MaxKeyAge time.Duration
 	// FirstEventTimeoutFactor and MinFirstEventTimeout determine the timeout for the first
 	// event of a stream that may be repeated: a multiple of the expected time, and at least the
 	// minimum.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -31,9 +31,11 @@
 
 // CallRecord describes how a call ended, and the inputs of the decisions about it.
 type CallRecord struct {
-	Call   *forwarder.Call
-	Route  string
-	Domain string
+	Call  *forwarder.Call
+	Route string
+	// Workspace is the name of the workspace that holds the call's key.
+	Workspace string
+	Domain    string
 	// ConfigurationVersion is the version of the configuration that contains the route.
 	ConfigurationVersion int64
 	// FeedAge is the age of the configuration or of the list of targets, whichever the store
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -287,6 +287,6 @@
 	defer cancel()
 	text := make([]byte, 0, len(h.callerBody)+len(h.output))
 	text = append(append(text, h.callerBody...), h.output...)
-	turn := &historian.Turn{ID: h.call.ID, Previous: h.call.Previous, Text: text}
+	turn := &historian.Turn{ID: h.call.ID, Previous: h.call.Previous, Workspace: h.workspaceName(), Text: text}
 	return h.receiver.deps.Recorder.Commit(ctx, turn, h.chain, h.route.Retention)
 }
