Find the holders of a program's tokens before its row is written

Cause: a turn that arrives at another daemon than the turn before knew neither the program's row nor who holds its unused tokens. It wrote the row, met a conflict, and wrote again; while the store was slow or away for two seconds, half of the programs were late (half of all turns change their daemon).

Change: the daemons of a region that use a program's tokens register with one daemon, which is first in the order of a hash, and get the hosts that registered before in the same call. Tokens are borrowed from those. The row is read or written only if they lend none. A wrong entry costs calls only.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -122,6 +122,18 @@
 			},
 			want: []string{"borrow 576 from []", "write at 0", "borrow 576 from [other]", "1 admitted"},
 		},
+		{
+			// Guards against a write, and the conflict that it meets, for each turn that arrives at another
+			// daemon than the turn before.
+			name: "holders are looked for before the row is written",
+			messages: []accountant.Message{
+				accountant.ReservationRequested{Ticket: 1, Program: "p", Budget: 9000, Tokens: 576, FindHolders: true},
+				accountant.TokensReceived{Program: "p", Tokens: 600},
+				accountant.ReservationRequested{Ticket: 2, Program: "p", Budget: 9000, Tokens: 576, FindHolders: true},
+				accountant.WriteCompleted{Program: "p", Version: 5},
+			},
+			want: []string{"borrow 576 from []", "1 admitted", "write at 0", "2 admitted"},
+		},
 		{
 			name: "a host that the row lists only later is asked too",
 			messages: []accountant.Message{
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -20,6 +20,9 @@
 	Overdraft int
 	// ProgramStarted is set if the program has had a turn, so that peers may hold grants of it.
 	ProgramStarted bool
+	// FindHolders makes the daemon look for peers that hold grants of the program before it reads or
+	// writes the row.
+	FindHolders bool
 }
 
 // ReservationCancelled removes a request whose caller no longer waits.
@@ -138,6 +141,8 @@
 	Tokens  int
 	// Hosts are the peers that may have tokens; empty means those in this daemon's region.
 	Hosts []string
+	// ProgramStarted is set if it is known that the program has had a turn.
+	ProgramStarted bool
 }
 
 // Lend hands tokens to a peer. They are already deducted from this daemon's grant.
--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -118,7 +118,7 @@
 	case "request":
 		s.tickets++
 		s.update(d, accountant.ReservationRequested{
-			Ticket: s.tickets, Program: "p", Budget: budget, Tokens: turn, Overdraft: rapid.SampledFrom([]int{0, s.overdraft}).Draw(s.t, "overdraft"),
+			Ticket: s.tickets, Program: "p", Budget: budget, Tokens: turn, FindHolders: rapid.Bool().Draw(s.t, "findHolders"), Overdraft: rapid.SampledFrom([]int{0, s.overdraft}).Draw(s.t, "overdraft"),
 		})
 	case "finish":
 		if d.turns > 0 {
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -59,8 +59,9 @@
 	lost  int
 	// largestRequest is the largest number of tokens requested for one turn.
 	largestRequest int
-	// programStarted is ProgramStarted of the last request.
+	// programStarted and findHolders are those of the last request.
 	programStarted bool
+	findHolders    bool
 	// hadTokens is set once any daemon was granted tokens of the program.
 	hadTokens bool
 	// rowReadAt is when the row was last read or written.
@@ -218,6 +219,7 @@
 		s.programs[m.Program] = p
 	}
 	p.budget, p.lastUsedAt, p.programStarted = m.Budget, s.now, m.ProgramStarted
+	p.findHolders = m.FindHolders
 	p.overdraft = max(p.overdraft, m.Overdraft)
 	p.largestRequest = max(p.largestRequest, m.Tokens)
 	p.waiters = append(p.waiters, waiter{ticket: m.Ticket, tokens: m.Tokens})
@@ -255,7 +257,7 @@
 	if len(p.waiters) == 0 || p.busy() {
 		return
 	}
-	if !p.rowKnown && p.programStarted && !s.isFresh(p.regionAskedAt) {
+	if !p.rowKnown && (p.programStarted || p.findHolders) && !s.isFresh(p.regionAskedAt) {
 		s.borrow(name, p, nil)
 		return
 	}
@@ -320,7 +322,7 @@
 
 func (s *State) borrow(name string, p *program, hosts []string) {
 	p.borrowing, p.borrowHosts = true, hosts
-	s.emit(Borrow{Program: name, Tokens: p.needed(), Hosts: hosts})
+	s.emit(Borrow{Program: name, Tokens: p.needed(), Hosts: hosts, ProgramStarted: p.programStarted})
 }
 
 // hostsWithSpare returns the hosts of the peers that may have unused tokens, sorted.
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -106,6 +106,7 @@
 	readiness *readinessState
 	forwarder *forwarder.Forwarder
 	recorder  *recorder.Recorder
+	borrower  *borrower.Borrower
 	receiver  *receiver.Receiver
 	follower  *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
@@ -138,8 +139,8 @@
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batcherOptions := batcher.DefaultOptions()
 	batcherOptions.Seed = seed
-	peerBorrower := borrower.New(d.messenger, d.registrar, borrower.DefaultOptions(), log)
-	d.recorder = recorder.New(d.store, peerBorrower, recorder.Options{
+	d.borrower = borrower.New(d.messenger, d.registrar, settings.Host, borrower.DefaultOptions(), log)
+	d.recorder = recorder.New(d.store, d.borrower, recorder.Options{
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: uuid.NewString(),
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 
-	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/registrar"
@@ -39,7 +38,7 @@
 		result, handled, err = h.daemon.replicas.Handle(ctx, method, params)
 	}
 	if !handled {
-		result, handled, err = borrower.Handle(ctx, h.daemon.recorder, method, params)
+		result, handled, err = h.daemon.borrower.Handle(ctx, h.daemon.recorder, method, params)
 	}
 	if !handled {
 		return nil, errUnknownMethod
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -22,11 +22,13 @@
 	CallTimeout  time.Duration
 	// MaxPeers bounds the number of peers that are asked, nearest first.
 	MaxPeers int
+	// HolderLifetime is how long a daemon counts as a holder of a program's tokens.
+	HolderLifetime time.Duration
 }
 
 // DefaultOptions returns the options of a daemon.
 func DefaultOptions() Options {
-	return Options{ReplyTimeout: 50 * time.Millisecond, CallTimeout: 400 * time.Millisecond, MaxPeers: 12}
+	return Options{ReplyTimeout: 50 * time.Millisecond, CallTimeout: 400 * time.Millisecond, MaxPeers: 12, HolderLifetime: time.Minute}
 }
 
 // Lender provides what a daemon can pass on to a peer: turns that it holds in memory, and
@@ -42,6 +44,8 @@
 	peers     PeerList
 	options   Options
 	log       *zap.Logger
+	host      string
+	holders   *holderIndex
 }
 
 // PeerList lists the peers of a daemon.
@@ -53,9 +57,9 @@
 	Refresh(ctx context.Context) error
 }
 
-// New returns a Borrower that asks the peers on the list.
-func New(m *messenger.Messenger, list PeerList, options Options, log *zap.Logger) *Borrower {
-	return &Borrower{messenger: m, peers: list, options: options, log: log}
+// New returns a Borrower of the daemon on the given host. It asks the peers on the list.
+func New(m *messenger.Messenger, list PeerList, host string, options Options, log *zap.Logger) *Borrower {
+	return &Borrower{messenger: m, peers: list, host: host, options: options, log: log, holders: newHolderIndex(options.HolderLifetime)}
 }
 
 // queryPeers sends a request to all given peers at once and passes each reply to accept, with the
@@ -123,19 +127,33 @@
 	return turn
 }
 
-// BorrowTokens borrows unused tokens from peers. It asks the peers on the given hosts, or the nearest
-// peers if no host is given. All are asked at once, since the caller waits: if several lend tokens,
-// this daemon keeps the sum. Tokens that arrive after the return are passed to onLate.
-func (b *Borrower) BorrowTokens(
-	ctx context.Context, program string, tokens int, hosts []string, onLate func(tokens int),
-) accountant.TokensReceived {
-	received := accountant.TokensReceived{Program: program}
-	peers, current := b.nearestPeers(), true
-	if len(hosts) > 0 {
-		peers, current = b.listedPeers(ctx, hosts)
+// BorrowTokens borrows unused tokens from peers. If the request names no hosts, it asks the daemons that
+// are registered as holders of the program's tokens. If these lend none and the program has started, it
+// asks the nearest peers. Tokens that arrive after the return are passed to onLate.
+func (b *Borrower) BorrowTokens(ctx context.Context, request accountant.Borrow, onLate func(tokens int)) accountant.TokensReceived {
+	if len(request.Hosts) > 0 {
+		peers, current := b.listedPeers(ctx, request.Hosts)
+		return b.borrowFrom(ctx, request, peers, current, onLate)
+	}
+	received := accountant.TokensReceived{Program: request.Program}
+	if holders := b.findHolders(ctx, request.Program); len(holders) > 0 {
+		received = b.borrowFrom(ctx, request, holders, true, onLate)
+	}
+	if received.Tokens == 0 && request.ProgramStarted {
+		return b.borrowFrom(ctx, request, b.nearestPeers(), true, onLate)
 	}
+	return received
+}
+
+// borrowFrom borrows unused tokens from the given peers. All are asked at once, since the caller waits:
+// if several lend tokens, this daemon keeps the sum. current is false if the list from which the peers
+// come could not be refreshed.
+func (b *Borrower) borrowFrom(
+	ctx context.Context, request accountant.Borrow, peers []messenger.Peer, current bool, onLate func(tokens int),
+) accountant.TokensReceived {
+	hosts, received := request.Hosts, accountant.TokensReceived{Program: request.Program}
 	replied := map[string]bool{}
-	queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, encoder.TokenQuestion{Program: program, Tokens: tokens},
+	queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, encoder.TokenQuestion{Program: request.Program, Tokens: request.Tokens},
 		func(host string, reply *encoder.TokenAnswer) bool {
 			replied[host] = true
 			received.Tokens += reply.Tokens
@@ -184,7 +202,7 @@
 
 // Handle serves the requests of peers for turns and tokens. It reports whether the method
 // is one of them.
-func Handle(ctx context.Context, lender Lender, method string, params json.RawMessage) (any, bool, error) {
+func (b *Borrower) Handle(ctx context.Context, lender Lender, method string, params json.RawMessage) (any, bool, error) {
 	switch method {
 	case messenger.MethodReadTurn:
 		var request encoder.TurnQuestion
@@ -199,6 +217,12 @@
 			Found: true, Part: turn.Partition, Previous: turn.Previous, Workspace: turn.Workspace, Text: turn.Text,
 			ExpiresAt: int(turn.Expires.Unix()),
 		}, true, nil
+	case messenger.MethodFindHolders:
+		var request encoder.HolderQuestion
+		if err := json.Unmarshal(params, &request); err != nil {
+			return nil, true, err
+		}
+		return encoder.HolderAnswer{Hosts: b.holders.register(request.Program, request.Host)}, true, nil
 	case messenger.MethodBorrowTokens:
 		var request encoder.TokenQuestion
 		if err := json.Unmarshal(params, &request); err != nil {
--- a/borrower/doc.go
+++ b/borrower/doc.go
@@ -4,8 +4,8 @@
 //
 // # Usage
 //
-//	b := borrower.New(messenger, registrar, borrower.DefaultOptions(), logger)
+//	b := borrower.New(messenger, registrar, host, borrower.DefaultOptions(), logger)
 //	turn := b.Turn(ctx, id)
-//	received := b.BorrowTokens(ctx, program, 576, hosts, onLate)
-//	result, handled, err := borrower.Handle(ctx, lender, method, params) // for requests of peers
+//	received := b.BorrowTokens(ctx, accountant.Borrow{Program: program, Tokens: 576}, onLate)
+//	result, handled, err := b.Handle(ctx, lender, method, params) // for requests of peers
 package borrower
--- /dev/null
+++ b/borrower/holders.go
@@ -0,0 +1,120 @@
+package borrower
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/expirable"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+)
+
+const (
+	// maxHolders is the number of daemons that are remembered for a program. Sub-agents of a program run
+	// through a few daemons at the same time.
+	maxHolders = 3
+	// maxIndexedPrograms bounds the programs in the index of one daemon.
+	maxIndexedPrograms = 4096
+	// indexRetryDelay is how long a daemon whose index did not reply is passed over.
+	indexRetryDelay = 2 * time.Second
+)
+
+// holderIndex remembers which daemons may hold unused tokens of programs. A wrong or missing entry costs
+// calls only. It is safe for concurrent use.
+type holderIndex struct {
+	mutex   sync.Mutex
+	holders *expirable.LRU[string, []string]
+	// silentUntil is when the daemons that did not reply are asked again.
+	silentUntil map[string]time.Time
+}
+
+func newHolderIndex(lifetime time.Duration) *holderIndex {
+	return &holderIndex{
+		holders: expirable.NewLRU[string, []string](maxIndexedPrograms, nil, lifetime), silentUntil: map[string]time.Time{},
+	}
+}
+
+// register records a daemon that is about to hold tokens of a program, and returns those that were
+// registered before, the latest first.
+func (x *holderIndex) register(program, host string) []string {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	before, _ := x.holders.Get(program)
+	others := slices.DeleteFunc(slices.Clone(before), func(h string) bool { return h == host })
+	x.holders.Add(program, append([]string{host}, others[:min(len(others), maxHolders-1)]...))
+	if others == nil {
+		return []string{}
+	}
+	return others
+}
+
+func (x *holderIndex) recordSilent(now time.Time, host string) {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	x.silentUntil[host] = now.Add(indexRetryDelay)
+}
+
+func (x *holderIndex) isSilent(now time.Time, host string) bool {
+	x.mutex.Lock()
+	defer x.mutex.Unlock()
+	until, known := x.silentUntil[host]
+	if known && !now.Before(until) {
+		delete(x.silentUntil, host)
+	}
+	return known && now.Before(until)
+}
+
+// findHolders registers this daemon as a holder of a program's tokens and returns the peers that were
+// registered before. The index of a program is kept by the daemon of the region that is first in the
+// order of a hash, so that the daemons find each other without asking all.
+func (b *Borrower) findHolders(ctx context.Context, program string) []messenger.Peer {
+	peers := b.peers.RegionPeers()
+	if len(peers) == 0 {
+		return nil
+	}
+	now := time.Now()
+	keeper := b.indexKeeper(now, program, peers)
+	var hosts []string
+	if keeper.Host == b.host {
+		hosts = b.holders.register(program, b.host)
+	} else {
+		replied := false
+		queryPeers(ctx, b, []messenger.Peer{keeper}, messenger.MethodFindHolders, encoder.HolderQuestion{Program: program, Host: b.host},
+			func(_ string, reply *encoder.HolderAnswer) bool {
+				hosts, replied = reply.Hosts, true
+				return true
+			}, func(*encoder.HolderAnswer) {})
+		if !replied && ctx.Err() == nil {
+			b.holders.recordSilent(now, keeper.Host)
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(peers), func(p messenger.Peer) bool { return !slices.Contains(hosts, p.Host) })
+}
+
+// indexKeeper returns the daemon that keeps the index of a program, which may be this one.
+func (b *Borrower) indexKeeper(now time.Time, program string, peers []messenger.Peer) messenger.Peer {
+	keeper := messenger.Peer{Host: b.host}
+	highest := hashOf(program, b.host)
+	for _, p := range peers {
+		if score := hashOf(program, p.Host); score > highest && !b.holders.isSilent(now, p.Host) {
+			keeper, highest = p, score
+		}
+	}
+	return keeper
+}
+
+func hashOf(program, host string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(program))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(host))
+	x := h.Sum64()
+	// The last bytes of the input hardly change the high bits of the hash.
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>33
+}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -176,6 +176,22 @@
 	Host string `json:"host"`
 }
 
+// The hosts of the daemons that asked before, the latest first.
+type HolderAnswer struct {
+	// Hosts corresponds to the JSON schema field "hosts".
+	Hosts []string `json:"hosts"`
+}
+
+// Asks which daemons may have unused tokens of a program, and names the sender as
+// one that will.
+type HolderQuestion struct {
+	// Host of the sender.
+	Host string `json:"host"`
+
+	// Program corresponds to the JSON schema field "program".
+	Program string `json:"program"`
+}
+
 // Announces that the sending host is leaving.
 type Leaving struct {
 	// Generation corresponds to the JSON schema field "generation".
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,6 +31,7 @@
 	MethodReplica      = "replica"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
+	MethodFindHolders  = "holders"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -144,7 +144,7 @@
 	r.inbox <- reserveRequest{
 		request: accountant.ReservationRequested{
 			Ticket: ticket, Program: row.name, Budget: row.budget, Tokens: request.Tokens, Overdraft: overdraft,
-			ProgramStarted: request.ProgramStarted,
+			ProgramStarted: request.ProgramStarted, FindHolders: true,
 		},
 		reply: reply,
 	}
@@ -273,7 +273,7 @@
 		})
 		if err != nil {
 			r.log.Warn("cannot read budget row; borrowing tokens from peers", zap.String("program", c.Program), zap.Error(err))
-			r.borrowTokens(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed})
+			r.borrowTokens(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed, ProgramStarted: true})
 			r.send(ctx, budgetMessage{unavailable})
 			return
 		}
@@ -289,14 +289,14 @@
 // or failed, then passes the result of that request to the accountant.
 func (r *Recorder) borrowInstead(ctx context.Context, program string, tokens int, result accountant.Message) {
 	r.tasks.Go(func() {
-		r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens})
+		r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true})
 		r.send(ctx, budgetMessage{result})
 	})
 }
 
 // borrowTokens borrows tokens from peers and passes them to the accountant.
 func (r *Recorder) borrowTokens(ctx context.Context, c accountant.Borrow) {
-	received := r.peers.BorrowTokens(ctx, c.Program, c.Tokens, c.Hosts, func(tokens int) {
+	received := r.peers.BorrowTokens(ctx, c, func(tokens int) {
 		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens}})
 	})
 	if received.Tokens > 0 || len(received.Silent) > 0 || len(received.Ended) > 0 {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -44,9 +44,9 @@
 // Peers are the other daemons. For turns they are asked before the store, since they reply
 // faster; for tokens when a grant is missing or the store is not available.
 type Peers interface {
-	// BorrowTokens borrows tokens from the peers on the given hosts, or from the peers in this
-	// daemon's region if hosts is empty. Tokens that arrive after the return are passed to onLate.
-	BorrowTokens(ctx context.Context, program string, tokens int, hosts []string, onLate func(tokens int)) accountant.TokensReceived
+	// BorrowTokens borrows tokens from peers, see accountant.Borrow. Tokens that arrive after the return
+	// are passed to onLate.
+	BorrowTokens(ctx context.Context, request accountant.Borrow, onLate func(tokens int)) accountant.TokensReceived
 	// Turn returns a turn that a peer has in memory, or nil.
 	Turn(ctx context.Context, id string) *historian.Turn
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,33 +14,34 @@
 	"github.com/dogwoodweir/dogwoodweir/batcher"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
 
 // noPeers are the peers of a daemon that is the only one.
 type noPeers struct{}
 
-func (noPeers) BorrowTokens(_ context.Context, program string, _ int, _ []string, _ func(int)) accountant.TokensReceived {
-	return accountant.TokensReceived{Program: program}
+func (noPeers) BorrowTokens(_ context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
+	return accountant.TokensReceived{Program: request.Program}
 }
 func (noPeers) Turn(context.Context, string) *historian.Turn { return nil }
 
 // peer lends the tokens and returns the cached turns of another recorder.
 type peer struct{ lender *recorder.Recorder }
 
-func (p peer) BorrowTokens(ctx context.Context, program string, tokens int, _ []string, _ func(int)) accountant.TokensReceived {
-	return accountant.TokensReceived{Program: program, Tokens: p.lender.LendTokens(ctx, program, tokens).Tokens}
+func (p peer) BorrowTokens(ctx context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
+	return accountant.TokensReceived{Program: request.Program, Tokens: p.lender.LendTokens(ctx, request.Program, request.Tokens).Tokens}
 }
 func (p peer) Turn(_ context.Context, id string) *historian.Turn { return p.lender.Turn(id) }
 
 // start returns a recorder that runs until the end of the test.
-func start(t *testing.T, rows *emulator.RowStore, name string, peers recorder.Peers) *recorder.Recorder {
+func start(t *testing.T, rows provider.RowStore, name string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
 	return startAgain(t, rows, name, name, peers)
 }
 
 // startAgain returns a recorder like start, as a further incarnation of a daemon on the host.
-func startAgain(t *testing.T, rows *emulator.RowStore, host, incarnation string, peers recorder.Peers) *recorder.Recorder {
+func startAgain(t *testing.T, rows provider.RowStore, host, incarnation string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
 	r := recorder.New(rows, peers, recorder.Options{
 		Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: host, Incarnation: incarnation,
@@ -58,6 +60,43 @@
 	return r
 }
 
+// countingStore counts the calls to a store.
+type countingStore struct {
+	provider.RowStore
+	calls atomic.Int64
+}
+
+func (s *countingStore) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
+	s.calls.Add(1)
+	return s.RowStore.Apply(ctx, t)
+}
+
+func (s *countingStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
+	s.calls.Add(1)
+	return s.RowStore.Range(ctx, r)
+}
+
+// Guards against programs that depend on the store for each turn that arrives at another daemon: a store
+// that was slow or away for two seconds made half of the programs late.
+func TestTurnAtOtherDaemonNeedsNoStore(t *testing.T) {
+	store := &countingStore{RowStore: emulator.NewRowStore()}
+	request := recorder.Request{Program: "p", Budget: 6000, Tokens: 500}
+	first := start(t, store, "first", noPeers{})
+	got := first.Reserve(timeout(t, time.Second), request)
+	if got.Verdict != accountant.Admitted {
+		t.Fatalf("first turn: %v", got.Verdict)
+	}
+	first.Finish(got, 200)
+	second := start(t, store, "second", peer{first})
+	before := store.calls.Load()
+	if got := second.Reserve(timeout(t, time.Second), request); got.Verdict != accountant.Admitted || !got.HadTokens {
+		t.Errorf("turn at the second daemon: %v, had tokens %v", got.Verdict, got.HadTokens)
+	}
+	if calls := store.calls.Load() - before; calls != 0 {
+		t.Errorf("%d calls to the store", calls)
+	}
+}
+
 // timeout returns a context that ends after a duration.
 func timeout(t *testing.T, d time.Duration) context.Context {
 	t.Helper()
@@ -202,11 +241,11 @@
 	listed bool
 }
 
-func (p endedPeers) BorrowTokens(_ context.Context, program string, _ int, hosts []string, _ func(int)) accountant.TokensReceived {
+func (p endedPeers) BorrowTokens(_ context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
 	if p.listed {
-		return accountant.TokensReceived{Program: program, Silent: hosts}
+		return accountant.TokensReceived{Program: request.Program, Silent: request.Hosts}
 	}
-	return accountant.TokensReceived{Program: program, Ended: hosts}
+	return accountant.TokensReceived{Program: request.Program, Ended: request.Hosts}
 }
 
 // Guards against programs that fail although their budget suffices: the tokens that a daemon had been
