Count the turns of sessions that went to another target

Operators see too many callers change their server when targets join or leave, and nothing counted it. Each call line has session, previousTarget and moved; the metrics session_turns and session_moves count them by route. The placement is unchanged.

--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -44,6 +44,15 @@
 	}
 }
 
+// recordSession records one turn of a session whose last target is known.
+func (m *metrics) recordSession(route string, moved bool) {
+	scope := m.scope.Tagged(map[string]string{"route": route})
+	scope.Counter("session_turns").Inc(1)
+	if moved {
+		scope.Counter("session_moves").Inc(1)
+	}
+}
+
 // recordStoreCall records one request to the store. The time of feed requests is not
 // recorded, since they wait for changes.
 func (m *metrics) recordStoreCall(c relayer.CallRecord) {
--- a/dispatcher/message.go
+++ b/dispatcher/message.go
@@ -103,8 +103,16 @@
 	ExpectedFirstEvent time.Duration
 	// InFlight is the number of other calls of this daemon at the target.
 	InFlight int
+	// Session is the session of the call.
+	Session SessionID
+	// PreviousTarget is the ID of the target that responded to the session's last turn at this daemon,
+	// empty if it is not known.
+	PreviousTarget string
 }
 
+// Moved reports whether the session's last turn at this daemon was at another target.
+func (s *Send) Moved() bool { return s.PreviousTarget != "" && s.PreviousTarget != s.Target.ID }
+
 // Reject means that no target can take the call now, or none can respond in time.
 type Reject struct {
 	// Reason is "noTarget", "targetsFull" or "tooSlow".
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -14,8 +14,9 @@
 
 // attempt is one try of a call at a target.
 type attempt struct {
-	node   *node
-	sentAt time.Time
+	node    *node
+	session SessionID
+	sentAt  time.Time
 	// service is nil for calls of plain services.
 	service *service
 	prompt  promptEstimate
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -72,6 +72,7 @@
 	nodes      map[string]*node
 	services   map[string]*service
 	attempts   map[Ticket]*attempt
+	sessions   lastTargets
 	lastTicket Ticket
 }
 
@@ -79,7 +80,7 @@
 func New(options Options, location Location, seed uint64) *State {
 	return &State{
 		options: options, location: location, random: rand.New(rand.NewPCG(seed, seed)),
-		nodes: map[string]*node{}, services: map[string]*service{}, attempts: map[Ticket]*attempt{},
+		nodes: map[string]*node{}, services: map[string]*service{}, attempts: map[Ticket]*attempt{}, sessions: newLastTargets(),
 	}
 }
 
@@ -205,10 +206,7 @@
 // messages, also those that have just started. preferred returns nil if the call has no key and no
 // segment, or no target is eligible.
 func (s *State) preferred(r *Request) *node {
-	key := r.AffinityKey
-	if key == "" && len(r.Prompt) > 0 {
-		key = string(littleEndian(r.Prompt[len(r.Prompt)-1].ID))
-	}
+	key := sessionKey(r)
 	if key == "" {
 		return nil
 	}
@@ -285,7 +283,7 @@
 func (s *State) send(now time.Time, c *candidate, r *Request) Command {
 	s.lastTicket++
 	n := c.node
-	a := &attempt{node: n, sentAt: now, idleFirstEvent: c.idleFirstEvent}
+	a := &attempt{node: n, session: sessionID(r), sentAt: now, idleFirstEvent: c.idleFirstEvent}
 	otherCalls := n.inFlight
 	n.inFlight++
 	if r.Engine != nil {
@@ -298,6 +296,7 @@
 	return Send{
 		Ticket: s.lastTicket, Target: n.target, QueuePriority: queuePriority(r),
 		CachedTokens: c.prompt.cachedTokens, ExpectedFirstEvent: c.expectedFirstEvent, InFlight: otherCalls,
+		Session: a.session, PreviousTarget: s.sessions.get(a.session),
 	}
 }
 
@@ -339,6 +338,7 @@
 	a.started, a.startedAt = true, now
 	n := a.node
 	n.failures = 0
+	s.sessions.set(a.session, n.target.ID)
 	took := now.Sub(a.sentAt)
 	if a.service != nil {
 		n.pendingTokens -= a.prompt.expectedTokens
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -139,6 +139,7 @@
 			h.record.Attempts++
 			h.record.Target, h.record.CachedTokens = c.Target.ID, c.CachedTokens
 			h.record.ExpectedFirstEvent, h.record.InFlight = c.ExpectedFirstEvent, c.InFlight
+			h.record.Session, h.record.PreviousTarget, h.record.Moved = c.Session, c.PreviousTarget, c.Moved()
 			return c, true
 		case dispatcher.Reject:
 			if h.headWritten || a.possibleRuns > 0 {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -51,6 +51,11 @@
 	CachedTokens       int
 	ExpectedFirstEvent time.Duration
 	InFlight           int
+	// Session is the session of the call, 0 if it has none. PreviousTarget is the target that responded
+	// to its last turn at this daemon, empty if it is not known; Moved is set if it is another one.
+	Session        dispatcher.SessionID
+	PreviousTarget string
+	Moved          bool
 	// BudgetVersion and BudgetGranted are the last known state of the budget row.
 	BudgetVersion int64
 	BudgetGranted int
