--- a/dispatcher/preference_test.go
+++ b/dispatcher/preference_test.go
@@ -322,3 +322,28 @@
 		})
 	}
 }
+
+// BenchmarkPlacement measures a placement among 5,600 targets in six failure domains.
+func BenchmarkPlacement(b *testing.B) {
+	list := targets(5600)
+	for i := range list {
+		list[i].ID = fmt.Sprintf("i-5dbff2662%d", i)
+		list[i].Domain = []string{"ams", "ehv", "fra", "d4", "d5", "d6"}[i%6]
+	}
+	for _, kind := range []string{"plain", "engine"} {
+		b.Run(kind, func(b *testing.B) {
+			state := newState(list...)
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				request := sessionCall(i)
+				if kind == "engine" {
+					request = sessionTurn(uint64(i), 500)
+				}
+				_, ticket := place(state, start, request)
+				respond(state, start.Add(15*time.Millisecond), ticket)
+				i++
+			}
+		})
+	}
+}
