--- a/commander/command.go
+++ b/commander/command.go
@@ -59,7 +59,7 @@
 func groups() []group {
 	return []group{
 		{"configuration", []command{
-			validateCommand(), publishCommand(), diffCommand(), historyCommand(), rollbackCommand(), auditCommand(),
+			validateCommand(), checkCommand(), publishCommand(), diffCommand(), historyCommand(), rollbackCommand(), auditCommand(),
 		}},
 		{"fleet", []command{
 			statusCommand(), hostsCommand(), targetsCommand(), servicesCommand(), drainCommand(), undrainCommand(),
--- a/commander/error.go
+++ b/commander/error.go
@@ -41,6 +41,8 @@
 	KindFailed
 	// KindUnknown means that the request may have taken effect.
 	KindUnknown
+	// KindInvalid means that a file breaks a rule.
+	KindInvalid
 )
 
 // Error is the error type of this package.
@@ -112,6 +114,8 @@
 		return ExitUnreachable
 	case KindUnknown:
 		return ExitUnknown
+	case KindInvalid:
+		return ExitInvalid
 	}
 	return ExitFailed
 }
