Measure moves over several seeds

BenchmarkMoves gives the means of its iterations, each with its own seed, and the mean time to a first event.

--- a/dispatcher/moves_test.go
+++ b/dispatcher/moves_test.go
@@ -24,6 +24,9 @@
 	lastTarget map[uint64]string
 	turns      int
 	moves      int
+	// placed counts the turns, latency adds up their times to a first event.
+	placed  int
+	latency time.Duration
 	// callersKeepDaemon is set if all turns of a session reach the same daemon.
 	callersKeepDaemon bool
 }
@@ -53,12 +56,12 @@
 	return last
 }
 
-func newFleet(daemons int, list ...follower.Target) *fleet {
+func newFleet(seed uint64, daemons int, list ...follower.Target) *fleet {
 	f := &fleet{
-		engines: map[string]*fleetEngine{}, random: rand.New(rand.NewPCG(11, 11)), now: start.Add(time.Minute), lastTarget: map[uint64]string{},
+		engines: map[string]*fleetEngine{}, random: rand.New(rand.NewPCG(seed, 11)), now: start.Add(time.Minute), lastTarget: map[uint64]string{},
 	}
 	for i := range daemons {
-		f.daemons = append(f.daemons, dispatcher.New(dispatcher.DefaultOptions(), location, uint64(i)))
+		f.daemons = append(f.daemons, dispatcher.New(dispatcher.DefaultOptions(), location, 100*seed+uint64(i)))
 	}
 	f.setTargets(list...)
 	return f
@@ -84,7 +87,7 @@
 
 // runFor plays the events of a period and returns its turns and the moves among them.
 func (f *fleet) runFor(d time.Duration) (turns, moves int) {
-	f.turns, f.moves = 0, 0
+	f.turns, f.moves, f.latency, f.placed = 0, 0, 0, 0
 	end := f.now.Add(d)
 	for len(f.events) > 0 && !f.events[0].at.After(end) {
 		e := heap.Pop(&f.events).(event)
@@ -139,6 +142,8 @@
 	}
 	e.busyUntil = e.busyUntil.Add(time.Duration(float64(uncached) / e.speed * float64(time.Millisecond)))
 	first := e.busyUntil.Add(time.Duration((6 + 4*f.random.Float64()) * float64(time.Millisecond))).Sub(f.now)
+	f.latency += first
+	f.placed++
 	f.schedule(first, func() { daemon.Update(f.now, dispatcher.ResponseStarted{Ticket: send.Ticket}) })
 	f.schedule(first+generation, func() {
 		daemon.Update(f.now, dispatcher.AttemptEnded{Ticket: send.Ticket, Result: dispatcher.Completed})
@@ -148,31 +153,35 @@
 
 // BenchmarkMoves reports the share of the sessions' turns in percent that go to another target than the
 // turn before: while the targets stay, in the 5 s after two targets have joined 18, and after they have
-// left again. Callers keep their daemon, or each turn reaches a random one.
+// left again. It also reports the mean time to a first event while the targets stay. Callers keep their
+// daemon, or each turn reaches a random one. The values are means over the iterations, which have seeds
+// of their own.
 func BenchmarkMoves(b *testing.B) {
 	const pause, settle, window = 2 * time.Second, time.Minute, 5 * time.Second
 	share := func(turns, moves int) float64 { return 100 * float64(moves) / float64(max(1, turns)) }
 	for _, callers := range []string{"keep", "change"} {
 		for _, sessions := range []int{60, 200, 500} {
 			b.Run(fmt.Sprintf("callers %s daemons/%d sessions", callers, sessions), func(b *testing.B) {
-				var steady, join, joined, leave float64
+				sums := map[string]float64{}
+				runs := 0
 				for b.Loop() {
-					f := newFleet(8, targets(18)...)
+					f := newFleet(uint64(runs), 8, targets(18)...)
 					f.callersKeepDaemon = callers == "keep"
 					f.startSessions(sessions, pause)
 					f.runFor(settle)
-					steady = share(f.runFor(settle))
+					sums["%steady"] += share(f.runFor(settle))
+					sums["ms-to-first-event"] += float64(f.latency.Milliseconds()) / float64(max(1, f.placed))
 					f.setTargets(targets(20)...)
-					join = share(f.runFor(window))
+					sums["%join"] += share(f.runFor(window))
 					f.runFor(settle)
-					joined = share(f.runFor(settle))
+					sums["%steady-after-join"] += share(f.runFor(settle))
 					f.setTargets(targets(18)...)
-					leave = share(f.runFor(window))
+					sums["%leave"] += share(f.runFor(window))
+					runs++
+				}
+				for name, sum := range sums {
+					b.ReportMetric(sum/float64(runs), name)
 				}
-				b.ReportMetric(steady, "%steady")
-				b.ReportMetric(join, "%join")
-				b.ReportMetric(joined, "%steady-after-join")
-				b.ReportMetric(leave, "%leave")
 			})
 		}
 	}
