--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -72,6 +71,7 @@
 	nodes      map[string]*node
 	services   map[string]*service
 	attempts   map[Ticket]*attempt
+	sessions   lastTargets
 	lastTicket Ticket
 }
 
@@ -79,7 +79,7 @@
 func New(options Options, location Location, seed uint64) *State {
 	return &State{
 		options: options, location: location, random: rand.New(rand.NewPCG(seed, seed)),
-		nodes: map[string]*node{}, services: map[string]*service{}, attempts: map[Ticket]*attempt{},
+		nodes: map[string]*node{}, services: map[string]*service{}, attempts: map[Ticket]*attempt{}, sessions: newLastTargets(),
 	}
 }
 
@@ -153,7 +153,7 @@
 func (s *State) choose(now time.Time, r *Request) Command {
 	var best, avoided *candidate
 	full := 0
-	preferred := s.preferred(r)
+	preferred := s.preferred(now, r)
 	for _, n := range s.service(r.Service).nodes {
 		if n.target.Leaving || slices.Contains(r.Excluded, n.target.ID) || (r.RequiredTarget != "" && r.RequiredTarget != n.target.ID) {
 			continue
@@ -199,35 +199,6 @@
 	return c.expectedFirstEvent-time.Duration(float64(prefill)*c.node.slowness) <= r.Remaining
 }
 
-// preferred returns the target that all calls with the same affinity key prefer, or all turns of a
-// session, which share the last prompt segment, if there is no key. An engine is preferred only in
-// this failure domain, a plain target in any. Daemons compute the same target without exchanging
-// messages, also those that have just started. preferred returns nil if the call has no key and no
-// segment, or no target is eligible.
-func (s *State) preferred(r *Request) *node {
-	key := r.AffinityKey
-	if key == "" && len(r.Prompt) > 0 {
-		key = string(littleEndian(r.Prompt[len(r.Prompt)-1].ID))
-	}
-	if key == "" {
-		return nil
-	}
-	var best *node
-	var highest uint64
-	for _, n := range s.service(r.Service).nodes {
-		if n.target.Leaving || (r.Engine != nil && n.target.Domain != s.location.Domain) {
-			continue
-		}
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(key))
-		_, _ = h.Write([]byte(n.target.ID))
-		if score := mix(h.Sum64()); best == nil || score > highest {
-			best, highest = n, score
-		}
-	}
-	return best
-}
-
 func littleEndian(id uint64) []byte {
 	var b [8]byte
 	for i := range b {
@@ -285,7 +256,7 @@
 func (s *State) send(now time.Time, c *candidate, r *Request) Command {
 	s.lastTicket++
 	n := c.node
-	a := &attempt{node: n, sentAt: now, idleFirstEvent: c.idleFirstEvent}
+	a := &attempt{node: n, session: sessionID(r), sentAt: now, idleFirstEvent: c.idleFirstEvent}
 	otherCalls := n.inFlight
 	n.inFlight++
 	if r.Engine != nil {
@@ -298,6 +269,7 @@
 	return Send{
 		Ticket: s.lastTicket, Target: n.target, QueuePriority: queuePriority(r),
 		CachedTokens: c.prompt.cachedTokens, ExpectedFirstEvent: c.expectedFirstEvent, InFlight: otherCalls,
+		Session: a.session, PreviousTarget: s.sessions.get(a.session),
 	}
 }
 
@@ -339,12 +311,17 @@
 	a.started, a.startedAt = true, now
 	n := a.node
 	n.failures = 0
+	s.sessions.set(a.session, n.target.ID)
 	took := now.Sub(a.sentAt)
 	if a.service != nil {
 		n.pendingTokens -= a.prompt.expectedTokens
 		a.service.observeFirstEvent(a, took)
 	}
 	n.observeFirstEvent(now, took, a.idleFirstEvent)
+	// A target that is warming up is slow for a short time only.
+	if !now.Before(n.target.WarmAt) && n.speed.observe(took, a.idleFirstEvent) {
+		s.service(n.target.Service).updateSpeed(now, n)
+	}
 }
 
 func (s *State) recordEnd(now time.Time, m AttemptEnded) {
