Limit the calls of workspaces over all daemons

Workspaces have quotas that nothing enforced. Package limiter holds fractions of quotas by conditional writes of rows, admits calls by token buckets, and asks the holder of the failure domain or region for permits. It is wired into receiver and assembler; re-admission covers calls that wait longer than a permit is valid.

--- a/assembler/calllog.go
+++ b/assembler/calllog.go
@@ -27,6 +27,7 @@
 		zap.Duration("expected", r.ExpectedFirstEvent), zap.Int("inFlight", r.InFlight), zap.Int("chain", r.ChainTurns),
 		zap.Int("budget", r.Call.Budget), zap.Int("maxTokens", r.Call.MaxTokens),
 		zap.Int64("budgetVersion", r.BudgetVersion), zap.Int("budgetGranted", r.BudgetGranted),
+		zap.String("quotaHolder", r.Quota.Holder), zap.Float64("quotaFraction", r.Quota.Fraction), zap.Duration("quotaAge", r.Quota.Age),
 		zap.Int("tokens", r.GeneratedTokens), zap.Duration("firstEvent", r.TimeToFirstEvent), zap.Duration("took", r.Duration),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Bool("storeUp", r.StoreUp), zap.Error(r.Err))
 }
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
+	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/receiver"
@@ -106,6 +107,7 @@
 	readiness *readinessState
 	forwarder *forwarder.Forwarder
 	recorder  *recorder.Recorder
+	limiter   *limiter.Limiter
 	receiver  *receiver.Receiver
 	follower  *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
@@ -143,6 +145,11 @@
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: uuid.NewString(),
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
+	d.limiter = limiter.New(limiter.Dependencies{
+		Store: d.store, Messenger: d.messenger, Daemons: d.registrar.Entries, Clock: bootClock{}, Observe: d.metrics.quotaObserver(), Log: log,
+	}, limiter.Settings{
+		Own: entry, Incarnation: uuid.NewString(), Domains: max(1, len(settings.RegionByDomain)), Regions: countRegions(settings), Seed: seed,
+	})
 	d.forwarder = forwarder.New(dependencies.Dialect, forwarder.DefaultOptions())
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
@@ -154,7 +161,7 @@
 		receiverOptions.MaxConfigurationAge = settings.ConfigurationBound + feedWait
 	}
 	d.receiver = receiver.New(receiver.Dependencies{
-		Dialect: dependencies.Dialect, Forwarder: d.forwarder, Recorder: d.recorder,
+		Dialect: dependencies.Dialect, Forwarder: d.forwarder, Recorder: d.recorder, Limiter: d.limiter,
 		CallLog: newCallLogger(log, d.metrics), Clock: bootClock{},
 		DaemonCount:  func() int { return len(d.registrar.Peers()) + 1 },
 		Alone:        func() bool { return d.store.AccessMode() == relayer.Alone },
@@ -174,6 +181,7 @@
 		applyConfiguration: func(c *follower.Configuration) {
 			d.receiver.SetConfiguration(c)
 			d.callers.setLimits(c.Limits)
+			d.limiter.SetQuotas(quotas(c))
 		},
 		dispatch:       func(m dispatcher.Message) { d.receiver.UpdateDispatcher(m) },
 		publishTargets: d.publishTargets, onStoreResponse: d.recorder.NotifyStoreReachable,
@@ -214,7 +222,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
+		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run, d.limiter.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
@@ -276,7 +284,10 @@
 	}
 	returnCtx, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
 	defer cancelReturn()
-	d.recorder.ReturnTokens(returnCtx)
+	var returns conc.WaitGroup
+	returns.Go(func() { d.recorder.ReturnTokens(returnCtx) })
+	returns.Go(func() { d.limiter.ReturnFractions(returnCtx) })
+	returns.Wait()
 	d.log.Info("finished serving callers", zap.Int64("serving", d.receiver.InFlightCalls()), zap.Duration("took", time.Since(began)))
 }
 
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
@@ -57,6 +58,11 @@
 	}
 }
 
+// quotaObserver returns an observer that records the figures of quotas.
+func (m *metrics) quotaObserver() limiter.Observer {
+	return limiter.Observer{}
+}
+
 // setFeedAge records the time since the store last responded to the feed of a table.
 func (m *metrics) setFeedAge(table string, age time.Duration) {
 	m.scope.Tagged(map[string]string{"table": table}).Gauge("feed_age_seconds").Update(age.Seconds())
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -41,6 +41,9 @@
 	if !handled {
 		result, handled, err = borrower.Handle(ctx, h.daemon.recorder, method, params)
 	}
+	if !handled {
+		result, handled, err = h.daemon.limiter.Handle(ctx, method, params)
+	}
 	if !handled {
 		return nil, errUnknownMethod
 	}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -248,6 +248,51 @@
 	Region string `json:"region"`
 }
 
+// Permits for calls of a workspace. The sender has taken their tokens from its
+// bucket.
+type PermitAnswer struct {
+	// Age of the sender's knowledge of its fraction in milliseconds.
+	AgeMs int `json:"ageMs,omitempty,omitzero"`
+
+	// Fraction of the quota that the sender holds.
+	Fraction float64 `json:"fraction,omitempty,omitzero"`
+
+	// Number of permits, 0 if the call is rejected.
+	Permits int `json:"permits"`
+
+	// Why there is no permit.
+	Reason string `json:"reason,omitempty,omitzero"`
+
+	// Time in milliseconds after which a call would get a permit.
+	RetryAfterMs int `json:"retryAfterMs,omitempty,omitzero"`
+
+	// Time in milliseconds for which the permits are valid, counted from before the
+	// request was sent.
+	ValidMs int `json:"validMs,omitempty,omitzero"`
+}
+
+// Requests permits for calls of a workspace.
+type PermitQuestion struct {
+	// Number of further permits that the sender expects to use while they are valid.
+	Extra int `json:"extra,omitempty,omitzero"`
+
+	// The sender holds a fraction itself and asks for tokens that the receiver does
+	// not need.
+	Lend bool `json:"lend,omitempty,omitzero"`
+
+	// Number of calls that wait for a permit.
+	Needed int `json:"needed"`
+
+	// Program of the call that waits, empty if it has none.
+	Program string `json:"program,omitempty,omitzero"`
+
+	// Time in milliseconds for which the receiver may wait for permits.
+	WaitMs int `json:"waitMs,omitempty,omitzero"`
+
+	// Name of the workspace.
+	Workspace string `json:"workspace"`
+}
+
 // Checks over a new connection whether a host replies.
 type Probe struct {
 	// Host that sends the request.
@@ -269,6 +314,12 @@
 	State string `json:"state"`
 }
 
+// Tells a holder that another daemon needs a part of the quotas in a row.
+type QuotaNotice struct {
+	// Key of the row.
+	Row string `json:"row"`
+}
+
 // Reply to ReplicaQuestion.
 type ReplicaAnswer struct {
 	// Time in milliseconds since the store confirmed the copy.
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,426 @@
+package limiter
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/registrar"
+)
+
+const (
+	// busyTick is the interval of ticks while requests wait, idleTick that of others.
+	busyTick = 5 * time.Millisecond
+	idleTick = 250 * time.Millisecond
+	// storeTimeout bounds a call to the store. Fractions stay reduced after it until the outcome is
+	// known, so that it is longer than the responses of a slow store.
+	storeTimeout = 3 * time.Second
+	// domainPatience and regionPatience are how long the first host of a cell may take to reply before
+	// the second one is asked.
+	domainPatience = 30 * time.Millisecond
+	regionPatience = 60 * time.Millisecond
+	// borrowTimeout bounds a request to another holder for tokens, lentValidity the time after which
+	// they are no longer used.
+	borrowTimeout = 120 * time.Millisecond
+	lentValidity  = 300 * time.Millisecond
+	// noticeTimeout bounds a notice to another holder.
+	noticeTimeout = 500 * time.Millisecond
+	// noHolderRetryAfter is the retry delay after no holder has replied.
+	noHolderRetryAfter = 300 * time.Millisecond
+	// replyMargin is the part of a call's wait that is left for the reply of a holder.
+	replyMargin = 10 * time.Millisecond
+)
+
+// Settings describe the daemon and the platform.
+type Settings struct {
+	// Own is this daemon's entry in the list of daemons.
+	Own         registrar.Entry
+	Incarnation string
+	// Domains and Regions are the numbers of failure domains and regions.
+	Domains int
+	Regions int
+	Seed    uint64
+}
+
+// Dependencies are the objects that a Limiter works with.
+type Dependencies struct {
+	Store     provider.RowStore
+	Messenger *messenger.Messenger
+	// Daemons returns the other daemons. The list must not be modified; a changed list is another slice.
+	Daemons func() []registrar.Entry
+	// Clock includes the time for which the host is suspended.
+	Clock   provider.Clock
+	Observe Observer
+	Log     *zap.Logger
+}
+
+// Limiter limits the calls of workspaces. It is safe for concurrent use.
+type Limiter struct {
+	deps     Dependencies
+	settings Settings
+	quotas   atomic.Pointer[map[string]*Quota]
+	wake     chan struct{}
+	tickets  atomic.Uint64
+
+	// mutex guards the fields below. Their updates take microseconds.
+	mutex    sync.Mutex
+	holder   *holder
+	asker    *asker
+	topology *topology
+	replies  map[ticket]chan grant
+}
+
+// New returns a Limiter without quotas, which admits all calls and does nothing.
+func New(deps Dependencies, settings Settings) *Limiter {
+	l := &Limiter{
+		deps: deps, settings: settings, wake: make(chan struct{}, 1), asker: newAsker(), replies: map[ticket]chan grant{},
+		holder: newHolder(settings.Own.Host, settings.Incarnation, settings.Seed), topology: newTopology(settings.Own, nil),
+	}
+	l.quotas.Store(&map[string]*Quota{})
+	return l
+}
+
+// SetQuotas replaces the quotas. Those without a rate are ignored.
+func (l *Limiter) SetQuotas(quotas []Quota) {
+	byName := map[string]*Quota{}
+	m := quotasChanged{cells: map[string]int{}}
+	for _, q := range quotas {
+		if q.RatePerSecond <= 0 || byName[q.Workspace] != nil {
+			continue
+		}
+		byName[q.Workspace] = &q
+		m.quotas = append(m.quotas, q)
+		m.cells[q.Workspace] = l.settings.Regions
+		if q.perDomain(l.settings.Domains) {
+			m.cells[q.Workspace] = l.settings.Domains
+		}
+	}
+	if len(byName) == 0 && len(*l.quotas.Load()) == 0 {
+		return
+	}
+	l.quotas.Store(&byName)
+	l.update(m)
+	l.mutex.Lock()
+	l.asker.keep(byName)
+	l.mutex.Unlock()
+}
+
+// Run renews the lease and changes fractions until the context ends.
+func (l *Limiter) Run(ctx context.Context) {
+	timer := time.NewTimer(idleTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+			timer.Reset(busyTick)
+			continue
+		case <-timer.C:
+		}
+		timer.Reset(l.tick())
+	}
+}
+
+// tick updates the holder and returns the time until the next tick.
+func (l *Limiter) tick() time.Duration {
+	if len(*l.quotas.Load()) == 0 {
+		return idleTick
+	}
+	l.update(tick{})
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.holder.busy() {
+		return busyTick
+	}
+	return idleTick
+}
+
+// update passes a message to the holder and carries out its commands.
+func (l *Limiter) update(m message) {
+	l.mutex.Lock()
+	now := l.deps.Clock.Now()
+	commands := l.holder.update(now, m)
+	for _, c := range commands {
+		if g, ok := c.(grant); ok {
+			if reply := l.replies[g.ticket]; reply != nil {
+				delete(l.replies, g.ticket)
+				reply <- g
+			}
+		}
+	}
+	busy := l.holder.busy()
+	l.mutex.Unlock()
+	for _, c := range commands {
+		l.execute(c)
+	}
+	if busy {
+		select {
+		case l.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// hold asks the own holder for permits and returns its reply.
+func (l *Limiter) hold(m permitsRequested) grant {
+	m.ticket = ticket(l.tickets.Add(1))
+	reply := make(chan grant, 1)
+	l.mutex.Lock()
+	l.replies[m.ticket] = reply
+	l.mutex.Unlock()
+	l.update(m)
+	// Each request is answered at its deadline at the latest, unless Run has ended.
+	timeout := time.NewTimer(2 * maxWait)
+	defer timeout.Stop()
+	select {
+	case g := <-reply:
+		return g
+	case <-timeout.C:
+	}
+	l.mutex.Lock()
+	delete(l.replies, m.ticket)
+	l.mutex.Unlock()
+	return grant{reason: reasonStopping}
+}
+
+// route returns the place and the hosts for a workspace.
+func (l *Limiter) route(q *Quota) *route {
+	entries := l.deps.Daemons()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.topology.isFor(entries) {
+		l.topology = newTopology(l.settings.Own, entries)
+	}
+	return l.topology.route(place{groupOf(q.Workspace), q.perDomain(l.settings.Domains)})
+}
+
+func (l *Limiter) peer(host string) (messenger.Peer, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	e, ok := l.topology.byHost[host]
+	return messenger.Peer{Host: e.Host, Address: e.Address}, ok
+}
+
+// answer is the reply of a holder, or an error.
+type answer struct {
+	host    string
+	grant   grant
+	expires time.Time
+	err     error
+}
+
+// Admit decides whether a call is within the quota of its workspace. It waits for at most maxWait.
+func (l *Limiter) Admit(ctx context.Context, request Request) Decision {
+	q := (*l.quotas.Load())[request.Workspace]
+	if q == nil {
+		return Decision{Admitted: true}
+	}
+	now := l.deps.Clock.Now()
+	l.mutex.Lock()
+	expires, ok := l.asker.take(now, request.Workspace)
+	extra := 0
+	if !ok {
+		extra = l.asker.extra(now, request.Workspace)
+	}
+	l.mutex.Unlock()
+	if ok {
+		return Decision{Admitted: true, Limited: true, Expires: expires}
+	}
+	d := l.ask(ctx, now, q, request, extra)
+	l.deps.Observe.decision(request.Workspace, &d, l.deps.Clock.Now().Sub(now))
+	return d
+}
+
+// ask asks the hosts of the cell for a permit, one after the other.
+func (l *Limiter) ask(ctx context.Context, began time.Time, q *Quota, request Request, extra int) Decision {
+	r := l.route(q)
+	l.mutex.Lock()
+	hosts := l.asker.order(began, r.order)
+	l.mutex.Unlock()
+	patience := regionPatience
+	if q.perDomain(l.settings.Domains) {
+		patience = domainPatience
+	}
+	answers := make(chan answer, len(hosts))
+	asked, open := 0, 0
+	askNext := func() {
+		if asked == len(hosts) {
+			return
+		}
+		host := hosts[asked]
+		asked++
+		open++
+		go func() { answers <- l.askHost(host, began, r, request, extra) }()
+	}
+	deadline := time.NewTimer(maxWait)
+	defer deadline.Stop()
+	askNext()
+	impatient := time.NewTimer(patience)
+	defer impatient.Stop()
+	last := Decision{Limited: true, Reason: ReasonNoHolder, RetryAfter: noHolderRetryAfter}
+	for open > 0 {
+		select {
+		case a := <-answers:
+			open--
+			if a.err == nil && a.grant.permits > 0 {
+				l.keepLater(request.Workspace, answers, open)
+				l.putSpare(request.Workspace, a.grant.permits-1, a.expires)
+				return Decision{
+					Admitted: true, Limited: true, Expires: a.expires, Holder: a.host, Fraction: a.grant.fraction, Age: a.grant.age,
+				}
+			}
+			if a.err == nil {
+				last = Decision{
+					Limited: true, Reason: a.grant.reason, RetryAfter: a.grant.retryAfter, Holder: a.host, Fraction: a.grant.fraction, Age: a.grant.age,
+				}
+				if a.grant.reason == ReasonOverQuota || a.grant.reason == ReasonProgram {
+					l.keepLater(request.Workspace, answers, open)
+					return last
+				}
+			}
+			askNext()
+		case <-impatient.C:
+			if hosts[asked-1] != l.settings.Own.Host {
+				askNext()
+			}
+		case <-deadline.C:
+			l.keepLater(request.Workspace, answers, open)
+			return last
+		case <-ctx.Done():
+			l.keepLater(request.Workspace, answers, open)
+			return last
+		}
+	}
+	return last
+}
+
+// keepLater keeps the permits of answers that arrive after the decision.
+func (l *Limiter) keepLater(workspace string, answers <-chan answer, open int) {
+	if open == 0 {
+		return
+	}
+	go func() {
+		for range open {
+			if a := <-answers; a.err == nil {
+				l.putSpare(workspace, a.grant.permits, a.expires)
+			}
+		}
+	}()
+}
+
+func (l *Limiter) putSpare(workspace string, count int, expires time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.asker.put(workspace, count, expires)
+}
+
+// askHost asks one host, which may be this daemon, for a permit.
+func (l *Limiter) askHost(host string, began time.Time, r *route, request Request, extra int) answer {
+	sentAt := l.deps.Clock.Now()
+	left := maxWait - sentAt.Sub(began)
+	if host == l.settings.Own.Host {
+		g := l.hold(permitsRequested{
+			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left),
+			first: r.order[0] == host, lenders: r.lenders,
+		})
+		return answer{host: host, grant: g, expires: sentAt.Add(permitValidity)}
+	}
+	peer, ok := l.peer(host)
+	if !ok {
+		return answer{host: host, err: &Error{operation: "ask " + host, kind: KindUnlisted}}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, replyMargin))
+	defer cancel()
+	reply, err := messenger.Call[encoder.PermitAnswer](ctx, l.deps.Messenger, peer, messenger.MethodPermits, encoder.PermitQuestion{
+		Workspace: request.Workspace, Program: request.Program, Needed: 1, Extra: extra,
+		WaitMs: int((left - replyMargin).Milliseconds()),
+	})
+	l.mutex.Lock()
+	if err != nil || reply.Reason == reasonStopping {
+		l.asker.suspect(l.deps.Clock.Now(), host)
+	} else {
+		l.asker.trust(host)
+	}
+	l.mutex.Unlock()
+	if err != nil {
+		return answer{host: host, err: err}
+	}
+	return answer{
+		host: host, expires: sentAt.Add(min(permitValidity, time.Duration(reply.ValidMs)*time.Millisecond)),
+		grant: grant{
+			permits: reply.Permits, reason: reply.Reason, retryAfter: time.Duration(reply.RetryAfterMs) * time.Millisecond,
+			fraction: reply.Fraction, age: time.Duration(reply.AgeMs) * time.Millisecond,
+		},
+	}
+}
+
+// Handle serves the requests of peers. It reports whether the method is one of them.
+func (l *Limiter) Handle(_ context.Context, method string, params json.RawMessage) (any, bool, error) {
+	switch method {
+	case messenger.MethodPermits:
+		var question encoder.PermitQuestion
+		if err := json.Unmarshal(params, &question); err != nil {
+			return nil, true, &Error{operation: method, kind: KindMalformed, cause: err}
+		}
+		return l.answer(&question), true, nil
+	case messenger.MethodQuotaNotice:
+		var notice encoder.QuotaNotice
+		if err := json.Unmarshal(params, &notice); err != nil {
+			return nil, true, &Error{operation: method, kind: KindMalformed, cause: err}
+		}
+		if g, ok := parseGroup(notice.Row); ok {
+			l.update(noticeReceived{group: g})
+		}
+		return struct{}{}, true, nil
+	}
+	return nil, false, nil
+}
+
+// answer answers a question for permits.
+func (l *Limiter) answer(question *encoder.PermitQuestion) encoder.PermitAnswer {
+	q := (*l.quotas.Load())[question.Workspace]
+	if q == nil {
+		return encoder.PermitAnswer{Reason: reasonUnknown}
+	}
+	r := l.route(q)
+	g := l.hold(permitsRequested{
+		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: min(maxExtra, question.Extra),
+		deadline: l.deps.Clock.Now().Add(min(maxWait, time.Duration(question.WaitMs)*time.Millisecond)),
+		lend:     question.Lend, first: r.order[0] == l.settings.Own.Host, lenders: r.lenders,
+	})
+	return encoder.PermitAnswer{
+		Permits: g.permits, ValidMs: int(permitValidity.Milliseconds()), Reason: g.reason,
+		RetryAfterMs: int(g.retryAfter.Milliseconds()), Fraction: g.fraction, AgeMs: int(g.age.Milliseconds()),
+	}
+}
+
+// ReturnFractions returns all fractions at a planned stop, until the context ends.
+func (l *Limiter) ReturnFractions(ctx context.Context) {
+	if len(*l.quotas.Load()) == 0 {
+		return
+	}
+	l.update(stopRequested{})
+	for !l.returned() {
+		select {
+		case <-ctx.Done():
+			l.deps.Log.Warn("grace period ended before all fractions of quotas were returned; they are freed later")
+			return
+		case <-time.After(busyTick):
+			l.update(tick{})
+		}
+	}
+}
+
+func (l *Limiter) returned() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.holder.returned()
+}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,6 +31,8 @@
 	MethodReplica      = "replica"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
+	MethodPermits      = "permits"
+	MethodQuotaNotice  = "quotaNotice"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -32,6 +32,9 @@
 	rejections int
 	// possibleRuns counts the attempts that may have run the call.
 	possibleRuns int
+	// admittedRuns is the number of possible runs that the quota of the workspace has been charged for
+	// again.
+	admittedRuns int
 	// possibleTargets are the targets that may have run the call and have not ended since.
 	possibleTargets []string
 	lastErr         error
@@ -45,6 +48,9 @@
 			h.fail(&a, http.StatusGatewayTimeout, "timeout")
 			return
 		}
+		if !h.admitAgain(&a) {
+			return
+		}
 		send, ok := h.chooseTarget(&a)
 		if !ok {
 			return
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
 
@@ -62,7 +63,7 @@
 // serve runs the steps of a call. A step that fails has rejected the call and returns
 // errRejected.
 func (h *callHandler) serve() {
-	for _, step := range []func() error{h.matchRoute, h.readRequest, h.loadHistory, h.reserveTokens} {
+	for _, step := range []func() error{h.matchRoute, h.admit, h.readRequest, h.loadHistory, h.reserveTokens} {
 		if step() != nil {
 			return
 		}
@@ -155,6 +156,38 @@
 	return nil
 }
 
+// admit rejects a call that exceeds the quota of its workspace, before its body is read.
+func (h *callHandler) admit() error {
+	if h.workspace == nil || !h.workspace.Limited() {
+		return nil
+	}
+	h.record.Quota = h.receiver.deps.Limiter.Admit(h.request.Context(), limiter.Request{Workspace: h.workspace.Name, Program: h.call.Program})
+	if h.record.Quota.Admitted {
+		return nil
+	}
+	return h.reject(http.StatusTooManyRequests, h.record.Quota.Reason, h.record.Quota.RetryAfter, nil)
+}
+
+// admitAgain makes sure that an attempt falls into the time for which the call was admitted: calls that
+// wait, for instance for a slow body, would otherwise reach targets all at once. It returns false if it has
+// ended the call.
+func (h *callHandler) admitAgain(a *attempts) bool {
+	d := &h.record.Quota
+	repeated := a.possibleRuns > a.admittedRuns
+	if !d.Limited || !repeated && h.receiver.deps.Clock.Now().Before(d.Expires) {
+		return true
+	}
+	a.admittedRuns = a.possibleRuns
+	if h.headWritten || a.possibleRuns > 0 {
+		*d = h.receiver.deps.Limiter.Admit(h.request.Context(), limiter.Request{Workspace: h.workspace.Name, Program: h.call.Program})
+		if !d.Admitted {
+			h.fail(a, http.StatusBadGateway, d.Reason)
+		}
+		return d.Admitted
+	}
+	return h.admit() == nil
+}
+
 // workspaceName returns the name of the call's workspace, empty if it has none.
 func (h *callHandler) workspaceName() string {
 	if h.workspace == nil {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -11,6 +11,7 @@
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
@@ -24,6 +25,11 @@
 	Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error
 }
 
+// Limiter decides whether a call of a workspace is within its quota.
+type Limiter interface {
+	Admit(ctx context.Context, request limiter.Request) limiter.Decision
+}
+
 // CallLog logs how calls ended. It must not block.
 type CallLog interface {
 	LogCall(r *CallRecord)
@@ -55,6 +61,8 @@
 	BudgetVersion int64
 	BudgetGranted int
 	ChainTurns    int
+	// Quota is the last decision about the call's quota.
+	Quota limiter.Decision
 	// GeneratedTokens is the number of tokens sent to the caller.
 	GeneratedTokens  int
 	TimeToFirstEvent time.Duration
@@ -69,6 +77,7 @@
 	Dialect   forwarder.Dialect
 	Forwarder *forwarder.Forwarder
 	Recorder  Recorder
+	Limiter   Limiter
 	CallLog   CallLog
 	// Alone reports whether this daemon reaches neither the store nor a peer. Other daemons
 	// may still reach the store.
