--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -273,6 +273,10 @@
 
 // Requests permits for calls of a workspace.
 type PermitQuestion struct {
+	// The receiver has replied to an earlier request for the same call that permits
+	// are pending.
+	Again bool `json:"again,omitempty,omitzero"`
+
 	// Number of further permits that the sender expects to use while they are valid.
 	Extra int `json:"extra,omitempty,omitzero"`
 
@@ -280,13 +284,21 @@
 	// not need.
 	Lend bool `json:"lend,omitempty,omitzero"`
 
+	// Time in milliseconds after which the call is rejected.
+	LimitMs int `json:"limitMs,omitempty,omitzero"`
+
 	// Number of calls that wait for a permit.
 	Needed int `json:"needed"`
 
 	// Program of the call that waits, empty if it has none.
 	Program string `json:"program,omitempty,omitzero"`
 
-	// Time in milliseconds for which the receiver may wait for permits.
+	// The hosts before the receiver in the order of its cell did not accept the
+	// request.
+	Takeover bool `json:"takeover,omitempty,omitzero"`
+
+	// Time in milliseconds for which the receiver may wait for permits before it
+	// replies.
 	WaitMs int `json:"waitMs,omitempty,omitzero"`
 
 	// Name of the workspace.
--- a/limiter/commands.go
+++ b/limiter/commands.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
-	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -119,21 +118,27 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	m := holdersRead{}
-	r := provider.RowRange{Table: HolderTable}
+	for n := 0; n < holderPartitions && m.kind == provider.KindNone; n++ {
+		m.kind = l.readPartition(ctx, provider.RowRange{Table: HolderTable, Partition: holderPartition(n)}, &m.rows)
+	}
+	l.update(m)
+}
+
+// readPartition reads all rows of a partition.
+func (l *Limiter) readPartition(ctx context.Context, r provider.RowRange, rows *[]provider.VersionedRow) provider.Kind {
 	for {
 		page, err := l.deps.Store.Range(ctx, r)
-		m.kind = provider.KindOf(err)
-		l.deps.Observe.storeCall("readHolders", m.kind)
+		kind := provider.KindOf(err)
+		l.deps.Observe.storeCall("readHolders", kind)
 		if err != nil {
-			break
+			return kind
 		}
-		m.rows = append(m.rows, page.Rows...)
+		*rows = append(*rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 {
-			break
+			return kind
 		}
 		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
-	l.update(m)
 }
 
 func (l *Limiter) borrowTokens(c borrowTokens) {
@@ -142,8 +147,8 @@
 	if peer, ok := l.peer(c.host); ok {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		reply, err := messenger.Call[encoder.PermitAnswer](ctx, l.deps.Messenger, peer, messenger.MethodPermits, encoder.PermitQuestion{
-			Workspace: c.workspace, Needed: c.tokens, Lend: true,
+		reply, err := l.deps.Peers.AskPermits(ctx, peer, encoder.PermitQuestion{
+			Workspace: c.workspace, Needed: max(1, c.missing), Extra: c.spare, Lend: !c.ask, WaitMs: int(borrowWait.Milliseconds()), LimitMs: int(borrowWait.Milliseconds()),
 		})
 		if err == nil {
 			m.tokens = reply.Permits
@@ -163,6 +168,5 @@
 	ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 	defer cancel()
 	// A notice that is lost is replaced by the next one, or by the periodic read of the row.
-	_, err := messenger.Call[struct{}](ctx, l.deps.Messenger, peer, messenger.MethodQuotaNotice, encoder.QuotaNotice{Row: g.name()})
-	l.deps.Observe.noticeSent(err == nil)
+	l.deps.Observe.noticeSent(l.deps.Peers.Notify(ctx, peer, encoder.QuotaNotice{Row: g.name()}) == nil)
 }
--- a/limiter/doc.go
+++ b/limiter/doc.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	l := limiter.New(limiter.Dependencies{Store: store, Messenger: messenger, ...}, limiter.Settings{Host: "host-1", ...})
+//	l := limiter.New(limiter.Dependencies{Store: store, Peers: limiter.NewPeers(messenger), ...}, limiter.Settings{...})
 //	go l.Run(ctx)
 //	l.SetQuotas([]limiter.Quota{{Workspace: "a", RatePerSecond: 20, Burst: 20}})
 //	decision := l.Admit(ctx, limiter.Request{Workspace: "a"})
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -26,17 +27,22 @@
 	restartTokens = 4
 	// minWindow and maxWindow bound the time over which demand is measured: that of windowEvents
 	// calls at the rate of the quota.
-	minWindow    = 1500 * time.Millisecond
-	maxWindow    = 10 * time.Second
-	windowEvents = 10
+	minWindow    = 2 * time.Second
+	maxWindow    = 30 * time.Second
+	windowEvents = 100
 	// keepTime is how long a fraction without calls is kept while no other daemon needs it, shrinkAfter
 	// how long one is kept that is more than twice the demand.
 	keepTime    = 60 * time.Second
 	shrinkAfter = 10 * time.Second
 	// growAt is the fraction of the own part that demand may use before the holder takes more.
 	growAt = 0.85
-	// minChange is the smallest change of a fraction that is worth a write, in millionths.
-	minChange = wholeQuota / 100
+	// minChange is the smallest change of a fraction that is worth a write, in millionths. shortAt is the
+	// demand, as a multiple of the own fraction, from which a holder asks others for a part of theirs.
+	// Smaller differences are made up by borrowed tokens.
+	minChange = wholeQuota / 50
+	shortAt   = 1.25
+	// noticeInterval is the shortest interval between two reads of a row.
+	noticeInterval = 500 * time.Millisecond
 	// takeoverDelay is how long a daemon that is not the first of its cell serves requests with borrowed
 	// tokens before it takes a fraction: a late reply of the first one is no reason for another holder.
 	// requestMemory is the longest time between two requests of the same takeover.
@@ -55,6 +61,8 @@
 	refreshInterval = 20 * time.Second
 	// borrowCooldown is how long a holder that had no tokens is not asked again.
 	borrowCooldown = 150 * time.Millisecond
+	// maxBorrowing bounds the requests for tokens of a workspace that are under way.
+	maxBorrowing = 2
 	// maxShares bounds the holders of a workspace.
 	maxShares = 40
 	// minRetryAfter and maxRetryAfter bound the retry delay.
@@ -71,8 +79,10 @@
 	queue  []waiting
 	// lenders are the hosts that may lend tokens.
 	lenders []string
-	// first is set while this daemon is the first of its cell.
-	first bool
+	// first is the first host of the cell.
+	first string
+	// takeoverAt is when hosts before this one last did not accept a request.
+	takeoverAt time.Time
 	// firstRequest is when the present series of requests began, lastRequest the time of the last one.
 	firstRequest time.Time
 	lastRequest  time.Time
@@ -94,6 +104,7 @@
 	needed   int
 	extra    int
 	deadline time.Time
+	limit    time.Time
 }
 
 // rowState is what is known of the row of a group.
@@ -113,6 +124,8 @@
 	// is not enough: a late copy of an earlier response looks the same.
 	stale   bool
 	reading bool
+	// readAt is when the row was last read.
+	readAt time.Time
 	// reread is set if the row has to be read again after the present read.
 	reread bool
 	// retryAt is the earliest time of the next write.
@@ -196,7 +209,7 @@
 		s.receiveLent(now, &m)
 	case noticeReceived:
 		if r := s.groups[m.group]; r != nil {
-			s.read(m.group, r)
+			s.read(now, m.group, r)
 		}
 	case stopRequested:
 		s.stopping = true
@@ -338,12 +351,17 @@
 		s.lend(now, h, m)
 		return
 	}
-	h.demand.add(now, float64(m.needed), h.window())
+	if !m.again {
+		h.demand.add(now, float64(m.needed), h.window())
+	}
 	if now.Sub(h.lastRequest) > requestMemory {
 		h.firstRequest = now
 	}
 	h.lastRequest, h.first, h.lenders = now, m.first, m.lenders
-	h.queue = append(h.queue, waiting{ticket: m.ticket, program: m.program, needed: m.needed, extra: m.extra, deadline: m.deadline})
+	if m.takeover {
+		h.takeoverAt = now
+	}
+	h.queue = append(h.queue, waiting{ticket: m.ticket, program: m.program, needed: m.needed, extra: m.extra, deadline: m.deadline, limit: m.limit})
 	s.serve(now, h)
 	g := groupOf(m.workspace)
 	s.row(g)
@@ -355,8 +373,9 @@
 func (s *holder) lend(now time.Time, h *holding, m *permitsRequested) {
 	tokens := 0
 	if s.usable(now) && len(h.queue) == 0 {
-		const reserve = 0.25
-		tokens = max(0, min(m.needed, int(h.bucket.tokens-reserve*h.bucket.depth(&h.quota))))
+		tokens = min(m.needed, int(h.bucket.tokens))
+		// Of the rest, half is lent, so that the buckets level out.
+		tokens += min(m.extra, int((h.bucket.tokens-float64(tokens))/2))
 	}
 	h.bucket.tokens -= float64(tokens)
 	s.emit(grant{ticket: m.ticket, permits: tokens, fraction: h.bucket.fraction(), age: s.age(now, h)})
@@ -389,12 +408,16 @@
 	ahead := 0.0
 	h.queue = slices.DeleteFunc(h.queue, func(w waiting) bool {
 		wait := h.waitFor(ahead + float64(w.needed))
-		hopeless := now.Add(wait).After(w.deadline) && !s.mayGetMore(now, h)
-		if now.Before(w.deadline) && !hopeless {
+		hopeless := now.Add(wait).After(w.limit) && !s.mayGetMore(now, h)
+		switch {
+		case hopeless || !now.Before(w.limit):
+			s.emit(s.rejection(now, h, &w, wait))
+		case !now.Before(w.deadline):
+			s.emit(grant{ticket: w.ticket, reason: reasonPending, retryAfter: wait, fraction: h.bucket.fraction(), age: s.age(now, h)})
+		default:
 			ahead += float64(w.needed)
 			return false
 		}
-		s.emit(s.rejection(now, h, &w, wait))
 		return true
 	})
 }
@@ -426,7 +449,7 @@
 // mayGetMore reports whether tokens may arrive other than by time.
 func (s *holder) mayGetMore(now time.Time, h *holding) bool {
 	r := s.groups[groupOf(h.quota.Workspace)]
-	if r == nil || h.borrowing > 0 || s.lender(now, h) != "" {
+	if r == nil || h.bucket.parts == 0 || h.borrowing > 0 || s.lender(now, h) != "" {
 		return true
 	}
 	if !s.usable(now) {
@@ -441,13 +464,14 @@
 
 // help asks others for tokens while requests wait.
 func (s *holder) help(now time.Time, h *holding) {
-	if len(h.queue) == 0 || h.borrowing > 0 {
+	if len(h.queue) == 0 || h.borrowing >= maxBorrowing {
 		return
 	}
 	host := s.lender(now, h)
 	if host == "" {
 		return
 	}
+	h.coolUntil[host] = now.Add(borrowTimeout)
 	missing := -h.bucket.tokens
 	for _, w := range h.queue {
 		missing += float64(w.needed)
@@ -456,15 +480,18 @@
 		return
 	}
 	h.borrowing++
-	// The tokens that the demand of the next tenth of a second needs come with those that are missing.
-	ahead := h.demand.add(now, 0, h.window()) / 10
-	s.emit(borrowTokens{workspace: h.quota.Workspace, host: host, tokens: int(missing+ahead) + 1})
+	s.emit(borrowTokens{
+		workspace: h.quota.Workspace, host: host, missing: int(math.Ceil(missing)), spare: int(h.bucket.depth(&h.quota) / 2), ask: host == h.first,
+	})
 }
 
 // lender returns the host to borrow tokens from, empty if there is none: the one with the largest
 // fraction, or one that is the first of another cell.
 func (s *holder) lender(now time.Time, h *holding) string {
 	cool := func(host string) bool { return host == s.host || now.Before(h.coolUntil[host]) }
+	if h.bucket.parts == 0 && h.first != "" && !cool(h.first) {
+		return h.first
+	}
 	best, most := "", 0
 	if r := s.groups[groupOf(h.quota.Workspace)]; r != nil && r.known {
 		if a := r.allocations[h.quota.Workspace]; a != nil {
@@ -489,6 +516,7 @@
 		return
 	}
 	h.borrowing--
+	h.coolUntil[m.host] = time.Time{}
 	if m.tokens == 0 || m.late {
 		h.coolUntil[m.host] = now.Add(borrowCooldown)
 	}
@@ -555,7 +583,8 @@
 		return 0, false
 	}
 	idle := now.Sub(h.lastRequest)
-	if !h.first && now.Sub(h.firstRequest) < takeoverDelay && held == 0 || idle > requestMemory && held == 0 {
+	takesOver := h.first == s.host || now.Sub(h.firstRequest) >= takeoverDelay || now.Sub(h.takeoverAt) < takeoverDelay
+	if held == 0 && (!takesOver || idle > requestMemory) {
 		return 0, false
 	}
 	need := h.need(now)
@@ -566,7 +595,7 @@
 			continue
 		}
 		others = append(others, o.need)
-		othersShort = othersShort || o.need > o.parts+minChange
+		othersShort = othersShort || o.short()
 	}
 	fair := fairParts(need, others)
 	available := held + a.remainder()
@@ -583,16 +612,17 @@
 			return 0, true
 		}
 		return min(wanted, available), available < min(wanted, fair)
-	case othersShort && held > fair+minChange:
+	case othersShort && float64(held) > float64(fair)*shortAt+minChange:
 		if idle > requestMemory && need < minChange {
 			return 0, false
 		}
 		return max(fair, min(floor, held)), false
 	case idle > keepTime:
 		return 0, false
-	case float64(need) > growAt*float64(held) || len(h.queue) > 0 && fair > held:
+	case float64(need) > growAt*float64(held):
 		wanted := max(fair, held)
-		return min(wanted, max(available, held)), wanted > available+minChange
+		missing := share{parts: available, need: min(need, wanted)}
+		return min(wanted, max(available, held)), missing.short()
 	case !young && held > 2*max(fair, floor) && idle < keepTime:
 		return max(fair, floor), false
 	}
@@ -617,7 +647,7 @@
 		held := s.ownParts(r, h)
 		parts, wants := s.desired(now, r, h)
 		need := h.need(now)
-		changed := parts != held && (abs(parts-held) >= minChange || parts == 0 || held == 0)
+		changed := parts != held && (abs(parts-held) >= max(minChange, held/6) || parts == 0 || held == 0)
 		if wants && !now.Before(h.wantAt) {
 			h.wantDelay = min(maxWantDelay, max(minWantDelay, 2*h.wantDelay))
 			h.wantAt = now.Add(h.wantDelay)
@@ -692,9 +722,9 @@
 	sum, short := 0, false
 	for i := range a.shares {
 		sum += a.shares[i].need
-		short = short || a.shares[i].need > a.shares[i].parts+minChange
+		short = short || a.shares[i].short()
 	}
-	return short && sum*10 > wholeQuota*6 && abs(own.need-need) > max(minChange, own.need/4)
+	return short && sum*10 > wholeQuota*6 && abs(own.need-need) > max(minChange, own.need/3)
 }
 
 // findEnded reads the rows of the holders, some of which may have ended.
@@ -787,9 +817,10 @@
 			h.grownAt = now
 		}
 		// All others hear that this daemon is short; those that are short, that it has returned a part.
-		short := c.need > c.after+minChange
+		own := share{parts: c.after, need: c.need}
+		short := own.short()
 		for _, o := range r.allocations[c.workspace].shares {
-			if o.host != s.host && (short || c.after < c.before && o.need > o.parts+minChange) {
+			if o.host != s.host && (short || c.after < c.before && o.short()) {
 				notified[o.host] = true
 			}
 		}
@@ -873,12 +904,12 @@
 }
 
 // read reads the row of a group.
-func (s *holder) read(g group, r *rowState) {
-	if r.reading || r.write != nil {
+func (s *holder) read(now time.Time, g group, r *rowState) {
+	if r.reading || r.write != nil || now.Sub(r.readAt) < noticeInterval {
 		r.reread = true
 		return
 	}
-	r.reading, r.reread = true, false
+	r.reading, r.reread, r.readAt = true, false, now
 	s.emit(readRow{group: g})
 }
 
@@ -898,7 +929,7 @@
 func (s *holder) afterRow(now time.Time, g group) {
 	r := s.groups[g]
 	if r.reread && r.write == nil && !now.Before(r.retryAt) {
-		s.read(g, r)
+		s.read(now, g, r)
 	}
 	s.maintain(now, g)
 	for _, workspace := range s.workspaces[g] {
@@ -916,7 +947,7 @@
 			r.reread = true
 		}
 		if r.reread && r.write == nil && !now.Before(r.retryAt) && s.usable(now) {
-			s.read(g, r)
+			s.read(now, g, r)
 		}
 		s.maintain(now, g)
 		for _, workspace := range s.workspaces[g] {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -25,10 +25,13 @@
 	// domainPatience and regionPatience are how long the first host of a cell may take to reply before
 	// the second one is asked.
 	domainPatience = 30 * time.Millisecond
-	regionPatience = 60 * time.Millisecond
+	regionPatience = 45 * time.Millisecond
+	// holdTime is how long a holder waits for permits before it replies that they are pending.
+	holdTime = 15 * time.Millisecond
 	// borrowTimeout bounds a request to another holder for tokens, lentValidity the time after which
 	// they are no longer used.
 	borrowTimeout = 120 * time.Millisecond
+	borrowWait    = 60 * time.Millisecond
 	lentValidity  = 300 * time.Millisecond
 	// noticeTimeout bounds a notice to another holder.
 	noticeTimeout = 500 * time.Millisecond
@@ -49,10 +52,33 @@
 	Seed    uint64
 }
 
+// Peers sends requests to other daemons.
+type Peers interface {
+	AskPermits(ctx context.Context, peer messenger.Peer, question encoder.PermitQuestion) (encoder.PermitAnswer, error)
+	Notify(ctx context.Context, peer messenger.Peer, notice encoder.QuotaNotice) error
+}
+
+// messengerPeers sends requests over the connections of a messenger.
+type messengerPeers struct{ messenger *messenger.Messenger }
+
+// NewPeers returns a Peers that uses the connections of a messenger.
+func NewPeers(m *messenger.Messenger) Peers { return messengerPeers{m} }
+
+// AskPermits implements Peers.
+func (p messengerPeers) AskPermits(ctx context.Context, peer messenger.Peer, question encoder.PermitQuestion) (encoder.PermitAnswer, error) {
+	return messenger.Call[encoder.PermitAnswer](ctx, p.messenger, peer, messenger.MethodPermits, question)
+}
+
+// Notify implements Peers.
+func (p messengerPeers) Notify(ctx context.Context, peer messenger.Peer, notice encoder.QuotaNotice) error {
+	_, err := messenger.Call[struct{}](ctx, p.messenger, peer, messenger.MethodQuotaNotice, notice)
+	return err
+}
+
 // Dependencies are the objects that a Limiter works with.
 type Dependencies struct {
-	Store     provider.RowStore
-	Messenger *messenger.Messenger
+	Store provider.RowStore
+	Peers Peers
 	// Daemons returns the other daemons. The list must not be modified; a changed list is another slice.
 	Daemons func() []registrar.Entry
 	// Clock includes the time for which the host is suspended.
@@ -250,7 +276,7 @@
 		patience = domainPatience
 	}
 	answers := make(chan answer, len(hosts))
-	asked, open := 0, 0
+	asked, open, failed := 0, 0, 0
 	askNext := func() {
 		if asked == len(hosts) {
 			return
@@ -258,7 +284,8 @@
 		host := hosts[asked]
 		asked++
 		open++
-		go func() { answers <- l.askHost(host, began, r, request, extra) }()
+		takeover := failed == asked-1 && host != r.order[0]
+		go func() { answers <- l.askHost(host, began, r, request, extra, takeover, false) }()
 	}
 	deadline := time.NewTimer(maxWait)
 	defer deadline.Stop()
@@ -270,6 +297,12 @@
 		select {
 		case a := <-answers:
 			open--
+			if a.err == nil && a.grant.reason == reasonPending {
+				impatient.Stop()
+				open++
+				go func() { answers <- l.askHost(a.host, began, r, request, extra, false, true) }()
+				continue
+			}
 			if a.err == nil && a.grant.permits > 0 {
 				l.keepLater(request.Workspace, answers, open)
 				l.putSpare(request.Workspace, a.grant.permits-1, a.expires)
@@ -285,6 +318,8 @@
 					l.keepLater(request.Workspace, answers, open)
 					return last
 				}
+			} else {
+				failed++
 			}
 			askNext()
 		case <-impatient.C:
@@ -323,13 +358,13 @@
 }
 
 // askHost asks one host, which may be this daemon, for a permit.
-func (l *Limiter) askHost(host string, began time.Time, r *route, request Request, extra int) answer {
+func (l *Limiter) askHost(host string, began time.Time, r *route, request Request, extra int, takeover, again bool) answer {
 	sentAt := l.deps.Clock.Now()
 	left := maxWait - sentAt.Sub(began)
 	if host == l.settings.Own.Host {
 		g := l.hold(permitsRequested{
-			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left),
-			first: r.order[0] == host, lenders: r.lenders,
+			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left), limit: sentAt.Add(left),
+			takeover: takeover, first: r.order[0], lenders: r.lenders,
 		})
 		return answer{host: host, grant: g, expires: sentAt.Add(permitValidity)}
 	}
@@ -339,9 +374,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), max(left, replyMargin))
 	defer cancel()
-	reply, err := messenger.Call[encoder.PermitAnswer](ctx, l.deps.Messenger, peer, messenger.MethodPermits, encoder.PermitQuestion{
-		Workspace: request.Workspace, Program: request.Program, Needed: 1, Extra: extra,
-		WaitMs: int((left - replyMargin).Milliseconds()),
+	reply, err := l.deps.Peers.AskPermits(ctx, peer, encoder.PermitQuestion{
+		Workspace: request.Workspace, Program: request.Program, Needed: 1, Extra: extra, Takeover: takeover,
+		Again: again, WaitMs: int(min(holdTime, left-replyMargin).Milliseconds()), LimitMs: int((left - replyMargin).Milliseconds()),
 	})
 	l.mutex.Lock()
 	if err != nil || reply.Reason == reasonStopping {
@@ -391,10 +426,12 @@
 		return encoder.PermitAnswer{Reason: reasonUnknown}
 	}
 	r := l.route(q)
+	now := l.deps.Clock.Now()
 	g := l.hold(permitsRequested{
 		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: min(maxExtra, question.Extra),
-		deadline: l.deps.Clock.Now().Add(min(maxWait, time.Duration(question.WaitMs)*time.Millisecond)),
-		lend:     question.Lend, first: r.order[0] == l.settings.Own.Host, lenders: r.lenders,
+		deadline: now.Add(min(maxWait, time.Duration(question.WaitMs)*time.Millisecond)), again: question.Again,
+		limit: now.Add(min(maxWait, time.Duration(question.LimitMs)*time.Millisecond)),
+		lend:  question.Lend, takeover: question.Takeover, first: r.order[0], lenders: r.lenders,
 	})
 	return encoder.PermitAnswer{
 		Permits: g.permits, ValidMs: int(permitValidity.Milliseconds()), Reason: g.reason,
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -26,13 +26,19 @@
 	program   string
 	needed    int
 	// extra is the number of permits that are useful beyond needed.
-	extra    int
+	extra int
+	// deadline is when the request is answered at the latest, limit when its call is rejected.
 	deadline time.Time
+	limit    time.Time
+	// again is set if the same call has been answered with reasonPending.
+	again bool
 	// lend is set if another holder asks for tokens that this one does not need.
 	lend bool
-	// first is set if this daemon is the first of its cell for the workspace. lenders are the hosts
-	// that may lend tokens.
-	first   bool
+	// takeover is set if the hosts before this one in the order of its cell did not accept the request.
+	takeover bool
+	// first is the first host of the cell for the workspace. lenders are those of other cells, which may
+	// lend tokens.
+	first   string
 	lenders []string
 }
 
@@ -143,7 +149,11 @@
 type borrowTokens struct {
 	workspace string
 	host      string
-	tokens    int
+	// missing is the number of tokens for calls that wait, spare that of further useful ones.
+	missing int
+	spare   int
+	// ask is set if the host is the first of the cell, which serves requests like those of any daemon.
+	ask bool
 }
 
 // notifyHolders tells other daemons that the fractions of a group have changed or are short.
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -9,15 +9,17 @@
 )
 
 const (
-	// QuotaTable holds the fractions, by group of workspaces. HolderTable holds one row for each
-	// daemon that may hold fractions, by host.
-	QuotaTable  = "quotas"
+	// QuotaTable holds the fractions, by group of workspaces.
+	QuotaTable = "quotas"
+	// HolderTable holds one row for each daemon that may hold fractions, by host.
 	HolderTable = "quotaHolders"
-	// groupCount is the number of rows of QuotaTable, partitionCount that of its partitions. All
-	// daemons must use the same values. The workspaces of a group have the same holders, so that one
-	// transaction moves the fractions of all of them, and only one daemon of a cell writes the row.
-	groupCount     = 64
-	partitionCount = 16
+	// groupCount is the number of rows of QuotaTable. All daemons must use the same value. The workspaces
+	// of a group have the same holders, so that one transaction moves the fractions of all of them, and
+	// only one daemon of a cell writes the row. Each row has a partition of its own: when all daemons start
+	// at once, a partition with several rows takes too long for the first calls.
+	groupCount = 64
+	// holderPartitions is the number of partitions of HolderTable, for the same reason.
+	holderPartitions = 8
 	// wholeQuota is the sum of all fractions, which are counted in millionths.
 	wholeQuota = 1_000_000
 	// extraDepth is the number of requests that all buckets of a workspace together hold beyond its
@@ -58,7 +60,7 @@
 func (g group) name() string { return "g" + strconv.Itoa(int(g)) }
 
 func (g group) key() provider.RowKey {
-	return provider.RowKey{Table: QuotaTable, Partition: "p" + strconv.Itoa(int(g)%partitionCount), Key: g.name()}
+	return provider.RowKey{Table: QuotaTable, Partition: g.name(), Key: g.name()}
 }
 
 // parseGroup returns the group with the given key.
@@ -79,7 +81,13 @@
 	return keys
 }
 
-func holderKey(host string) provider.RowKey { return provider.RowKey{Table: HolderTable, Key: host} }
+func holderKey(host string) provider.RowKey {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(host))
+	return provider.RowKey{Table: HolderTable, Partition: holderPartition(int(h.Sum32() % holderPartitions)), Key: host}
+}
+
+func holderPartition(n int) string { return "h" + strconv.Itoa(n) }
 
 // Reasons of rejections.
 const (
@@ -95,6 +103,8 @@
 	// ReasonNoHolder means that no holder replied in time.
 	ReasonNoHolder = "quotaHolderLost"
 
+	// reasonPending makes the asking daemon ask again.
+	reasonPending = "quotaPending"
 	// reasonUnknown and reasonStopping make the asking daemon ask another one.
 	reasonUnknown  = "quotaUnknown"
 	reasonStopping = "quotaHolderStopping"
--- a/limiter/row.go
+++ b/limiter/row.go
@@ -16,6 +16,9 @@
 	need int
 }
 
+// short reports whether the holder needs much more than it has.
+func (s *share) short() bool { return float64(s.need) > float64(s.parts)*shortAt+minChange/2 }
+
 // allocation is the allocation of a workspace's quota.
 type allocation struct {
 	// tokens are the tokens of the remainder.
--- a/limiter/topology.go
+++ b/limiter/topology.go
@@ -3,7 +3,7 @@
 import "github.com/dogwoodweir/dogwoodweir/registrar"
 
 // candidates is the number of hosts of a cell that a daemon asks, in order.
-const candidates = 3
+const candidates = 6
 
 // place is where the holder of a group is asked for.
 type place struct {
@@ -66,9 +66,6 @@
 			r.lenders = append(r.lenders, rankHosts(p.group.name(), cells[cell], 1)...)
 		}
 	}
-	if r.order[0] != t.own.Host {
-		r.lenders = append(r.lenders, r.order[0])
-	}
 	t.routes[p] = r
 	return r
 }
