--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -146,7 +146,7 @@
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
 	d.limiter = limiter.New(limiter.Dependencies{
-		Store: d.store, Peers: limiter.NewPeers(d.messenger), Daemons: d.registrar.Entries, Clock: bootClock{}, Observe: d.metrics.quotaObserver(), Log: log,
+		Store: d.store, Peers: limiter.NewPeers(d.messenger), Daemons: d.registrar.Entries, Refresh: d.registrar.Refresh, Clock: bootClock{}, Observe: d.metrics.quotaObserver(), Log: log,
 	}, limiter.Settings{
 		Own: entry, Incarnation: uuid.NewString(), Domains: max(1, len(settings.RegionByDomain)), Regions: countRegions(settings), Seed: seed,
 	})
--- a/limiter/calm_test.go
+++ b/limiter/calm_test.go
@@ -125,6 +125,24 @@
 					}
 				}
 				t.Log(perSecond)
+				late := map[string]int{}
+				for w, list := range f.rejected {
+					for _, r := range list {
+						if r.at > 9*time.Second {
+							late[w]++
+						}
+					}
+				}
+				t.Log(late)
+				for _, w := range []string{"w-5", "w-12"} {
+					for w2, n := range late {
+						if n > 20 {
+							w = w2
+						}
+					}
+					row := f.store.Get(groupOf(w).key())
+					t.Log(w, string(row.Value))
+				}
 				if float64(rejected) > test.allowed*float64(calls) {
 					t.Errorf("%d of %d calls rejected: %q", rejected, calls, examples)
 				}
--- a/limiter/fleet_test.go
+++ b/limiter/fleet_test.go
@@ -121,6 +121,7 @@
 	incarnation := d.incarnation
 	limiter := New(Dependencies{
 		Store: &fleetStore{d, incarnation}, Peers: &fleetPeers{d, incarnation}, Clock: d, Log: zap.NewNop(), Observe: Observer{StoreCall: d.fleet.countStoreCall},
+		Refresh: func(context.Context) error { d.readList(); return nil },
 		Daemons: func() []registrar.Entry {
 			d.mutex.Lock()
 			defer d.mutex.Unlock()
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -35,12 +35,15 @@
 	keepTime    = 60 * time.Second
 	shrinkAfter = 10 * time.Second
 	// growAt is the fraction of the own part that demand may use before the holder takes more.
-	growAt = 0.85
+	growAt = 0.9
 	// minChange is the smallest change of a fraction that is worth a write, in millionths. shortAt is the
 	// demand, as a multiple of the own fraction, from which a holder asks others for a part of theirs.
 	// Smaller differences are made up by borrowed tokens.
 	minChange = wholeQuota / 50
 	shortAt   = 1.25
+	// keptShare is the part of the initial fraction that the first host of a cell keeps while others do not
+	// need it, since the demand of a small workspace is uneven.
+	keptShare = 0.75
 	// noticeInterval is the shortest interval between two reads of a row.
 	noticeInterval = 500 * time.Millisecond
 	// takeoverDelay is how long a daemon that is not the first of its cell serves requests with borrowed
@@ -48,9 +51,16 @@
 	// requestMemory is the longest time between two requests of the same takeover.
 	takeoverDelay = 200 * time.Millisecond
 	requestMemory = 2 * time.Second
-	// conflictDelay is the mean delay after a conflicting write, failureDelay that after a failed one.
-	conflictDelay = 4 * time.Millisecond
-	failureDelay  = 250 * time.Millisecond
+	// conflictDelay is the mean delay after a conflicting write. It doubles with each further one, up to
+	// maxConflictDelay, or to maxWaitingDelay while calls wait.
+	conflictDelay    = 4 * time.Millisecond
+	maxConflictDelay = 128 * time.Millisecond
+	maxWaitingDelay  = 16 * time.Millisecond
+	// failureDelay is the mean delay after a write that failed.
+	failureDelay = 250 * time.Millisecond
+	// primeDelay is the longest delay before a fraction is taken without a call, so that daemons that start
+	// together do not all write at once.
+	primeDelay = 300 * time.Millisecond
 	// minWantDelay and maxWantDelay bound the interval at which a holder asks others for a part of
 	// their fractions.
 	minWantDelay = 200 * time.Millisecond
@@ -81,6 +91,8 @@
 	lenders []string
 	// first is the first host of the cell.
 	first string
+	// primed is set once the holder has taken a first fraction before any request.
+	primed bool
 	// takeoverAt is when hosts before this one last did not accept a request.
 	takeoverAt time.Time
 	// firstRequest is when the present series of requests began, lastRequest the time of the last one.
@@ -130,6 +142,8 @@
 	reread bool
 	// retryAt is the earliest time of the next write.
 	retryAt time.Time
+	// conflicts is the number of conflicting writes in a row.
+	conflicts int
 }
 
 type pendingWrite struct {
@@ -195,6 +209,8 @@
 	switch m := m.(type) {
 	case quotasChanged:
 		s.setQuotas(now, m)
+	case placesChanged:
+		s.setPlaces(now, m)
 	case permitsRequested:
 		s.request(now, &m)
 	case leaseWritten:
@@ -255,6 +271,34 @@
 	s.renew(now)
 }
 
+// setPlaces sets the first hosts of the cells.
+func (s *holder) setPlaces(now time.Time, m placesChanged) {
+	for workspace, first := range m.first {
+		if h := s.holdings[workspace]; h != nil {
+			h.first = first
+		}
+	}
+	if s.usable(now) {
+		s.prime(now)
+	}
+}
+
+// prime takes fractions for the workspaces for which this daemon is the first of its cell, so that their
+// first calls need not wait for the store.
+func (s *holder) prime(now time.Time) {
+	for _, g := range sortedKeys(s.workspaces) {
+		for _, workspace := range s.workspaces[g] {
+			if h := s.holdings[workspace]; h.first == s.host && !h.primed {
+				h.primed, h.lastRequest = true, now
+				if s.groups[g] == nil {
+					s.row(g).retryAt = now.Add(time.Duration(s.random.Int64N(int64(primeDelay))))
+				}
+			}
+		}
+		s.maintain(now, g)
+	}
+}
+
 // usable reports whether the fractions of the lease are valid.
 func (s *holder) usable(now time.Time) bool { return now.Before(s.lease.end) }
 
@@ -300,9 +344,7 @@
 		} else {
 			l.renewAt = now
 		}
-		for _, g := range sortedKeys(s.groups) {
-			s.maintain(now, g)
-		}
+		s.prime(now)
 	case provider.KindConflict:
 		// The row of an earlier process is replaced. One of another process that came after this one
 		// means that this one should have ended.
@@ -364,7 +406,9 @@
 	h.queue = append(h.queue, waiting{ticket: m.ticket, program: m.program, needed: m.needed, extra: m.extra, deadline: m.deadline, limit: m.limit})
 	s.serve(now, h)
 	g := groupOf(m.workspace)
-	s.row(g)
+	if r := s.row(g); !r.known && r.write == nil && r.conflicts == 0 {
+		r.retryAt = time.Time{}
+	}
 	s.maintain(now, g)
 	s.help(now, h)
 }
@@ -587,6 +631,9 @@
 	if held == 0 && (!takesOver || idle > requestMemory) {
 		return 0, false
 	}
+	if h.first != s.host && idle > requestMemory {
+		return 0, false
+	}
 	need := h.need(now)
 	var others []int
 	othersShort := false
@@ -603,20 +650,23 @@
 		available = 0
 	}
 	floor := h.quota.minParts()
+	if h.first == s.host {
+		floor = max(floor, int(float64(h.initialParts())*keptShare))
+	}
 	young := now.Sub(h.grownAt) < shrinkAfter
 	switch {
 	case held == 0:
 		// The demand is not known yet.
 		wanted := max(fair, h.initialParts(), floor)
-		if available < floor {
-			return 0, true
+		if available < h.quota.minParts() || need == 0 && available < h.initialParts() {
+			return 0, need > 0
 		}
 		return min(wanted, available), available < min(wanted, fair)
 	case othersShort && float64(held) > float64(fair)*shortAt+minChange:
 		if idle > requestMemory && need < minChange {
 			return 0, false
 		}
-		return max(fair, min(floor, held)), false
+		return max(fair, min(h.quota.minParts(), held)), false
 	case idle > keepTime:
 		return 0, false
 	case float64(need) > growAt*float64(held):
@@ -647,8 +697,13 @@
 		held := s.ownParts(r, h)
 		parts, wants := s.desired(now, r, h)
 		need := h.need(now)
+		if a := r.allocations[workspace]; a != nil && parts == 0 && held == 0 && h.queue == nil && a.find(s.host, s.incarnation) != nil && now.Sub(h.lastRequest) > requestMemory {
+			// The demand in the row would keep others from their part.
+			decisions = append(decisions, decision{workspace: workspace})
+			continue
+		}
 		changed := parts != held && (abs(parts-held) >= max(minChange, held/6) || parts == 0 || held == 0)
-		if wants && !now.Before(h.wantAt) {
+		if wants && need > 0 && !now.Before(h.wantAt) {
 			h.wantDelay = min(maxWantDelay, max(minWantDelay, 2*h.wantDelay))
 			h.wantAt = now.Add(h.wantDelay)
 			short, changed = true, true
@@ -665,6 +720,9 @@
 			h.wantDelay = 0
 		}
 		if changed {
+			if parts == 0 && !wants {
+				need = 0
+			}
 			decisions = append(decisions, decision{workspace, parts, need})
 		}
 	}
@@ -808,7 +866,7 @@
 func (s *holder) completeWrite(now time.Time, m *rowWritten, r *rowState, w *pendingWrite) {
 	notified := map[string]bool{}
 	r.version, r.known, r.confirmed, r.unresolved = m.version, true, now, false
-	r.allocations = w.allocations
+	r.allocations, r.conflicts = w.allocations, 0
 	if w.epoch == s.lease.epoch && s.usable(now) {
 		r.stale = false
 	}
@@ -877,7 +935,13 @@
 		}
 	}
 	s.adopt(now, m.group, r, &current)
-	r.retryAt = now.Add(time.Duration(s.random.Int64N(int64(2 * conflictDelay))))
+	limit := maxConflictDelay
+	if s.waits(m.group) {
+		limit = maxWaitingDelay
+	}
+	delay := min(limit, conflictDelay<<min(r.conflicts, 6))
+	r.conflicts++
+	r.retryAt = now.Add(time.Duration(s.random.Int64N(int64(2 * delay))))
 }
 
 // adopt takes over a row as the store has it.
@@ -965,6 +1029,11 @@
 	return slices.ContainsFunc(s.workspaces[g], func(workspace string) bool { return s.ownParts(r, s.holdings[workspace]) > 0 })
 }
 
+// waits reports whether requests for a workspace of the group wait.
+func (s *holder) waits(g group) bool {
+	return slices.ContainsFunc(s.workspaces[g], func(workspace string) bool { return len(s.holdings[workspace].queue) > 0 })
+}
+
 // busy reports whether requests wait or a row has to be written soon.
 func (s *holder) busy() bool {
 	for _, h := range s.holdings {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,10 @@
 	// busyTick is the interval of ticks while requests wait, idleTick that of others.
 	busyTick = 5 * time.Millisecond
 	idleTick = 250 * time.Millisecond
+	// refreshDelay is the mean time from the start to an additional read of the list of daemons, which is
+	// left out if it has more than maxRefreshed entries.
+	refreshDelay = 300 * time.Millisecond
+	maxRefreshed = 128
 	// storeTimeout bounds a call to the store. Fractions stay reduced after it until the outcome is
 	// known, so that it is longer than the responses of a slow store.
 	storeTimeout = 3 * time.Second
@@ -81,6 +86,8 @@
 	Peers Peers
 	// Daemons returns the other daemons. The list must not be modified; a changed list is another slice.
 	Daemons func() []registrar.Entry
+	// Refresh reads the list of daemons again.
+	Refresh func(ctx context.Context) error
 	// Clock includes the time for which the host is suspended.
 	Clock   provider.Clock
 	Observe Observer
@@ -100,7 +107,9 @@
 	holder   *holder
 	asker    *asker
 	topology *topology
-	replies  map[ticket]chan grant
+	// places is the topology that the holder has been told.
+	places  *topology
+	replies map[ticket]chan grant
 }
 
 // New returns a Limiter without quotas, which admits all calls and does nothing.
@@ -134,18 +143,29 @@
 	l.quotas.Store(&byName)
 	l.update(m)
 	l.mutex.Lock()
+	l.places = nil
+	l.mutex.Unlock()
+	l.updatePlaces()
+	l.mutex.Lock()
 	l.asker.keep(byName)
 	l.mutex.Unlock()
 }
 
 // Run renews the lease and changes fractions until the context ends.
 func (l *Limiter) Run(ctx context.Context) {
+	refresh := time.NewTimer(refreshDelay/2 + rand.N(refreshDelay))
+	defer refresh.Stop()
 	timer := time.NewTimer(idleTick)
 	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-refresh.C:
+			if len(*l.quotas.Load()) > 0 && len(l.deps.Daemons()) <= maxRefreshed {
+				go l.refresh(ctx)
+			}
+			continue
 		case <-l.wake:
 			timer.Reset(busyTick)
 			continue
@@ -155,11 +175,22 @@
 	}
 }
 
+// refresh reads the list of daemons: those that started at the same time are missing from the first list,
+// and a host that wrongly counts as the first of its cell takes a fraction that others need.
+func (l *Limiter) refresh(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := l.deps.Refresh(ctx); err != nil {
+		l.deps.Log.Info("list of daemons not read for quotas", zap.Error(err))
+	}
+}
+
 // tick updates the holder and returns the time until the next tick.
 func (l *Limiter) tick() time.Duration {
 	if len(*l.quotas.Load()) == 0 {
 		return idleTick
 	}
+	l.updatePlaces()
 	l.update(tick{})
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -169,6 +200,36 @@
 	return idleTick
 }
 
+// updatePlaces tells the holder about the first hosts of the cells if the list of daemons or the quotas
+// have changed.
+func (l *Limiter) updatePlaces() {
+	entries := l.deps.Daemons()
+	l.mutex.Lock()
+	if l.places != nil && l.places.isFor(entries) {
+		l.mutex.Unlock()
+		return
+	}
+	l.places = l.currentTopology(entries)
+	m := placesChanged{first: map[string]string{}}
+	for workspace, q := range *l.quotas.Load() {
+		m.first[workspace] = l.places.route(l.place(q)).order[0]
+	}
+	l.mutex.Unlock()
+	l.update(m)
+}
+
+func (l *Limiter) place(q *Quota) place {
+	return place{groupOf(q.Workspace), q.perDomain(l.settings.Domains)}
+}
+
+// currentTopology returns the topology of a list of daemons. The caller holds the mutex.
+func (l *Limiter) currentTopology(entries []registrar.Entry) *topology {
+	if !l.topology.isFor(entries) {
+		l.topology = newTopology(l.settings.Own, entries)
+	}
+	return l.topology
+}
+
 // update passes a message to the holder and carries out its commands.
 func (l *Limiter) update(m message) {
 	l.mutex.Lock()
@@ -222,10 +283,7 @@
 	entries := l.deps.Daemons()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.topology.isFor(entries) {
-		l.topology = newTopology(l.settings.Own, entries)
-	}
-	return l.topology.route(place{groupOf(q.Workspace), q.perDomain(l.settings.Domains)})
+	return l.currentTopology(entries).route(l.place(q))
 }
 
 func (l *Limiter) peer(host string) (messenger.Peer, bool) {
@@ -300,6 +358,12 @@
 			if a.err == nil && a.grant.reason == reasonPending {
 				impatient.Stop()
 				open++
+				last = Decision{
+					Limited: true, Reason: ReasonOverQuota, RetryAfter: a.grant.retryAfter, Holder: a.host, Fraction: a.grant.fraction, Age: a.grant.age,
+				}
+				if a.grant.fraction == 0 {
+					last.Reason = ReasonNoFraction
+				}
 				go func() { answers <- l.askHost(a.host, began, r, request, extra, false, true) }()
 				continue
 			}
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -19,6 +19,9 @@
 	cells  map[string]int
 }
 
+// placesChanged sets the first host of the cell for each workspace, after a change of the list of daemons.
+type placesChanged struct{ first map[string]string }
+
 // permitsRequested requests permits for calls that wait.
 type permitsRequested struct {
 	ticket    ticket
@@ -91,6 +94,7 @@
 type tick struct{}
 
 func (quotasChanged) message()    {}
+func (placesChanged) message()    {}
 func (permitsRequested) message() {}
 func (leaseWritten) message()     {}
 func (rowWritten) message()       {}
--- a/limiter/row.go
+++ b/limiter/row.go
@@ -101,8 +101,8 @@
 }
 
 // headroom is the fraction that a daemon holds while the quota is not short, as a multiple of the
-// demand. With the usual quota of 1.6 times the rate it leaves an eighth of the quota to others.
-const headroom = 1.4
+// demand. With the usual quota of 1.6 times the rate it leaves a fifth of the quota to others.
+const headroom = 1.25
 
 // fairParts returns the fraction that a demand gets beside others: with headroom if the quota suffices,
 // in proportion to the demand if it suffices without, and otherwise an equal share, or less if the demand
