--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -65,6 +65,10 @@
 	// their fractions.
 	minWantDelay = 200 * time.Millisecond
 	maxWantDelay = 3 * time.Second
+	// minRereadDelay and maxRereadDelay bound the interval at which a holder that would take more reads the
+	// row to see whether others have returned something.
+	minRereadDelay = time.Second
+	maxRereadDelay = 10 * time.Second
 	// holdersInterval is the interval at which the holders' rows are read while fractions are short.
 	holdersInterval = 4 * time.Second
 	// refreshInterval is the interval at which a holder reads the rows of its fractions: a notice may be lost.
@@ -103,6 +107,10 @@
 	// wantAt is the earliest time of the next request for a part of others' fractions.
 	wantAt    time.Time
 	wantDelay time.Duration
+	// rereadAt is the earliest time of the next read of the row to find out whether others have returned
+	// parts of theirs.
+	rereadAt    time.Time
+	rereadDelay time.Duration
 	// borrowing is the number of requests for tokens without a reply.
 	borrowing int
 	// coolUntil holds the hosts that had no tokens.
@@ -672,6 +680,12 @@
 	case float64(need) > growAt*float64(held):
 		wanted := max(fair, held)
 		missing := share{parts: available, need: min(need, wanted)}
+		if wanted > available && !now.Before(h.rereadAt) && now.Sub(r.confirmed) > minRereadDelay {
+			// Others may have returned parts since the row was read.
+			h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
+			h.rereadAt = now.Add(h.rereadDelay)
+			r.reread = true
+		}
 		return min(wanted, max(available, held)), missing.short()
 	case !young && held > 2*max(fair, floor) && idle < keepTime:
 		return max(fair, floor), false
@@ -717,7 +731,7 @@
 			parts = held
 		}
 		if parts > held {
-			h.wantDelay = 0
+			h.wantDelay, h.rereadDelay = 0, 0
 		}
 		if changed {
 			if parts == 0 && !wants {
