--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -113,14 +113,17 @@
 	rereadDelay time.Duration
 	// borrowing is the number of requests for tokens without a reply.
 	borrowing int
+	programs  programs
 	// coolUntil holds the hosts that had no tokens.
 	coolUntil map[string]time.Time
 }
 
 // waiting is a request for permits that waits.
 type waiting struct {
-	ticket   ticket
-	program  string
+	ticket  ticket
+	program string
+	// begun is set if an earlier call of the program has been admitted.
+	begun    bool
 	needed   int
 	extra    int
 	deadline time.Time
@@ -411,7 +414,14 @@
 	if m.takeover {
 		h.takeoverAt = now
 	}
-	h.queue = append(h.queue, waiting{ticket: m.ticket, program: m.program, needed: m.needed, extra: m.extra, deadline: m.deadline, limit: m.limit})
+	w := waiting{ticket: m.ticket, program: m.program, begun: h.programs.known(m.program), needed: m.needed, extra: m.extra, deadline: m.deadline, limit: m.limit}
+	if !s.hasRoom(now, h, &w) {
+		g := s.rejection(now, h, &w, max(minRetryAfter, reservedTime/2))
+		g.reason = ReasonProgram
+		s.emit(g)
+		return
+	}
+	h.enqueue(w)
 	s.serve(now, h)
 	g := groupOf(m.workspace)
 	if r := s.row(g); !r.known && r.write == nil && r.conflicts == 0 {
@@ -421,6 +431,29 @@
 	s.help(now, h)
 }
 
+// enqueue adds a request to the queue, those of programs that have begun before the others.
+func (h *holding) enqueue(w waiting) {
+	at := len(h.queue)
+	if w.begun {
+		if i := slices.IndexFunc(h.queue, func(other waiting) bool { return !other.begun }); i >= 0 {
+			at = i
+		}
+	}
+	h.queue = slices.Insert(h.queue, at, w)
+}
+
+// hasRoom reports whether a call leaves room for the programs that have begun. It may not if the quota is
+// used up and the call begins a program.
+func (s *holder) hasRoom(now time.Time, h *holding, w *waiting) bool {
+	if w.program == "" || w.begun || h.bucket.parts == 0 || float64(h.need(now)) < reserveAt*float64(h.bucket.parts) {
+		return true
+	}
+	if r := s.groups[groupOf(h.quota.Workspace)]; r != nil && r.allocations[h.quota.Workspace] != nil && r.allocations[h.quota.Workspace].remainder() > h.bucket.parts/4 {
+		return true
+	}
+	return h.bucket.tokens+h.bucket.rate(&h.quota)*reservedTime.Seconds() >= float64(w.needed)+h.programs.reserved(now)
+}
+
 // lend gives tokens that this holder does not need to another one.
 func (s *holder) lend(now time.Time, h *holding, m *permitsRequested) {
 	tokens := 0
@@ -454,6 +487,7 @@
 			permits += max(0, min(w.extra, int(h.bucket.tokens-float64(permits)-h.bucket.depth(&h.quota)/4)))
 		}
 		h.bucket.tokens -= float64(permits)
+		h.programs.record(now, w.program)
 		s.emit(grant{ticket: w.ticket, permits: permits, fraction: h.bucket.fraction(), age: s.age(now, h)})
 		h.queue = h.queue[1:]
 	}
