--- a/limiter/programs_test.go
+++ b/limiter/programs_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // Guards against a reservation for programs that rests on a constant, or that goes on after they have ended.
@@ -49,35 +51,35 @@
 // programs while the quota suffices.
 func TestNewProgramsAreRejectedFirst(t *testing.T) {
 	tests := []struct {
-		name       string
-		rate       float64
+		name string
+		// demand is the demand as a part of the quota, running the number of programs in progress.
+		demand     float64
+		running    int
+		program    string
 		wantReason string
 	}{
-		{"quota used up", 4, ReasonProgram},
-		{"quota suffices", 40, ""},
+		{"new program, quota used up", 1.5, 8, "new", ReasonProgram},
+		{"program in progress", 1.5, 8, "running-0", ""},
+		{"call without a program", 1.5, 8, "", ""},
+		{"few programs in progress", 1.5, 1, "new", ""},
+		{"quota suffices", 0.5, 8, "new", ""},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			b := newBench(t, Quota{Workspace: "w", RatePerSecond: test.rate, Burst: 1})
+			b := newBench(t, testQuota)
 			b.takeWhole("w")
-			// Programs of five calls, two at a time.
-			for round := range 12 {
-				for range 5 {
-					for i := range 2 {
-						b.ask("w", fmt.Sprint("old-", round, "-", i))
-					}
-					b.advance(400 * time.Millisecond)
-				}
+			h := b.holder.holdings["w"]
+			h.demand = meter{mean: test.demand * testQuota.RatePerSecond, at: b.now, start: b.now.Add(-time.Hour)}
+			h.bucket.tokens, h.bucket.at = 1, b.now
+			h.programs = programs{byID: map[string]*program{}, interval: 400 * time.Millisecond}
+			for range minLengths {
+				h.programs.keepLength(5)
 			}
-			for range 3 {
-				for i := range 4 {
-					b.ask("w", fmt.Sprint("running-", i))
-				}
-				b.advance(300 * time.Millisecond)
+			for i := range test.running {
+				h.programs.byID[fmt.Sprint("running-", i)] = &program{calls: 2, lastCall: b.now}
 			}
-			got := b.ask("w", "new")
-			if (got.reason == ReasonProgram) != (test.wantReason == ReasonProgram) {
-				t.Errorf("new program: %+v, want reason %q", got, test.wantReason)
+			if diff := cmp.Diff(test.wantReason, b.ask("w", test.program).reason); diff != "" {
+				t.Errorf("reason (-want +got):\n%s", diff)
 			}
 		})
 	}
