--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -32,6 +32,8 @@
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
 	MethodFindHolders  = "holders"
+	MethodPermits      = "permits"
+	MethodQuotaNotice  = "quotaNotice"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
