Place calls of engines by the load that other daemons report

Cause: a daemon knows only its own calls at an engine, one in 74, so that an engine queues calls while another one of the same failure domain has free slots. Change: dispatcher.LoadReported gives the calls of the other daemons; a State with a fresh report compares the session's targets and two drawn ones by the sum.

--- a/dispatcher/message.go
+++ b/dispatcher/message.go
@@ -56,6 +56,13 @@
 // PlacementRequested asks for the placement of a call. Update returns a Send or a Reject.
 type PlacementRequested struct{ Request Request }
 
+// LoadReported gives the calls of the other daemons of the failure domain at its engines, by target ID, as
+// of a time. Engines that it does not name have none.
+type LoadReported struct {
+	InFlight map[string]int
+	At       time.Time
+}
+
 // ResponseStarted reports the first event of a stream or the response head of a plain service.
 type ResponseStarted struct{ Ticket Ticket }
 
@@ -84,6 +91,7 @@
 func (TargetsChanged) message()     {}
 func (TargetLeaving) message()      {}
 func (PlacementRequested) message() {}
+func (LoadReported) message()       {}
 func (ResponseStarted) message()    {}
 func (AttemptEnded) message()       {}
 
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -16,8 +16,8 @@
 	slownessSmoothing = 0.2
 	// maxSlownessRatio bounds the effect of one observation.
 	maxSlownessRatio = 10
-	// batchDelayShare is the share of the time to a first event that each running call of this
-	// daemon adds to it: an engine's steps take longer the more calls run.
+	// batchDelayShare is the share of the time to a first event that each running call
+	// adds to it: an engine's steps take longer the more calls run.
 	batchDelayShare = 0.04
 )
 
@@ -72,6 +72,7 @@
 	services   map[string]*service
 	attempts   map[Ticket]*attempt
 	sessions   lastTargets
+	reported   loadReport
 	lastTicket Ticket
 }
 
@@ -95,6 +96,8 @@
 		}
 	case PlacementRequested:
 		return []Command{s.choose(now, &m.Request)}
+	case LoadReported:
+		s.recordLoad(m)
 	case ResponseStarted:
 		s.recordStart(now, m.Ticket)
 	case AttemptEnded:
@@ -147,22 +150,49 @@
 	cost          time.Duration
 }
 
-// choose sends the call to the candidate with the lowest cost. Targets that failed recently
-// are used only if there is no other. Full targets are not used: if there are only these, the
-// call is rejected.
+// choose sends the call to the candidate with the lowest cost. If the load that other daemons cause is
+// known, it compares a few targets of the failure domain first, and all targets only if none of these has
+// a free slot.
 func (s *State) choose(now time.Time, r *Request) Command {
-	var best, avoided *candidate
-	full := 0
 	preferred := s.preferred(now, r)
-	for _, n := range s.service(r.Service).nodes {
-		if n.target.Leaving || slices.Contains(r.Excluded, n.target.ID) || (r.RequiredTarget != "" && r.RequiredTarget != n.target.ID) {
+	load := s.loads(now, r)
+	if load.known() && r.RequiredTarget == "" {
+		best, _ := s.cheapest(now, r, &load, s.drawFew(now, r, preferred), preferred)
+		if best != nil && load.of(best.node)+1 <= float64(max(1, best.node.target.Slots)) && best.expectedFirstEvent <= r.Remaining {
+			return s.send(now, best, r)
+		}
+	}
+	best, full := s.cheapest(now, r, &load, s.service(r.Service).nodes, preferred)
+	switch {
+	case best == nil && full > 0:
+		return s.reject("targetsFull", s.options.FullBackoff)
+	case best == nil:
+		return s.reject("noTarget", s.options.MinRetryAfter)
+	case best.expectedFirstEvent > r.Remaining && !s.mayHaveHistory(best, r):
+		return s.reject("tooSlow", best.expectedFirstEvent-r.Remaining)
+	}
+	return s.send(now, best, r)
+}
+
+// usable reports whether a target may get a call, apart from its state at the moment.
+func (s *State) usable(n *node, r *Request) bool {
+	return !n.target.Leaving && !slices.Contains(r.Excluded, n.target.ID) && (r.RequiredTarget == "" || r.RequiredTarget == n.target.ID)
+}
+
+// cheapest returns the candidate with the lowest cost and the number of targets that are full. Targets that
+// failed recently are used only if there is no other. Full targets are not used: if there are only these,
+// the call is rejected.
+func (s *State) cheapest(now time.Time, r *Request, load *loads, nodes []*node, preferred *node) (best *candidate, full int) {
+	var avoided *candidate
+	for _, n := range nodes {
+		if !s.usable(n, r) {
 			continue
 		}
 		if now.Before(n.fullUntil) {
 			full++
 			continue
 		}
-		c := s.estimate(now, n, r)
+		c := s.estimate(now, n, r, load)
 		if n == preferred {
 			c.cost -= s.options.AffinityBonus
 		}
@@ -177,15 +207,7 @@
 	if best == nil {
 		best = avoided
 	}
-	switch {
-	case best == nil && full > 0:
-		return s.reject("targetsFull", s.options.FullBackoff)
-	case best == nil:
-		return s.reject("noTarget", s.options.MinRetryAfter)
-	case best.expectedFirstEvent > r.Remaining && !s.mayHaveHistory(best, r):
-		return s.reject("tooSlow", best.expectedFirstEvent-r.Remaining)
-	}
-	return s.send(now, best, r)
+	return best, full
 }
 
 // mayHaveHistory reports whether an idle target may serve a call in time because it has cached the
@@ -216,7 +238,7 @@
 	return x ^ x>>33
 }
 
-func (s *State) estimate(now time.Time, n *node, r *Request) *candidate {
+func (s *State) estimate(now time.Time, n *node, r *Request, load *loads) *candidate {
 	c := &candidate{node: n}
 	slots := max(1, n.target.Slots)
 	if r.Engine == nil {
@@ -229,10 +251,11 @@
 		c.prompt = v.estimatePrompt(now, n, r)
 		c.idleFirstEvent = v.engines.idleFirstEvent(c.prompt.expectedTokens)
 		c.expectedFirstEvent = c.idleFirstEvent + v.engines.prefillTime(n.pendingTokens)
-		waiting := max(0, n.inFlight+1-slots)
-		c.expectedFirstEvent += milliseconds(v.engines.slotTime * float64(waiting) / float64(slots))
-		c.delayOfOthers = v.engines.prefillTime(c.prompt.expectedTokens) * time.Duration(n.inFlight)
-		c.expectedFirstEvent += milliseconds(batchDelayShare * v.engines.firstEvent * float64(n.inFlight))
+		calls := load.of(n)
+		waiting := max(0, calls+1-float64(slots))
+		c.expectedFirstEvent += milliseconds(v.engines.slotTime * waiting / float64(slots))
+		c.delayOfOthers = time.Duration(float64(v.engines.prefillTime(c.prompt.expectedTokens)) * calls)
+		c.expectedFirstEvent += milliseconds(batchDelayShare * v.engines.firstEvent * calls)
 	}
 	c.expectedFirstEvent = time.Duration(float64(c.expectedFirstEvent)*n.slowness) + n.decayedQueueDelay(now)
 	if now.Before(n.target.WarmAt) {
@@ -261,6 +284,7 @@
 	n.inFlight++
 	if r.Engine != nil {
 		a.service, a.prompt, a.pendingBefore = s.service(r.Service), c.prompt, n.pendingTokens
+		n.isEngine = true
 		n.pendingTokens += c.prompt.expectedTokens
 		// The engine prefills the prompt once, so calls that follow at once can count on its cache.
 		n.recordPrompt(r.Prompt, r.Engine.CacheTokens)
--- /dev/null
+++ b/surveyor/replay_test.go
@@ -0,0 +1,388 @@
+package surveyor_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/dispatcher"
+	"github.com/dogwoodweir/dogwoodweir/follower"
+	"github.com/dogwoodweir/dogwoodweir/forwarder"
+)
+
+// The load that is replayed: the worst seconds of a day.
+const (
+	replayDaemons  = 74
+	replayEngines  = 44
+	replayDomains  = 6
+	replaySlots    = 12
+	turnsPerSecond = 980.0
+	turnsOfProgram = 4
+	sharedTokens   = 2500
+	tokensOfTurn   = 400
+	// fastEngine is the speed of every third engine.
+	fastEngine = 1.3
+	// stayShare is the share of the turns that use the same daemon as the turn before.
+	stayShare = 0.5
+	// oneWay is the latency between processes of a failure domain, otherDomainWay that between domains.
+	oneWay         = 700 * time.Microsecond
+	otherDomainWay = 3 * time.Millisecond
+	// prefillRate is the speed of an engine, in tokens a millisecond.
+	prefillRate = 60.0
+	// meanDecode is the mean time of a call after its prefill in a batch of one, decodeGrowth the share by
+	// which each other call in the batch prolongs it.
+	meanDecode   = 217 * time.Millisecond
+	decodeGrowth = 0.07
+	// freeSlots is the number of free slots of an engine that make a wait at another one unnecessary.
+	freeSlots = 3
+	// warmUp is not measured: the daemons learn the engines' speeds.
+	warmUp         = 6 * time.Second
+	sampleInterval = 5 * time.Millisecond
+)
+
+var replayStart = time.Unix(1_000, 0)
+
+// action is something that happens at a time of the replay.
+type action struct {
+	at    time.Duration
+	order int
+	run   func()
+}
+
+type actionQueue []action
+
+func (q actionQueue) Len() int { return len(q) }
+func (q actionQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q actionQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *actionQueue) Push(x any)   { *q = append(*q, x.(action)) }
+func (q *actionQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// engineCall is a call at an engine.
+type engineCall struct {
+	prefill, decode time.Duration
+	started         func()
+	ended           func()
+}
+
+// replayEngine has slots, a queue, and a batch in which the prefill of a prompt stops the other calls.
+type replayEngine struct {
+	replay    *replay
+	target    follower.Target
+	speed     float64
+	running   []*engineCall
+	queue     []*engineCall
+	cached    map[uint64]int
+	updatedAt time.Duration
+	// generation invalidates the actions that were planned before the batch changed.
+	generation int
+	// incoming counts calls on their way, which no daemon but the sender knows.
+	calls int
+}
+
+// prefilling returns the first call of the batch whose prompt is not prefilled.
+func (e *replayEngine) prefilling() *engineCall {
+	i := slices.IndexFunc(e.running, func(c *engineCall) bool { return c.prefill > 0 })
+	if i < 0 {
+		return nil
+	}
+	return e.running[i]
+}
+
+// decodeRate is the progress of each call of the batch.
+func (e *replayEngine) decodeRate() float64 {
+	return e.speed / (1 + decodeGrowth*float64(len(e.running)-1))
+}
+
+// advance brings the batch up to the present time. No call ends its phase before.
+func (e *replayEngine) advance() {
+	passed := e.replay.now - e.updatedAt
+	e.updatedAt = e.replay.now
+	if c := e.prefilling(); c != nil {
+		c.prefill = max(1, c.prefill-time.Duration(float64(passed)*e.speed))
+		return
+	}
+	for _, c := range e.running {
+		c.decode -= time.Duration(float64(passed) * e.decodeRate())
+	}
+}
+
+// plan schedules the next end of a phase.
+func (e *replayEngine) plan() {
+	e.generation++
+	generation := e.generation
+	next := func(after time.Duration, run func()) {
+		e.replay.after(after, func() {
+			if e.generation == generation {
+				e.advance()
+				run()
+				e.plan()
+			}
+		})
+	}
+	for len(e.running) < replaySlots && len(e.queue) > 0 {
+		e.running, e.queue = append(e.running, e.queue[0]), e.queue[1:]
+	}
+	if c := e.prefilling(); c != nil {
+		next(time.Duration(float64(c.prefill)/e.speed)+1, func() {
+			c.prefill = 0
+			c.started()
+		})
+		return
+	}
+	if len(e.running) == 0 {
+		return
+	}
+	first := slices.MinFunc(e.running, func(a, b *engineCall) int { return int(a.decode - b.decode) })
+	next(time.Duration(float64(max(0, first.decode))/e.decodeRate())+1, func() {
+		e.running = slices.DeleteFunc(e.running, func(c *engineCall) bool { return c == first })
+		first.ended()
+	})
+}
+
+// submit adds a call with the given prompt.
+func (e *replayEngine) submit(prompt []forwarder.PromptSegment, c *engineCall) {
+	e.advance()
+	for _, p := range prompt {
+		if missing := p.Tokens - e.cached[p.ID]; missing > 0 {
+			c.prefill += time.Duration(float64(missing) / prefillRate * float64(time.Millisecond))
+			e.cached[p.ID] = p.Tokens
+		}
+	}
+	c.prefill = max(c.prefill, time.Millisecond)
+	e.queue = append(e.queue, c)
+	e.plan()
+}
+
+// replayDaemon is a daemon with the real placement.
+type replayDaemon struct {
+	name   string
+	domain int
+	state  *dispatcher.State
+}
+
+// replayResult is what a replay has measured.
+type replayResult struct {
+	// uneven is the share of time in which an engine of a domain has more calls than slots while another
+	// one has freeSlots free slots.
+	uneven float64
+	// overfull is the share of engines that have more calls than slots.
+	overfull float64
+	// meanCalls, busiest and idlest are the mean numbers of calls at all engines, and at the engines of a
+	// domain with the most and the fewest.
+	meanCalls, busiest, idlest float64
+	firstEvents, programTimes  []time.Duration
+	turns, moved, elsewhere    int
+	// reversals counts the reports after which the idlest target of a domain became its busiest.
+	reversals, reportRounds int
+}
+
+func (r *replayResult) String() string {
+	slices.Sort(r.firstEvents)
+	slices.Sort(r.programTimes)
+	at := func(list []time.Duration, share float64) time.Duration {
+		return list[int(share*float64(len(list)-1))].Round(time.Millisecond)
+	}
+	return fmt.Sprintf("uneven %.3f, engines over their slots %.3f, calls %.1f (idlest %.1f, busiest %.1f), first event %v / p90 %v / p99 %v, "+
+		"program %v / p90 %v / p99 %v, moved %.3f, other domain %.3f, reversals %d of %d",
+		r.uneven, r.overfull, r.meanCalls, r.idlest, r.busiest, at(r.firstEvents, 0.5), at(r.firstEvents, 0.9), at(r.firstEvents, 0.99),
+		at(r.programTimes, 0.5), at(r.programTimes, 0.9), at(r.programTimes, 0.99),
+		float64(r.moved)/float64(r.turns), float64(r.elsewhere)/float64(r.turns), r.reversals, r.reportRounds)
+}
+
+// replay is a simulation of daemons, engines and callers.
+type replay struct {
+	now      time.Duration
+	queue    actionQueue
+	order    int
+	random   *rand.Rand
+	daemons  []*replayDaemon
+	byDomain [replayDomains][]*replayDaemon
+	engines  [replayDomains][]*replayEngine
+	byID     map[string]*replayEngine
+	programs uint64
+	// turnFactor changes the rate of arrivals over time.
+	turnFactor func(at time.Duration) float64
+	result     replayResult
+}
+
+func (r *replay) after(wait time.Duration, run func()) {
+	r.order++
+	heap.Push(&r.queue, action{at: r.now + wait, order: r.order, run: run})
+}
+
+func (r *replay) clock() time.Time { return replayStart.Add(r.now) }
+
+func newReplay(seed uint64) *replay {
+	r := &replay{
+		random: rand.New(rand.NewPCG(seed, 1)), byID: map[string]*replayEngine{},
+		turnFactor: func(time.Duration) float64 { return 1 },
+	}
+	listed := map[string]follower.Target{}
+	regions := map[string]string{}
+	for i := range replayEngines {
+		domain := i % replayDomains
+		e := &replayEngine{replay: r, speed: 1, cached: map[uint64]int{1: sharedTokens}, target: follower.Target{
+			ID: fmt.Sprintf("engine-%02d", i), Service: "s", Address: fmt.Sprint(i), Domain: fmt.Sprintf("d%d", domain), Slots: replaySlots,
+		}}
+		if (i/replayDomains)%3 == 0 {
+			e.speed = fastEngine
+		}
+		r.engines[domain] = append(r.engines[domain], e)
+		r.byID[e.target.ID] = e
+		listed[e.target.ID] = e.target
+		regions[e.target.Domain] = "r" + fmt.Sprint(domain%2)
+	}
+	for i := range replayDaemons {
+		domain := i % replayDomains
+		name := fmt.Sprintf("d%d", domain)
+		d := &replayDaemon{name: fmt.Sprintf("host-%02d", i), domain: domain, state: dispatcher.New(
+			dispatcher.DefaultOptions(), dispatcher.Location{Domain: name, Region: regions[name]}, seed<<8+uint64(i))}
+		d.state.Update(replayStart.Add(-time.Minute), dispatcher.TargetsChanged{Targets: listed, Regions: regions})
+		r.daemons = append(r.daemons, d)
+		r.byDomain[domain] = append(r.byDomain[domain], d)
+	}
+	return r
+}
+
+// arrive starts a program and plans the next one.
+func (r *replay) arrive() {
+	rate := turnsPerSecond / turnsOfProgram * r.turnFactor(r.now)
+	r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), r.arrive)
+	r.programs++
+	domain := r.daemons[r.random.IntN(len(r.daemons))].domain
+	r.turn(r.programs, domain, nil, 0, r.now)
+}
+
+// turn sends a turn of a program and then the next one.
+func (r *replay) turn(program uint64, domain int, d *replayDaemon, step int, began time.Duration) {
+	if step == turnsOfProgram {
+		if began > warmUp {
+			r.result.programTimes = append(r.result.programTimes, r.now-began)
+		}
+		return
+	}
+	if d == nil || r.random.Float64() > stayShare {
+		d = r.byDomain[domain][r.random.IntN(len(r.byDomain[domain]))]
+	}
+	history := tokensOfTurn * (step + 1)
+	request := dispatcher.Request{
+		Service: "s", Engine: &follower.Engine{Slots: replaySlots, CacheTokens: 1_000_000}, PromptTokens: sharedTokens + history,
+		Prompt:    []forwarder.PromptSegment{{ID: 1, Tokens: sharedTokens}, {ID: 100 + program, Tokens: history}},
+		BodyBytes: 4 * (sharedTokens + history), ProgramStarted: step > 0, Remaining: 20 * time.Second,
+	}
+	send, ok := d.state.Update(r.clock(), dispatcher.PlacementRequested{Request: request})[0].(dispatcher.Send)
+	if !ok {
+		r.after(100*time.Millisecond, func() { r.turn(program, domain, d, step, began) })
+		return
+	}
+	e := r.byID[send.Target.ID]
+	way := oneWay
+	if e.target.Domain != fmt.Sprintf("d%d", domain) {
+		way = otherDomainWay
+		r.result.elsewhere++
+	}
+	r.result.turns++
+	if send.Moved() {
+		r.result.moved++
+	}
+	e.calls++
+	sentAt := r.now
+	call := &engineCall{decode: time.Duration((0.2 + 0.8*r.random.ExpFloat64()) * float64(meanDecode))}
+	call.started = func() {
+		r.after(way, func() {
+			d.state.Update(r.clock(), dispatcher.ResponseStarted{Ticket: send.Ticket})
+			if r.now > warmUp {
+				r.result.firstEvents = append(r.result.firstEvents, r.now-sentAt)
+			}
+		})
+	}
+	call.ended = func() {
+		e.calls--
+		r.after(way, func() {
+			d.state.Update(r.clock(), dispatcher.AttemptEnded{Ticket: send.Ticket, Result: dispatcher.Completed})
+			r.turn(program, domain, d, step+1, began)
+		})
+	}
+	r.after(way, func() { e.submit(request.Prompt, call) })
+}
+
+// run replays the load for the given time and returns what it has measured after the warm-up.
+func (r *replay) run(length time.Duration) *replayResult {
+	samples := 0
+	var sample func()
+	sample = func() {
+		r.after(sampleInterval, sample)
+		if r.now <= warmUp {
+			return
+		}
+		samples++
+		for _, engines := range r.engines {
+			most, fewest := 0, 1000
+			for _, e := range engines {
+				most, fewest = max(most, e.calls), min(fewest, e.calls)
+				r.result.meanCalls += float64(e.calls) / replayEngines
+				if e.calls > replaySlots {
+					r.result.overfull += 1.0 / replayEngines
+				}
+			}
+			r.result.busiest += float64(most) / replayDomains
+			r.result.idlest += float64(fewest) / replayDomains
+			if most > replaySlots && fewest <= replaySlots-freeSlots {
+				r.result.uneven += 1.0 / replayDomains
+			}
+		}
+	}
+	r.after(0, sample)
+	r.after(0, r.arrive)
+	for r.now < length {
+		a := heap.Pop(&r.queue).(action)
+		r.now = a.at
+		a.run()
+	}
+	for _, f := range []*float64{&r.result.uneven, &r.result.overfull, &r.result.meanCalls, &r.result.busiest, &r.result.idlest} {
+		*f /= float64(samples)
+	}
+	return &r.result
+}
+
+// startReports lets the daemons of each domain report with the given interval, delay and loss.
+func (r *replay) startReports(interval, delay time.Duration, lost float64) {
+	type report struct {
+		at    time.Duration
+		calls map[string]int
+	}
+	for _, daemons := range r.byDomain {
+		collected := map[string]report{}
+		for _, d := range daemons {
+			var send func()
+			send = func() {
+				r.after(interval, send)
+				if r.random.Float64() < lost {
+					return
+				}
+				sentAt, calls := r.clock(), d.state.EngineCalls()
+				r.after(oneWay, func() {
+					collected[d.name] = report{r.now, calls}
+					sum := map[string]int{}
+					for host, other := range collected {
+						if host != d.name && r.now-other.at < 500*time.Millisecond {
+							for id, n := range other.calls {
+								sum[id] += n
+							}
+						}
+					}
+					r.after(oneWay+delay, func() { d.state.Update(r.clock(), dispatcher.LoadReported{InFlight: sum, At: sentAt}) })
+				})
+			}
+			r.after(time.Duration(r.random.Int64N(int64(interval))), send)
+		}
+	}
+}
