Exchange the calls at engines between the daemons of a failure domain

Cause: placement by the load of all daemons needs reports of the others. Change: package surveyor with a state machine and a runner over messenger, wire types LoadReport and LoadSum, method targetLoad, wiring in assembler and a gauge of the age of the last sum. No test of the new package's states yet.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/dogwoodweir/dogwoodweir/registrar"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
 	"github.com/dogwoodweir/dogwoodweir/replicator"
+	"github.com/dogwoodweir/dogwoodweir/surveyor"
 )
 
 const (
@@ -108,6 +109,7 @@
 	recorder  *recorder.Recorder
 	borrower  *borrower.Borrower
 	receiver  *receiver.Receiver
+	surveyor  *surveyor.Runner
 	follower  *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
 	configurationFeed *feed
@@ -167,6 +169,12 @@
 		TargetLeaving:    func(id string, startedAt int64) { d.follower.announceLeaving(id, startedAt) },
 		ConfigurationAge: func() time.Duration { return d.configurationFeed.age(time.Now()) },
 	}, dispatcher.New(dispatcher.DefaultOptions(), location, seed), receiverOptions)
+	d.surveyor = surveyor.NewRunner(surveyor.Dependencies{
+		Messenger: d.messenger, Clock: bootClock{}, Log: log, Host: settings.Host, Peers: d.domainPeers, Calls: d.receiver.EngineCalls,
+		Publish: func(inFlight map[string]int, age time.Duration) {
+			d.receiver.UpdateDispatcher(dispatcher.LoadReported{InFlight: inFlight, At: time.Now().Add(-age)})
+		},
+	}, surveyor.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
 	d.pauses = newPauseGuard(bootClock{}, func() []*feed { return []*feed{d.configurationFeed, d.targetFeed} }, log)
 	d.follower = &followerRunner{
@@ -188,10 +196,15 @@
 
 func (d *Daemon) publishTargets(targets map[string]follower.Target) {
 	published := make(map[string]follower.Target, len(targets))
+	var ownDomain []string
 	for id, t := range targets {
 		published[id] = t
+		if t.Domain == d.settings.FailureDomain {
+			ownDomain = append(ownDomain, id)
+		}
 	}
 	d.targets.Store(&published)
+	d.surveyor.SetTargets(ownDomain)
 }
 
 // Run serves until the context ends, then shuts down gracefully. It returns an error only if
@@ -215,7 +228,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
+		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run, d.surveyor.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
@@ -346,6 +359,9 @@
 		for _, f := range []*feed{d.configurationFeed, d.targetFeed} {
 			d.metrics.setFeedAge(f.table, f.age(time.Now()))
 		}
+		if age, known := d.surveyor.SumAge(); known {
+			d.metrics.setGauge("target_load_age_seconds", age.Seconds())
+		}
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -25,6 +25,17 @@
 	return daemons
 }
 
+// domainPeers returns the other daemons of this daemon's failure domain.
+func (d *Daemon) domainPeers() []messenger.Peer {
+	var peers []messenger.Peer
+	for _, e := range d.registrar.RegionEntries() {
+		if e.Domain == d.settings.FailureDomain {
+			peers = append(peers, messenger.Peer{Host: e.Host, Address: e.Address})
+		}
+	}
+	return peers
+}
+
 // errUnknownMethod is the reply to a method that this daemon does not serve.
 var errUnknownMethod = errors.New("unknown method")
 
@@ -32,7 +43,7 @@
 type peerHandler struct{ daemon *Daemon }
 
 // Handle implements messenger.Handler.
-func (h peerHandler) Handle(ctx context.Context, _, method string, params json.RawMessage) (any, error) {
+func (h peerHandler) Handle(ctx context.Context, from, method string, params json.RawMessage) (any, error) {
 	result, handled, err := h.daemon.store.Handle(ctx, method, params)
 	if !handled {
 		result, handled, err = h.daemon.replicas.Handle(ctx, method, params)
@@ -40,6 +51,9 @@
 	if !handled {
 		result, handled, err = h.daemon.borrower.Handle(ctx, h.daemon.recorder, method, params)
 	}
+	if !handled {
+		result, handled, err = h.daemon.surveyor.Handle(from, method, params)
+	}
 	if !handled {
 		return nil, errUnknownMethod
 	}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -249,6 +249,24 @@
 	Digest string `json:"digest"`
 }
 
+// Reports the calls of the sender at the engines of its failure domain.
+type LoadReport struct {
+	// Calls by engine in the form of package surveyor, in base64.
+	Load []byte `json:"load"`
+}
+
+// The calls of all daemons but the one that asks, as far as they were reported.
+type LoadSum struct {
+	// Mean age of their reports in milliseconds.
+	AgeMs int `json:"ageMs"`
+
+	// Calls by engine in the form of package surveyor, in base64.
+	Load []byte `json:"load"`
+
+	// Number of daemons whose calls are included.
+	Reports int `json:"reports"`
+}
+
 // The value of a row in the list of daemons.
 type PeerEntry struct {
 	// Address of the daemon for connections of other daemons.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -32,6 +32,7 @@
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
 	MethodFindHolders  = "holders"
+	MethodTargetLoad   = "targetLoad"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -135,6 +135,13 @@
 	return r.dispatcher.Update(time.Now(), m)
 }
 
+// EngineCalls returns this daemon's calls in flight at engines of its failure domain, by target ID.
+func (r *Receiver) EngineCalls() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dispatcher.EngineCalls()
+}
+
 // recordLeaving records that a target has announced that it leaves. It gets no new calls from now on.
 func (r *Receiver) recordLeaving(t *follower.Target) {
 	r.UpdateDispatcher(dispatcher.TargetLeaving{ID: t.ID, StartedAt: t.StartedAt})
