--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -34,6 +34,7 @@
 	MethodFindHolders  = "holders"
 	MethodPermits      = "permits"
 	MethodQuotaNotice  = "quotaNotice"
+	MethodTargetLoad   = "targetLoad"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
