--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -4,6 +4,40 @@
 
 import "encoding/json"
 
+// The row after a successful request, and the current one after a conflict.
+type BudgetRowAnswer struct {
+	// Kind of the error; "none" for success.
+	Kind string `json:"kind"`
+
+	// The sender does not own the partition.
+	NotOwner bool `json:"notOwner,omitempty,omitzero"`
+
+	// Host of the owner that the sender knows, empty if it knows none.
+	Owner string `json:"owner,omitempty,omitzero"`
+
+	// Value corresponds to the JSON schema field "value".
+	Value string `json:"value,omitempty,omitzero"`
+
+	// Version of the row, 0 if it does not exist.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
+// Asks the owner of a partition to read the second row of a budget, or to write it
+// if it has the given version.
+type BudgetRowQuestion struct {
+	// Key corresponds to the JSON schema field "key".
+	Key string `json:"key"`
+
+	// Part corresponds to the JSON schema field "part".
+	Part string `json:"part"`
+
+	// New value, empty for a read.
+	Value string `json:"value,omitempty,omitzero"`
+
+	// Version that the row must have; 0 if it must not exist.
+	Version int `json:"version,omitempty,omitzero"`
+}
+
 // One chunk of a streamed response.
 type CallEvent struct {
 	// Call corresponds to the JSON schema field "call".
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -2,6 +2,35 @@
 
 package encoder
 
+// The value of the row that names the owner of a partition's second budget rows.
+// Each write of the owner is conditional on the row's version and replaces it.
+type BudgetOwner struct {
+	// Remaining time in which no second row may be used, since tokens may have been
+	// granted that are in no row.
+	BlockedMs int `json:"blockedMs,omitempty,omitzero"`
+
+	// Names the run of the host's operating system, whose clock sentAtMs refers to.
+	Boot string `json:"boot"`
+
+	// Host of the owner.
+	Host string `json:"host"`
+
+	// Incarnation of the owner.
+	Incarnation string `json:"incarnation"`
+
+	// The owner has stopped. All its grants are in the rows.
+	Released bool `json:"released,omitempty,omitzero"`
+
+	// Time on the host's boot clock before the transaction was sent.
+	SentAtMs int `json:"sentAtMs"`
+
+	// Increases with each transaction of the incarnation in this partition.
+	Sequence int `json:"sequence"`
+
+	// The owner may grant or may have granted tokens that are in no row.
+	Unwritten bool `json:"unwritten,omitempty,omitzero"`
+}
+
 // The value of a budget row. Each write is conditional on the row's version, so
 // that concurrent writes of daemons exclude one another.
 type ProgramBudget struct {
