--- /dev/null
+++ b/allocator/runner.go
@@ -0,0 +1,472 @@
+package allocator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+const (
+	// Table holds one row for each partition, which names its owner. The row is in the partition of the
+	// same name, so that a transaction with second rows stays within one partition.
+	Table = "budgetOwners"
+	// OwnerKey is the key of that row.
+	OwnerKey = "owner"
+	// tickInterval is the interval at which what is due is done.
+	tickInterval = 100 * time.Millisecond
+	// orderInterval is the interval at which the candidates of the partitions are computed anew.
+	orderInterval = 5 * time.Second
+	// startGrace is the time after the list of daemons has been read in which a daemon claims only the
+	// partitions of the earlier process on its host, since the list is not complete yet.
+	startGrace = 3 * time.Second
+	// transactionTimeout bounds a transaction of an owner and a read of the owner, loadTimeout the
+	// reading of all second rows of a partition.
+	transactionTimeout = 600 * time.Millisecond
+	loadTimeout        = 5 * time.Second
+	// askTimeout bounds the wait for an owner. silentTime is the time for which an owner that did not
+	// reply is not asked again.
+	askTimeout = 100 * time.Millisecond
+	silentTime = 500 * time.Millisecond
+	// maxHops bounds the daemons that are asked for one request.
+	maxHops = 3
+	// releasePollInterval is the interval at which a stopping daemon checks whether all is released.
+	releasePollInterval = 10 * time.Millisecond
+)
+
+// Dependencies are what a Runner needs.
+type Dependencies struct {
+	Store provider.RowStore
+	// Clock counts the time in which the process is frozen.
+	Clock     provider.Clock
+	Messenger *messenger.Messenger
+	Identity  Identity
+	// Domain is the failure domain of this daemon. Others returns the other daemons, and Listed is closed
+	// when their list has been read.
+	Domain string
+	Others func() []Member
+	Listed <-chan struct{}
+	// RowTable is the table of the second rows, Partitions are its partitions.
+	RowTable   string
+	Partitions []string
+	// IsSecondRow reports whether a key of the table may be that of a second row.
+	IsSecondRow func(key string) bool
+}
+
+// Stats describes the partitions that a daemon owns.
+type Stats struct {
+	Owned, FromMemory, Blocked int
+	// Unwritten is the number of rows that the store does not have yet as the owner has them.
+	Unwritten int
+	// MemoryWrites, Asked and Unanswered count the rows changed in memory, the requests to owners and
+	// those that no owner answered.
+	MemoryWrites, Asked, Unanswered int64
+}
+
+// owner is the state of one partition with the replies that are due.
+type owner struct {
+	partition string
+	mutex     sync.Mutex
+	state     *State
+	waiting   map[Ticket]chan Reply
+	rank      int
+	// order is the order in which the daemons are to own the partition.
+	order []Member
+	// known is the host that was last seen to own it, silentUntil is when an owner may be asked again.
+	known       string
+	silentUntil time.Time
+}
+
+// Runner runs the states of all partitions of a daemon. It is safe for concurrent use.
+type Runner struct {
+	dependencies Dependencies
+	log          *zap.Logger
+	owners       map[string]*owner
+	active       atomic.Bool
+	context      atomic.Pointer[context.Context]
+	tickets      atomic.Uint64
+	tasks        conc.WaitGroup
+
+	memoryWrites, asked, unanswered atomic.Int64
+}
+
+// NewRunner returns a Runner that owns nothing. It makes no requests before the first call of Activate, or
+// the first request of a peer.
+func NewRunner(dependencies Dependencies, options Options, log *zap.Logger) *Runner {
+	r := &Runner{dependencies: dependencies, log: log, owners: map[string]*owner{}}
+	for _, partition := range dependencies.Partitions {
+		r.owners[partition] = &owner{
+			partition: partition, state: New(options, dependencies.Identity), waiting: map[Ticket]chan Reply{}, rank: -1,
+		}
+	}
+	background := context.Background()
+	r.context.Store(&background)
+	return r
+}
+
+// Activate makes the runner take part in the ownership of partitions: programs use budgets with second rows.
+func (r *Runner) Activate() { r.active.Store(true) }
+
+// Run does what is due until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	r.context.Store(&ctx)
+	defer r.tasks.Wait()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	var listedAt, orderedAt time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if !r.active.Load() {
+			continue
+		}
+		now := time.Now()
+		select {
+		case <-r.dependencies.Listed:
+			if listedAt.IsZero() {
+				listedAt = now
+			}
+		default:
+		}
+		if !listedAt.IsZero() && now.Sub(orderedAt) >= orderInterval {
+			orderedAt = now
+			r.updateOrder()
+		}
+		mayClaim := !listedAt.IsZero() && now.Sub(listedAt) >= startGrace
+		for _, o := range r.owners {
+			rank := -1
+			if mayClaim {
+				rank = o.currentRank()
+			}
+			r.update(o, Tick{Rank: rank, UnixNow: now.Unix()})
+		}
+	}
+}
+
+func (o *owner) currentRank() int {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.rank
+}
+
+// updateOrder computes which daemons are to own and to watch each partition.
+func (r *Runner) updateOrder() {
+	self := r.dependencies.Identity.Host
+	members := append([]Member{{Peer: messenger.Peer{Host: self}, Domain: r.dependencies.Domain}}, r.dependencies.Others()...)
+	isSelf := func(m Member) bool { return m.Host == self }
+	for _, o := range r.owners {
+		order := rendezvousOrder(o.partition, members)
+		rank := slices.IndexFunc(claimants(order), isSelf)
+		o.mutex.Lock()
+		o.order, o.rank = order, rank
+		o.mutex.Unlock()
+	}
+}
+
+// update applies a message to the state of a partition and runs the commands that follow.
+func (r *Runner) update(o *owner, m Message) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	for _, c := range o.state.Update(r.dependencies.Clock.Now(), m) {
+		r.execute(o, c)
+	}
+}
+
+// execute runs a command. Requests to the store run in goroutines of their own.
+func (r *Runner) execute(o *owner, c Command) {
+	ctx := *r.context.Load()
+	switch c := c.(type) {
+	case Reply:
+		if reply := o.waiting[c.Ticket]; reply != nil {
+			delete(o.waiting, c.Ticket)
+			reply <- c
+		}
+	case ReadOwner:
+		r.tasks.Go(func() { r.update(o, r.readOwner(ctx, o)) })
+	case ReadRows:
+		r.tasks.Go(func() { r.update(o, r.readRows(ctx, o, c)) })
+	case Apply:
+		r.tasks.Go(func() { r.update(o, r.apply(ctx, o, c)) })
+	case OwnershipChanged:
+		r.log.Info("ownership of budget rows changed", zap.String("part", o.partition), zap.Bool("owned", c.Owned),
+			zap.String("other", c.Other), zap.Duration("blocked", c.Blocked), zap.Int("lost", c.Rows))
+	case MemoryChanged:
+		r.memoryWrites.Add(int64(c.Writes))
+		r.log.Info("granting of second budget halves from memory changed", zap.String("part", o.partition), zap.Bool("active", c.Active),
+			zap.Int("writes", c.Writes), zap.Duration("sinceRenewal", c.SinceRenewal))
+	}
+}
+
+func (r *Runner) readOwner(ctx context.Context, o *owner) OwnerRead {
+	ctx, cancel := context.WithTimeout(ctx, transactionTimeout)
+	defer cancel()
+	page, err := r.dependencies.Store.Range(ctx, provider.RowRange{
+		Table: Table, Partition: o.partition, From: OwnerKey, To: OwnerKey + "\x00", Limit: 1,
+	})
+	if err != nil {
+		return OwnerRead{Kind: provider.KindUnavailable}
+	}
+	if len(page.Rows) == 0 {
+		return OwnerRead{}
+	}
+	return OwnerRead{Row: &page.Rows[0]}
+}
+
+func (r *Runner) readRows(ctx context.Context, o *owner, c ReadRows) RowsRead {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	read := RowsRead{Sequence: c.Sequence}
+	from := ""
+	for {
+		page, err := r.dependencies.Store.Range(ctx, provider.RowRange{Table: r.dependencies.RowTable, Partition: o.partition, From: from})
+		if err != nil {
+			r.log.Warn("cannot read the second budget rows of an own partition; trying again", zap.String("part", o.partition), zap.Error(err))
+			return RowsRead{Sequence: c.Sequence, Kind: provider.KindUnavailable}
+		}
+		for _, row := range page.Rows {
+			if r.dependencies.IsSecondRow(row.Key) {
+				read.Rows = append(read.Rows, row)
+			}
+		}
+		if !page.More || len(page.Rows) == 0 {
+			return read
+		}
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
+
+// apply runs a transaction of an owner.
+func (r *Runner) apply(ctx context.Context, o *owner, c Apply) Applied {
+	ctx, cancel := context.WithTimeout(ctx, transactionTimeout)
+	defer cancel()
+	ownerKey := provider.RowKey{Table: Table, Partition: o.partition, Key: OwnerKey}
+	// The type has only numbers, strings and flags, so encoding cannot fail.
+	value, _ := json.Marshal(c.Owner)
+	t := provider.RowTransaction{
+		Conditions: []provider.RowCondition{{RowKey: ownerKey, Version: c.Version}},
+		Writes:     []provider.RowWrite{{RowKey: ownerKey, Value: value}},
+	}
+	for _, change := range c.Changes {
+		key := provider.RowKey{Table: r.dependencies.RowTable, Partition: o.partition, Key: change.Key}
+		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: key, Version: change.Version})
+		t.Writes = append(t.Writes, provider.RowWrite{RowKey: key, Value: change.Value})
+	}
+	version, err := r.dependencies.Store.Apply(ctx, t)
+	applied := Applied{Sequence: c.Sequence, Kind: provider.KindOf(err), Version: version}
+	var conflict *provider.RowConflictError
+	if !errors.As(err, &conflict) {
+		if applied.Kind == provider.KindConflict {
+			applied.Kind = provider.KindUnknown
+		}
+		return applied
+	}
+	complete := false
+	for _, row := range conflict.Rows {
+		if row.RowKey == ownerKey {
+			applied.Owner, complete = row, true
+			continue
+		}
+		applied.Rows = append(applied.Rows, row)
+	}
+	if !complete {
+		applied.Kind = provider.KindUnavailable
+	}
+	return applied
+}
+
+// Read returns a second row from its owner. Kind is KindNone or KindUnavailable.
+func (r *Runner) Read(ctx context.Context, key provider.RowKey) (provider.VersionedRow, provider.Kind) {
+	row, kind := r.request(ctx, key, Request{Key: key.Key})
+	if kind != provider.KindNone {
+		kind = provider.KindUnavailable
+	}
+	return row, kind
+}
+
+// Write makes the owner write a second row if it has the version. Versions are those that Read and Write
+// return. After a conflict, the current row is returned.
+func (r *Runner) Write(ctx context.Context, key provider.RowKey, version int64, value []byte) (provider.VersionedRow, provider.Kind) {
+	return r.request(ctx, key, Request{Key: key.Key, Version: version, Value: value})
+}
+
+// request asks the owner of a row's partition: this daemon, the owner that is known, or the daemons that
+// are to own it. Each may name another one.
+func (r *Runner) request(ctx context.Context, key provider.RowKey, m Request) (provider.VersionedRow, provider.Kind) {
+	r.Activate()
+	r.asked.Add(1)
+	o := r.owners[key.Partition]
+	now := r.dependencies.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply := r.ask(ctx, o, m)
+	host := reply.Owner
+	for hop := 0; reply.NotOwner && hop < maxHops; hop++ {
+		peer, ok := o.nextPeer(now, host, hop)
+		if !ok {
+			break
+		}
+		reply = r.askPeer(ctx, o, peer, key, m)
+		host = reply.Owner
+	}
+	if reply.Kind == provider.KindUnavailable || reply.Kind == provider.KindUnknown {
+		r.unanswered.Add(1)
+	}
+	return provider.VersionedRow{RowKey: key, Version: reply.Version, Value: reply.Value}, reply.Kind
+}
+
+// nextPeer returns the daemon to ask next: the one that is said to be the owner, else the last known
+// owner, else the daemons that are to own the partition, in their order.
+func (o *owner) nextPeer(now time.Time, host string, hop int) (messenger.Peer, bool) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if now.Before(o.silentUntil) {
+		return messenger.Peer{}, false
+	}
+	for _, name := range []string{host, o.known} {
+		if name == "" {
+			continue
+		}
+		if i := slices.IndexFunc(o.order, func(m Member) bool { return m.Host == name }); i >= 0 && o.order[i].Address != "" {
+			return o.order[i].Peer, true
+		}
+	}
+	if hop < len(o.order) && o.order[hop].Address != "" {
+		return o.order[hop].Peer, true
+	}
+	return messenger.Peer{}, false
+}
+
+// ask passes a request to the own state of the partition.
+func (r *Runner) ask(ctx context.Context, o *owner, m Request) Reply {
+	reply := make(chan Reply, 1)
+	m.Ticket = Ticket(r.tickets.Add(1))
+	o.mutex.Lock()
+	o.waiting[m.Ticket] = reply
+	for _, c := range o.state.Update(r.dependencies.Clock.Now(), m) {
+		r.execute(o, c)
+	}
+	o.mutex.Unlock()
+	select {
+	case answer := <-reply:
+		return answer
+	case <-ctx.Done():
+		o.mutex.Lock()
+		delete(o.waiting, m.Ticket)
+		o.mutex.Unlock()
+		return Reply{Kind: provider.KindUnknown}
+	}
+}
+
+// askPeer passes a request to a peer, which may be the owner.
+func (r *Runner) askPeer(ctx context.Context, o *owner, peer messenger.Peer, key provider.RowKey, m Request) Reply {
+	question := encoder.BudgetRowQuestion{Part: key.Partition, Key: key.Key, Version: int(m.Version), Value: string(m.Value)}
+	answer, err := messenger.Call[encoder.BudgetRowAnswer](ctx, r.dependencies.Messenger, peer, messenger.MethodBudgetRow, question)
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if err != nil {
+		o.known, o.silentUntil = "", r.dependencies.Clock.Now().Add(silentTime)
+		kind := provider.KindUnknown
+		if messenger.KindOf(err).NotRun() {
+			kind = provider.KindUnavailable
+		}
+		return Reply{Kind: kind}
+	}
+	switch {
+	case !answer.NotOwner:
+		o.known = peer.Host
+	case o.known == peer.Host || answer.Owner != "":
+		o.known = answer.Owner
+	}
+	reply := Reply{
+		Kind: provider.ParseKind(answer.Kind), Version: int64(answer.Version), NotOwner: answer.NotOwner, Owner: answer.Owner,
+	}
+	if answer.Version != int(provider.VersionAbsent) {
+		reply.Value = []byte(answer.Value)
+	}
+	return reply
+}
+
+// Handle serves the requests of peers. It reports whether the method is one of them.
+func (r *Runner) Handle(ctx context.Context, method string, params json.RawMessage) (any, bool, error) {
+	if method != messenger.MethodBudgetRow {
+		return nil, false, nil
+	}
+	var question encoder.BudgetRowQuestion
+	if err := json.Unmarshal(params, &question); err != nil {
+		return nil, true, err
+	}
+	r.Activate()
+	o := r.owners[question.Part]
+	if o == nil {
+		return encoder.BudgetRowAnswer{Kind: provider.KindInvalid.String()}, true, nil
+	}
+	m := Request{Key: question.Key, Version: int64(question.Version)}
+	if question.Value != "" {
+		m.Value = []byte(question.Value)
+	}
+	ctx, cancel := context.WithTimeout(ctx, transactionTimeout)
+	defer cancel()
+	reply := r.ask(ctx, o, m)
+	return encoder.BudgetRowAnswer{
+		Kind: reply.Kind.String(), Version: int(reply.Version), Value: string(reply.Value), NotOwner: reply.NotOwner, Owner: reply.Owner,
+	}, true, nil
+}
+
+// Release writes back all grants and gives up all partitions, so that other daemons take them over at
+// once. It returns when that is done or the context ends. Nothing is served afterwards.
+func (r *Runner) Release(ctx context.Context) error {
+	for _, o := range r.owners {
+		r.update(o, Stopping{})
+	}
+	ticker := time.NewTicker(releasePollInterval)
+	defer ticker.Stop()
+	for {
+		if !slices.ContainsFunc(r.dependencies.Partitions, func(p string) bool { return !r.stopped(r.owners[p]) }) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &Error{operation: "release", kind: KindTimeout, cause: ctx.Err()}
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Runner) stopped(o *owner) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.state.Stopped()
+}
+
+// Stats describes the partitions that this daemon owns.
+func (r *Runner) Stats() Stats {
+	s := Stats{MemoryWrites: r.memoryWrites.Load(), Asked: r.asked.Load(), Unanswered: r.unanswered.Load()}
+	for _, o := range r.owners {
+		o.mutex.Lock()
+		if o.state.Owned() {
+			s.Owned++
+		}
+		if o.state.FromMemory() {
+			s.FromMemory++
+		}
+		if o.state.Blocked() {
+			s.Blocked++
+		}
+		s.Unwritten += o.state.Unwritten()
+		o.mutex.Unlock()
+	}
+	return s
+}
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -164,6 +164,9 @@
 // FromMemory reports whether tokens are granted from memory.
 func (s *State) FromMemory() bool { return s.fromMemory }
 
+// Blocked reports whether second rows are not used, since an earlier owner may have been lost with grants.
+func (s *State) Blocked() bool { return s.owned && s.now.Before(s.blockedUntil) }
+
 // Unwritten returns the number of rows that the store does not have yet as the owner has them.
 func (s *State) Unwritten() int {
 	n := 0
@@ -308,9 +311,10 @@
 	s.dropExpired(unixNow)
 }
 
-// watch reads the owner unless that was done within the interval.
+// watch reads the owner unless that was done within the interval. Any daemon reads it once, since an earlier
+// process on its host may have been the owner.
 func (s *State) watch(interval time.Duration) {
-	if s.rank < 0 || s.reading || s.stopping || s.attempt != nil || s.now.Sub(s.readAt) < interval {
+	if s.rank < 0 && !s.seenAt.IsZero() && !s.claimFailed || s.reading || s.stopping || s.attempt != nil || s.now.Sub(s.readAt) < interval {
 		return
 	}
 	s.reading, s.readAt = true, s.now
@@ -349,18 +353,21 @@
 
 // claimIfDue takes the partition over if it has no owner or its owner may no longer act.
 func (s *State) claimIfDue() {
-	if s.rank < 0 || s.owned || s.stopping || s.attempt != nil || s.seenAt.IsZero() || s.claimFailed {
+	if s.owned || s.stopping || s.attempt != nil || s.seenAt.IsZero() || s.claimFailed {
 		return
 	}
 	waited := s.now.Sub(s.seenAt)
 	stagger := time.Duration(s.rank) * s.options.ClaimStagger
+	isOwnHost := s.seen != nil && s.seen.Host == s.self.Host && !s.seen.Released
 	switch {
+	case isOwnHost:
+		// The earlier process on this host has ended.
+	case s.rank < 0:
+		return
 	case s.seen == nil || s.seen.Released:
 		if waited < stagger {
 			return
 		}
-	case s.seen.Host == s.self.Host:
-		// The earlier process on this host has ended.
 	case waited < s.options.TakeoverAfter+stagger:
 		return
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,6 +31,7 @@
 	MethodReplica      = "replica"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
+	MethodBudgetRow    = "budgetRow"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
