Read and write second budget rows through their owner

The first row is written directly as before. A planned stop releases the partitions. Metrics and dogwoodweir-view show the owners.

--- a/allocator/runner.go
+++ b/allocator/runner.go
@@ -343,8 +343,10 @@
 			return o.order[i].Peer, true
 		}
 	}
-	if hop < len(o.order) && o.order[hop].Address != "" {
-		return o.order[hop].Peer, true
+	// This daemon has no address in the order.
+	others := slices.DeleteFunc(slices.Clone(o.order[:min(len(o.order), maxHops+1)]), func(m Member) bool { return m.Address == "" })
+	if hop < len(others) {
+		return others[hop].Peer, true
 	}
 	return messenger.Peer{}, false
 }
--- a/assembler/clock.go
+++ b/assembler/clock.go
@@ -1,8 +1,11 @@
 package assembler
 
 import (
+	"os"
+	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"golang.org/x/sys/unix"
 )
 
@@ -20,3 +23,13 @@
 	}
 	return time.Unix(t.Unix())
 }
+
+// bootID names the run of the operating system, whose boot clock other processes on the host share. A
+// random name stands for one that cannot be read.
+func bootID() string {
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	if err != nil || len(id) == 0 {
+		return uuid.NewString()
+	}
+	return strings.TrimSpace(string(id))
+}
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/batcher"
 	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
@@ -46,6 +47,8 @@
 	lastResponseMargin = 150 * time.Millisecond
 	// tokenReturnTimeout limits the return of unused tokens at the end.
 	tokenReturnTimeout = 500 * time.Millisecond
+	// ownershipReleaseTimeout limits the release of partitions of budget rows after that.
+	ownershipReleaseTimeout = 300 * time.Millisecond
 	// peerStallTimeout closes a connection to a peer on which nothing has arrived for
 	// this long while a reply is overdue.
 	peerStallTimeout = time.Second
@@ -106,8 +109,10 @@
 	readiness *readinessState
 	forwarder *forwarder.Forwarder
 	recorder  *recorder.Recorder
-	receiver  *receiver.Receiver
-	follower  *followerRunner
+	// owners owns partitions of the second rows of budgets.
+	owners   *allocator.Runner
+	receiver *receiver.Receiver
+	follower *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
 	configurationFeed *feed
 	targetFeed        *feed
@@ -139,8 +144,15 @@
 	batcherOptions := batcher.DefaultOptions()
 	batcherOptions.Seed = seed
 	peerBorrower := borrower.New(d.messenger, d.registrar, borrower.DefaultOptions(), log)
-	d.recorder = recorder.New(d.store, peerBorrower, recorder.Options{
-		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: uuid.NewString(),
+	incarnation := uuid.NewString()
+	d.owners = allocator.NewRunner(allocator.Dependencies{
+		Store: d.store, Clock: bootClock{}, Messenger: d.messenger,
+		Identity: allocator.Identity{Host: settings.Host, Incarnation: incarnation, Boot: bootID()},
+		Domain:   settings.FailureDomain, Others: d.ownerCandidates, Listed: d.registrar.Listed(),
+		RowTable: recorder.ProgramTable, Partitions: recorder.ProgramPartitions(), IsSecondRow: recorder.IsSecondRow,
+	}, allocator.DefaultOptions(), log)
+	d.recorder = recorder.New(d.store, d.owners, peerBorrower, recorder.Options{
+		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
 	d.forwarder = forwarder.New(dependencies.Dialect, forwarder.DefaultOptions())
@@ -214,7 +226,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
+		d.recorder.Run, d.recorder.RunCleanup, d.owners.Run, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
@@ -277,6 +289,11 @@
 	returnCtx, cancelReturn := context.WithTimeout(context.Background(), tokenReturnTimeout)
 	defer cancelReturn()
 	d.recorder.ReturnTokens(returnCtx)
+	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), ownershipReleaseTimeout)
+	defer cancelRelease()
+	if err := d.owners.Release(releaseCtx); err != nil {
+		d.log.Warn("ownership of budget rows not released; it will expire", zap.Error(err))
+	}
 	d.log.Info("finished serving callers", zap.Int64("serving", d.receiver.InFlightCalls()), zap.Duration("took", time.Since(began)))
 }
 
@@ -348,5 +365,6 @@
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
+		d.metrics.setOwnership(d.owners.Stats())
 	}
 }
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
@@ -62,4 +63,15 @@
 	m.scope.Tagged(map[string]string{"table": table}).Gauge("feed_age_seconds").Update(age.Seconds())
 }
 
+// setOwnership records the partitions of budget rows that this daemon owns.
+func (m *metrics) setOwnership(s allocator.Stats) {
+	m.setGauge("budget_partitions_owned", float64(s.Owned))
+	m.setGauge("budget_partitions_from_memory", float64(s.FromMemory))
+	m.setGauge("budget_partitions_blocked", float64(s.Blocked))
+	m.setGauge("budget_rows_unwritten", float64(s.Unwritten))
+	m.setGauge("budget_memory_writes", float64(s.MemoryWrites))
+	m.setGauge("budget_owner_requests", float64(s.Asked))
+	m.setGauge("budget_owner_requests_unanswered", float64(s.Unanswered))
+}
+
 func (m *metrics) setGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
@@ -26,6 +27,16 @@
 	return daemons
 }
 
+// ownerCandidates returns the other daemons, which may own partitions of the second rows of budgets.
+func (d *Daemon) ownerCandidates() []allocator.Member {
+	entries := d.registrar.Entries()
+	members := make([]allocator.Member, len(entries))
+	for i, e := range entries {
+		members[i] = allocator.Member{Peer: messenger.Peer{Host: e.Host, Address: e.Address}, Domain: e.Domain}
+	}
+	return members
+}
+
 // errUnknownMethod is the reply to a method that this daemon does not serve.
 var errUnknownMethod = errors.New("unknown method")
 
@@ -41,6 +52,9 @@
 	if !handled {
 		result, handled, err = borrower.Handle(ctx, h.daemon.recorder, method, params)
 	}
+	if !handled {
+		result, handled, err = h.daemon.owners.Handle(ctx, method, params)
+	}
 	if !handled {
 		return nil, errUnknownMethod
 	}
--- a/cmd/dogwoodweir-view/main.go
+++ b/cmd/dogwoodweir-view/main.go
@@ -85,6 +85,7 @@
 		{name: "configuration", synopsis: "routes of the newest configuration", query: withoutArgument((*viewer.Viewer).Configuration)},
 		{name: "targets", synopsis: "targets as they have registered", query: withoutArgument((*viewer.Viewer).Targets)},
 		{name: "daemons", synopsis: "daemons as they have registered", query: withoutArgument((*viewer.Viewer).Daemons)},
+		{name: "owners", synopsis: "owners of the second halves of budgets", query: withoutArgument((*viewer.Viewer).Owners)},
 		{name: "program", argument: "NAME", synopsis: "budget of a program", query: func(ctx context.Context, v *viewer.Viewer, name string) (*viewer.Table, error) {
 			return v.Program(ctx, name)
 		}},
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,8 +16,8 @@
 )
 
 const (
-	// programTable holds the budgets of programs.
-	programTable = "programs"
+	// ProgramTable holds the budgets of programs.
+	ProgramTable = "programs"
 	// programPartitions is the number of partitions of the table.
 	programPartitions = 16
 	// minSplitBudget is the number of tokens from which a budget is split into two rows, so
@@ -25,8 +26,42 @@
 	minSplitBudget = 1600
 	// secondRowSuffix is appended to the program's name in the key of the second row.
 	secondRowSuffix = "\x01second"
+	// hashedKeyBytes is the length of the keys of long names.
+	hashedKeyBytes = 64
 )
 
+// SecondRows reads and writes the second rows of budgets, which only the owner of their partition may
+// write. The versions are those that its methods return.
+type SecondRows interface {
+	// Activate tells that second rows may be needed.
+	Activate()
+	// Read returns a row, with VersionAbsent if it does not exist.
+	Read(ctx context.Context, key provider.RowKey) (provider.VersionedRow, provider.Kind)
+	// Write writes a row if it has the version. It returns the row as written, or the current one after a
+	// conflict.
+	Write(ctx context.Context, key provider.RowKey, version int64, value []byte) (provider.VersionedRow, provider.Kind)
+}
+
+// ProgramPartitions returns the partitions of ProgramTable.
+func ProgramPartitions() []string {
+	partitions := make([]string, programPartitions)
+	for i := range partitions {
+		partitions[i] = partitionName(uint32(i))
+	}
+	return partitions
+}
+
+func partitionName(i uint32) string { return "p" + strconv.Itoa(int(i)) }
+
+// IsSecondRow reports whether a key of ProgramTable may be that of a second row. The keys of long names are
+// hashes, which do not show it.
+func IsSecondRow(key string) bool {
+	return isSecond(key) || len(key) == hashedKeyBytes
+}
+
+// isSecond reports whether a budget row is a second one.
+func isSecond(name string) bool { return strings.HasSuffix(name, secondRowSuffix) }
+
 // budgetRow is one of the rows that hold a program's budget.
 type budgetRow struct {
 	name   string
@@ -52,8 +87,7 @@
 func programKey(name string) provider.RowKey {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(name))
-	partition := "p" + strconv.Itoa(int(h.Sum32()%programPartitions))
-	return provider.RowKey{Table: programTable, Partition: partition, Key: historian.Key(name)}
+	return provider.RowKey{Table: ProgramTable, Partition: partitionName(h.Sum32() % programPartitions), Key: historian.Key(name)}
 }
 
 // Reservation is the result of a request for the tokens of a turn.
@@ -89,6 +123,9 @@
 	rows := splitBudget(request.Program, request.Budget)
 	// Only one row grants tokens beyond its share, so that all daemons together keep to the bound.
 	overdraftRow := rows[0]
+	if len(rows) == 2 {
+		r.secondRows.Activate()
+	}
 	if len(rows) == 2 && !r.partitionUp(programKey(rows[0].name).Partition) {
 		rows[0], rows[1] = rows[1], rows[0]
 	}
@@ -241,6 +278,14 @@
 // written: tokens are borrowed from peers, and turns without tokens are rejected.
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
 	key := programKey(c.Program)
+	if isSecond(c.Program) {
+		r.secondWrites++
+		r.tasks.Go(func() {
+			row, kind := r.secondRows.Write(ctx, key, c.Version, c.Value)
+			r.send(ctx, secondWritten{write: c, row: row, kind: kind})
+		})
+		return
+	}
 	if !r.partitionUp(key.Partition) {
 		r.borrowInstead(ctx, c.Program, c.Needed, accountant.WriteCompleted{Program: c.Program, Kind: provider.KindUnavailable})
 		return
@@ -261,6 +306,18 @@
 func (r *Recorder) readBudget(ctx context.Context, c accountant.Read) {
 	key := programKey(c.Program)
 	unavailable := accountant.ReadCompleted{Program: c.Program, Kind: provider.KindUnavailable}
+	if isSecond(c.Program) {
+		r.tasks.Go(func() {
+			row, kind := r.secondRows.Read(ctx, key)
+			if kind == provider.KindNone {
+				r.send(ctx, budgetMessage{accountant.ReadCompleted{Program: c.Program, Row: &row}})
+				return
+			}
+			r.borrowTokens(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed})
+			r.send(ctx, budgetMessage{unavailable})
+		})
+		return
+	}
 	if !r.partitionUp(key.Partition) {
 		r.borrowInstead(ctx, c.Program, c.Needed, unavailable)
 		return
--- a/recorder/cleanup.go
+++ b/recorder/cleanup.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,9 +64,9 @@
 }
 
 func (r *Recorder) cleanUpBudgets(ctx context.Context) int {
-	partition := "p" + strconv.Itoa(rand.IntN(programPartitions))
+	partition := partitionName(rand.Uint32N(programPartitions))
 	now := time.Now().Unix()
-	rows := provider.RowRange{Table: programTable, Partition: partition, From: r.cleanupStart[partition]}
+	rows := provider.RowRange{Table: ProgramTable, Partition: partition, From: r.cleanupStart[partition]}
 	return r.cleanUpRange(ctx, rows, func(_ context.Context, row *provider.VersionedRow) (provider.RowTransaction, bool) {
 		var budget encoder.ProgramBudget
 		if err := json.Unmarshal(row.Value, &budget); err == nil && int64(budget.ExpiresAt) > now {
--- a/recorder/doc.go
+++ b/recorder/doc.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	r := recorder.New(store, peers, options, logger)
+//	r := recorder.New(store, secondRows, peers, options, logger)
 //	go r.Run(ctx)                                     // until the context ends
 //	reservation := r.Reserve(ctx, recorder.Request{Program: "p", Budget: 4608, Tokens: 576, MaxOverdraft: 576})
 //	turns, err := r.Chain(ctx, previous)              // newest first
--- a/recorder/partitions.go
+++ b/recorder/partitions.go
@@ -121,7 +121,7 @@
 	r.tasks.Go(func() {
 		request, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
-		_, err := r.store.Range(request, provider.RowRange{Table: programTable, Partition: partition, From: "~", Limit: 1})
+		_, err := r.store.Range(request, provider.RowRange{Table: ProgramTable, Partition: partition, From: "~", Limit: 1})
 		r.send(ctx, partitionMessage{partition, batcher.Probed{Succeeded: err == nil}})
 	})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -85,6 +85,13 @@
 // idleQuery asks whether no write of a budget row is in progress.
 type idleQuery struct{ reply chan bool }
 
+// secondWritten is the result of a write of a second row.
+type secondWritten struct {
+	write accountant.Write
+	row   provider.VersionedRow
+	kind  provider.Kind
+}
+
 // storeReachable reports that the store has responded to another component of the daemon.
 type storeReachable struct{}
 
@@ -95,10 +102,12 @@
 func (partitionMessage) message() {}
 func (storeReachable) message()   {}
 func (idleQuery) message()        {}
+func (secondWritten) message()    {}
 
 // Recorder writes and reads the rows of turns and budgets.
 type Recorder struct {
 	store      provider.RowStore
+	secondRows SecondRows
 	peers      Peers
 	options    Options
 	log        *zap.Logger
@@ -121,12 +130,14 @@
 	budgetWrites   map[batcher.Ticket]accountant.Write
 	reserveReplies map[accountant.Ticket]chan accountant.Decision
 	lendReplies    map[accountant.Ticket]chan accountant.Lend
+	// secondWrites is the number of writes of second rows in progress.
+	secondWrites int
 }
 
 // New returns a Recorder. Run must be running while turns and tokens are written or requested.
-func New(store provider.RowStore, peers Peers, options Options, log *zap.Logger) *Recorder {
+func New(store provider.RowStore, secondRows SecondRows, peers Peers, options Options, log *zap.Logger) *Recorder {
 	r := &Recorder{
-		store: store, peers: peers, options: options, log: log, inbox: make(chan message, inboxSize),
+		store: store, secondRows: secondRows, peers: peers, options: options, log: log, inbox: make(chan message, inboxSize),
 		turns: historian.NewCache(options.CacheBytes), queues: map[string]*partitionQueue{},
 		budgets: accountant.New(options.Accountant, options.Host, options.Incarnation), submitReplies: map[batcher.Ticket]chan batcher.Outcome{},
 		budgetWrites: map[batcher.Ticket]accountant.Write{}, reserveReplies: map[accountant.Ticket]chan accountant.Decision{},
@@ -194,7 +205,12 @@
 	case partitionMessage:
 		r.updateQueue(ctx, now, m.partition, m.Message)
 	case idleQuery:
-		m.reply <- len(r.budgetWrites) == 0
+		m.reply <- len(r.budgetWrites)+r.secondWrites == 0
+	case secondWritten:
+		r.secondWrites--
+		r.budgetWritten(ctx, now, m.write, accountant.WriteCompleted{
+			Program: m.write.Program, Kind: m.kind, Version: m.row.Version, Row: &m.row,
+		})
 	case storeReachable:
 		for partition := range *r.down.Load() {
 			r.updateQueue(ctx, now, partition, batcher.ProbeRequested{})
@@ -218,7 +234,13 @@
 	if len(c.Outcome.Rows) > 0 {
 		written.Row = &c.Outcome.Rows[0]
 	}
-	if c.Outcome.Kind == provider.KindUnavailable {
+	r.budgetWritten(ctx, now, write, written)
+}
+
+// budgetWritten passes the result of a write of a budget row to the accountant. If the row could not be
+// written, tokens are borrowed from peers before.
+func (r *Recorder) budgetWritten(ctx context.Context, now time.Time, write accountant.Write, written accountant.WriteCompleted) {
+	if written.Kind == provider.KindUnavailable {
 		r.borrowInstead(ctx, write.Program, write.Needed, written)
 		return
 	}
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/dogwoodweir/dogwoodweir/batcher"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
 
@@ -32,6 +34,29 @@
 }
 func (p peer) Turn(_ context.Context, id string) *historian.Turn { return p.lender.Turn(id) }
 
+// storedRows are second rows that are written to the store at once, as an owner does while the store is
+// available.
+type storedRows struct{ rows *emulator.RowStore }
+
+func (storedRows) Activate() {}
+func (s storedRows) Read(ctx context.Context, key provider.RowKey) (provider.VersionedRow, provider.Kind) {
+	page, err := s.rows.Range(ctx, provider.RowRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"})
+	if err != nil || len(page.Rows) == 0 {
+		return provider.VersionedRow{RowKey: key}, provider.KindOf(err)
+	}
+	return page.Rows[0], provider.KindNone
+}
+func (s storedRows) Write(ctx context.Context, key provider.RowKey, version int64, value []byte) (provider.VersionedRow, provider.Kind) {
+	written, err := s.rows.Apply(ctx, provider.RowTransaction{
+		Conditions: []provider.RowCondition{{RowKey: key, Version: version}}, Writes: []provider.RowWrite{{RowKey: key, Value: value}},
+	})
+	var conflict *provider.RowConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Rows[0], provider.KindConflict
+	}
+	return provider.VersionedRow{RowKey: key, Version: written, Value: value}, provider.KindOf(err)
+}
+
 // start returns a recorder that runs until the end of the test.
 func start(t *testing.T, rows *emulator.RowStore, name string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
@@ -41,7 +66,7 @@
 // startAgain returns a recorder like start, as a further incarnation of a daemon on the host.
 func startAgain(t *testing.T, rows *emulator.RowStore, host, incarnation string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
-	r := recorder.New(rows, peers, recorder.Options{
+	r := recorder.New(rows, storedRows{rows}, peers, recorder.Options{
 		Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: host, Incarnation: incarnation,
 		CacheBytes: 1 << 20, RowBytes: 65536,
 	}, zap.NewNop())
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,6 +81,9 @@
 // RegionPeers returns the other daemons in this daemon's region, nearest first.
 func (r *Registrar) RegionPeers() []messenger.Peer { return peersOf(r.RegionEntries()) }
 
+// Entries returns the entries of the other daemons, nearest first. Callers must not modify them.
+func (r *Registrar) Entries() []Entry { return *r.peers.Load() }
+
 // RegionEntries returns the entries of the other daemons in this daemon's region, nearest first.
 // Callers must not modify them.
 func (r *Registrar) RegionEntries() []Entry {
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -11,6 +11,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/historian"
@@ -194,6 +195,38 @@
 	return t, nil
 }
 
+// Owners returns the owners of the partitions of second budget rows.
+func (v *Viewer) Owners(ctx context.Context) (*Table, error) {
+	t := &Table{
+		Title:   "owners of second budget rows",
+		Columns: []string{"PART", "VERSION", "OWNER", "RUN", "NUMBER", "BLOCKED FOR", "STATE"},
+	}
+	for _, partition := range recorder.ProgramPartitions() {
+		rows, _, err := v.readRange(ctx, "owners", provider.RowRange{Table: allocator.Table, Partition: partition})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var o encoder.BudgetOwner
+			if err := json.Unmarshal(row.Value, &o); err != nil {
+				return nil, &Error{operation: "owners", kind: KindUnreadable, cause: err}
+			}
+			state := "owned"
+			switch {
+			case o.Released:
+				state = "released"
+			case o.Unwritten:
+				state = "grants may be unwritten"
+			}
+			blocked := time.Duration(o.BlockedMs) * time.Millisecond
+			t.Rows = append(t.Rows, []string{
+				partition, fmt.Sprint(row.Version), o.Host, o.Incarnation, fmt.Sprint(o.Sequence), blocked.Round(time.Second).String(), state,
+			})
+		}
+	}
+	return t, nil
+}
+
 // Turn returns a turn and the chain before it, newest first, up to maxChainTurns turns.
 func (v *Viewer) Turn(ctx context.Context, id string) (*Table, error) {
 	t := &Table{Title: "turn " + id, Columns: []string{"TURN", "PART", "BYTES", "EXPIRES"}}
