--- /dev/null
+++ b/allocator/runner_test.go
@@ -0,0 +1,205 @@
+package allocator_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/allocator"
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+// systemClock is the clock of the tests, whose processes are not frozen.
+type systemClock struct{}
+
+func (systemClock) Now() time.Time { return time.Now() }
+
+const (
+	testTable     = "programs"
+	testPartition = "p0"
+)
+
+var secondKey = provider.RowKey{Table: testTable, Partition: testPartition, Key: "a second"}
+
+// startRunner starts a runner that is alone. It returns a function that ends it as a kill does.
+func startRunner(t *testing.T, rows *emulator.RowStore, host, incarnation string, partitions ...string) (*allocator.Runner, func()) {
+	t.Helper()
+	listed := make(chan struct{})
+	close(listed)
+	r := allocator.NewRunner(allocator.Dependencies{
+		Store: rows, Clock: systemClock{}, Identity: allocator.Identity{Host: host, Incarnation: incarnation, Boot: "boot"},
+		Others: func() []allocator.Member { return nil }, Listed: listed, RowTable: testTable, Partitions: partitions,
+		IsSecondRow: func(key string) bool { return strings.HasSuffix(key, " second") },
+	}, allocator.DefaultOptions(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	kill := func() {
+		cancel()
+		<-done
+	}
+	t.Cleanup(kill)
+	return r, kill
+}
+
+// awaitWrite repeats a write until it succeeds, and fails the test after 10 s.
+func awaitWrite(t *testing.T, r *allocator.Runner, version int64, value string) int64 {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if row, kind := r.Write(t.Context(), secondKey, version, []byte(value)); kind == provider.KindNone {
+			return row.Version
+		}
+	}
+	t.Fatalf("value %s is not written after 10 s", value)
+	return 0
+}
+
+// Guards against ownership that costs more than one write a second for each partition, and against requests
+// to the store of a daemon whose programs have no split budgets.
+func TestCalmCost(t *testing.T) {
+	t.Parallel()
+	const period = 3 * time.Second
+	partitions := []string{"p0", "p1", "p2", "p3"}
+	rows := emulator.NewRowStore()
+	r, _ := startRunner(t, rows, "host", "run", partitions...)
+	time.Sleep(300 * time.Millisecond)
+	if r.Stats().Owned != 0 || rows.Applied() != 0 {
+		t.Error("the runner owns partitions before any program needs them")
+	}
+	for r.Activate(); r.Stats().Owned < len(partitions); {
+		time.Sleep(20 * time.Millisecond)
+	}
+	before := rows.Applied()
+	time.Sleep(period)
+	if got, limit := rows.Applied()-before, len(partitions)*(int(period/time.Second)+1); got > limit || got < len(partitions) {
+		t.Errorf("%d transactions in %s, want at most %d", got, period, limit)
+	}
+}
+
+// Guards against second halves that are refused for 120 s whenever a daemon is restarted, and against grants
+// from memory that the next process does not know.
+func TestRestartOnHost(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// outage is set if the daemon is killed after it has granted from memory.
+		outage  bool
+		blocked bool
+	}{
+		{"store available", false, false},
+		{"grants from memory", true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			rows := emulator.NewRowStore()
+			first, kill := startRunner(t, rows, "host", "first", testPartition)
+			version := awaitWrite(t, first, 0, "a")
+			rows.SetDown(test.outage)
+			awaitWrite(t, first, version, "b")
+			kill()
+			rows.SetDown(false)
+			second, _ := startRunner(t, rows, "host", "second", testPartition)
+			second.Activate()
+			for end := time.Now().Add(2 * time.Second); second.Stats().Owned == 0 && time.Now().Before(end); {
+				time.Sleep(20 * time.Millisecond)
+			}
+			stats := second.Stats()
+			if diff := cmp.Diff([]any{1, test.blocked}, []any{stats.Owned, stats.Blocked == 1}); diff != "" {
+				t.Errorf("owned and blocked partitions (-want +got):\n%s", diff)
+			}
+			if !test.blocked {
+				awaitWrite(t, second, allocator.VersionOf([]byte("b")), "c")
+			} else if _, kind := second.Read(t.Context(), secondKey); kind != provider.KindUnavailable {
+				t.Errorf("read while the partition is blocked: %s", kind)
+			}
+		})
+	}
+}
+
+// Guards against grants from memory that are not written at a planned stop, and against a partition that
+// no other daemon may claim after it.
+func TestRelease(t *testing.T) {
+	t.Parallel()
+	rows := emulator.NewRowStore()
+	first, _ := startRunner(t, rows, "host", "first", testPartition)
+	version := awaitWrite(t, first, 0, "a")
+	rows.SetDown(true)
+	awaitWrite(t, first, version, "b")
+	rows.SetDown(false)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := first.Release(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, kind := first.Write(t.Context(), secondKey, allocator.VersionOf([]byte("b")), []byte("c")); kind != provider.KindUnavailable {
+		t.Errorf("write after the release: %s", kind)
+	}
+	var owner encoder.BudgetOwner
+	stored := rows.Get(provider.RowKey{Table: allocator.Table, Partition: testPartition, Key: allocator.OwnerKey})
+	if err := json.Unmarshal(stored.Value, &owner); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]any{"b", true, false}, []any{string(rows.Get(secondKey).Value), owner.Released, owner.Unwritten}); diff != "" {
+		t.Errorf("row, and owner released and with unwritten grants (-want +got):\n%s", diff)
+	}
+	second, _ := startRunner(t, rows, "other", "second", testPartition)
+	awaitWrite(t, second, allocator.VersionOf([]byte("b")), "c")
+}
+
+// Guards against a call that waits for an owner that does not respond.
+func TestRequestWithoutResponseEnds(t *testing.T) {
+	t.Parallel()
+	rows := emulator.NewRowStore()
+	store := &stallingStore{RowStore: rows, stall: make(chan struct{})}
+	listed := make(chan struct{})
+	close(listed)
+	r := allocator.NewRunner(allocator.Dependencies{
+		Store: store, Clock: systemClock{}, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
+		Others: func() []allocator.Member { return nil }, Listed: listed, RowTable: testTable, Partitions: []string{testPartition},
+		IsSecondRow: func(string) bool { return true },
+	}, allocator.DefaultOptions(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	version := awaitWrite(t, r, 0, "a")
+	close(store.stall)
+	began := time.Now()
+	_, kind := r.Write(t.Context(), secondKey, version, []byte("b"))
+	if took := time.Since(began); kind == provider.KindNone || took > 400*time.Millisecond {
+		t.Errorf("write while the store does not respond: %s after %s", kind, took)
+	}
+}
+
+// stallingStore does not respond to transactions once stall is closed.
+type stallingStore struct {
+	*emulator.RowStore
+	stall chan struct{}
+}
+
+func (s *stallingStore) Apply(ctx context.Context, t provider.RowTransaction) (int64, error) {
+	select {
+	case <-s.stall:
+		<-ctx.Done()
+		return 0, provider.NewError("apply", provider.KindUnknown, ctx.Err())
+	default:
+		return s.RowStore.Apply(ctx, t)
+	}
+}
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -291,7 +291,11 @@
 
 func (s *State) tick(unixNow int64) {
 	if !s.owned {
-		s.watch(s.options.WatchInterval)
+		interval := s.options.WatchInterval
+		if s.claimFailed {
+			interval = s.options.AskedInterval
+		}
+		s.watch(interval)
 		s.claimIfDue()
 		return
 	}
