Play programs that last as long as they may in the simulation of owners

Histories now have programs with a turn in their last second, restarts at once and faults that aim at the owner.

--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -201,11 +201,14 @@
 
 // plainEvents are the events of every history. Those that are listed more often are more frequent.
 var plainEvents = []string{
-	"time", "long time", "busy time", "busy time", "turn", "turn", "turn", "settle", "next program", "start", "thaw",
+	"time", "long time", "busy time", "busy time", "last moment", "turn", "turn", "turn", "settle", "next program", "start", "thaw",
 }
 
+// ownerFaults are those that mostly matter if they affect an owner.
+var ownerFaults = []string{"cut", "freeze", "kill", "restart", "stop"}
+
 // longTimes are those of the rules, and others that add up to those between them.
-var longTimes = []time.Duration{3 * time.Second, 6 * time.Second, 12 * time.Second, 21 * time.Second, 108 * time.Second}
+var longTimes = []time.Duration{3 * time.Second, 6 * time.Second, 12 * time.Second, 21 * time.Second, 2 * time.Minute}
 
 // faultEvents are those of which each history has some: a history with all of them hardly ever serves a
 // turn. Events of one group belong together.
@@ -214,6 +217,7 @@
 	{"cut"},
 	{"freeze"},
 	{"kill"},
+	{"restart"},
 	{"stop"},
 	{"late write", "late write"},
 	{"tick", "store", "store", "ask", "deliver", "reply", "request", "finish", "timeout"},
@@ -223,6 +227,9 @@
 func (s *simulation) step() {
 	n := s.nodes[s.draw(len(s.nodes))]
 	event := s.events[s.draw(len(s.events))]
+	if owners := s.owners(); slices.Contains(ownerFaults, event) && len(owners) > 0 && s.draw(2) == 0 {
+		n = owners[s.draw(len(owners))]
+	}
 	switch event {
 	case "time":
 		s.now = s.now.Add([]time.Duration{20 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second}[s.draw(4)])
@@ -245,6 +252,10 @@
 	case "kill", "start":
 		s.restart(n, event)
 		return
+	case "restart":
+		s.restart(n, "kill")
+		s.restart(n, "start")
+		return
 	case "late write":
 		if d := s.store.delayed; len(d) > 0 {
 			i := s.draw(len(d))
@@ -253,16 +264,15 @@
 		}
 		return
 	case "busy time":
-		// The daemons go on meanwhile.
-		const parts = 6
-		for end := s.now.Add(longTimes[s.draw(len(longTimes))]); s.now.Before(end); {
-			s.settle()
-			s.now = s.now.Add(max(end.Sub(s.now)/parts, 500*time.Millisecond))
-		}
+		s.passTime(s.now.Add(longTimes[s.draw(len(longTimes))]))
 		return
+	case "last moment":
+		// A block that is too short ends before the program does.
+		s.passTime(s.program.started.Add(programDuration - time.Second))
+		event = "turn"
 	case "next program":
 		s.nextProgram()
-		return
+		event = "turn"
 	case "settle":
 		s.settle()
 		return
@@ -272,6 +282,15 @@
 	}
 }
 
+// passTime lets time pass until about the given time. The daemons go on meanwhile.
+func (s *simulation) passTime(end time.Time) {
+	const parts = 6
+	for s.now.Before(end) {
+		s.settle()
+		s.now = s.now.Add(max(end.Sub(s.now)/parts, 100*time.Millisecond))
+	}
+}
+
 // toggle begins a fault, which it does less often, or ends it.
 func (s *simulation) toggle(fault *bool) { *fault = !*fault && s.draw(2) == 0 }
 
@@ -404,12 +423,7 @@
 	default:
 		return
 	}
-	var owners []*node
-	for _, other := range s.nodes {
-		if other.alive && other.allocator.Owned() {
-			owners = append(owners, other)
-		}
-	}
+	owners := s.owners()
 	if len(owners) == 0 {
 		owners = s.nodes
 	}
@@ -419,6 +433,17 @@
 	s.asked[q.request.Ticket] = q
 }
 
+// owners returns the daemons that take themselves for the owner.
+func (s *simulation) owners() []*node {
+	var owners []*node
+	for _, n := range s.nodes {
+		if n.alive && n.allocator.Owned() {
+			owners = append(owners, n)
+		}
+	}
+	return owners
+}
+
 // tickets returns those of the questions for which a function holds, in their order.
 func (s *simulation) tickets(holds func(q *question) bool) []allocator.Ticket {
 	var tickets []allocator.Ticket
