--- a/allocator/runner.go
+++ b/allocator/runner.go
@@ -85,6 +85,8 @@
 	// known is the host that was last seen to own it, silentUntil is when an owner may be asked again.
 	known       string
 	silentUntil time.Time
+	// loadFailed is set once a read of all rows has failed, so that it is logged once for each ownership.
+	loadFailed atomic.Bool
 }
 
 // Runner runs the states of all partitions of a daemon. It is safe for concurrent use.
@@ -95,7 +97,10 @@
 	active       atomic.Bool
 	context      atomic.Pointer[context.Context]
 	tickets      atomic.Uint64
-	tasks        conc.WaitGroup
+	// taskMutex guards ended, after which no task is started: tasks are being waited for.
+	taskMutex sync.Mutex
+	ended     bool
+	tasks     conc.WaitGroup
 
 	memoryWrites, asked, unanswered atomic.Int64
 }
@@ -120,7 +125,7 @@
 // Run does what is due until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	r.context.Store(&ctx)
-	defer r.tasks.Wait()
+	defer r.endTasks()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	var listedAt, orderedAt time.Time
@@ -156,6 +161,23 @@
 	}
 }
 
+// start runs a function in a goroutine of its own, unless the runner has ended.
+func (r *Runner) start(task func()) {
+	r.taskMutex.Lock()
+	defer r.taskMutex.Unlock()
+	if !r.ended {
+		r.tasks.Go(task)
+	}
+}
+
+// endTasks waits for the requests in progress.
+func (r *Runner) endTasks() {
+	r.taskMutex.Lock()
+	r.ended = true
+	r.taskMutex.Unlock()
+	r.tasks.Wait()
+}
+
 func (o *owner) currentRank() int {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -195,12 +217,13 @@
 			reply <- c
 		}
 	case ReadOwner:
-		r.tasks.Go(func() { r.update(o, r.readOwner(ctx, o)) })
+		r.start(func() { r.update(o, r.readOwner(ctx, o)) })
 	case ReadRows:
-		r.tasks.Go(func() { r.update(o, r.readRows(ctx, o, c)) })
+		r.start(func() { r.update(o, r.readRows(ctx, o, c)) })
 	case Apply:
-		r.tasks.Go(func() { r.update(o, r.apply(ctx, o, c)) })
+		r.start(func() { r.update(o, r.apply(ctx, o, c)) })
 	case OwnershipChanged:
+		o.loadFailed.Store(false)
 		r.log.Info("ownership of budget rows changed", zap.String("part", o.partition), zap.Bool("owned", c.Owned),
 			zap.String("other", c.Other), zap.Duration("blocked", c.Blocked), zap.Int("lost", c.Rows))
 	case MemoryChanged:
@@ -233,7 +256,9 @@
 	for {
 		page, err := r.dependencies.Store.Range(ctx, provider.RowRange{Table: r.dependencies.RowTable, Partition: o.partition, From: from})
 		if err != nil {
-			r.log.Warn("cannot read the second budget rows of an own partition; trying again", zap.String("part", o.partition), zap.Error(err))
+			if !o.loadFailed.Swap(true) {
+				r.log.Warn("cannot read the second budget rows of an own partition; trying again", zap.String("part", o.partition), zap.Error(err))
+			}
 			return RowsRead{Sequence: c.Sequence, Kind: provider.KindUnavailable}
 		}
 		for _, row := range page.Rows {
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -142,6 +142,8 @@
 	// loadSequence is that of the read of all rows in progress, 0 if none is.
 	loadSequence int
 	loaded       bool
+	// loadedAt is when the last read of all rows was sent.
+	loadedAt     time.Time
 	blockedUntil time.Time
 	rows         map[string]*row
 	queue        []Request
@@ -309,7 +311,7 @@
 	if s.stopping || s.now.Sub(s.lastSentAt) >= interval {
 		s.send()
 	}
-	if !s.loaded && s.loadSequence == 0 {
+	if !s.loaded && s.loadSequence == 0 && s.now.Sub(s.loadedAt) >= s.options.RenewInterval {
 		s.load()
 	}
 	s.dropExpired(unixNow)
@@ -511,7 +513,7 @@
 
 func (s *State) load() {
 	s.sequence++
-	s.loadSequence = s.sequence
+	s.loadSequence, s.loadedAt = s.sequence, s.now
 	s.emit(ReadRows{Sequence: s.loadSequence})
 }
 
