--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/batcher"
 	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
@@ -48,6 +49,8 @@
 	lastResponseMargin = 150 * time.Millisecond
 	// tokenReturnTimeout limits the return of unused tokens at the end.
 	tokenReturnTimeout = 500 * time.Millisecond
+	// ownershipReleaseTimeout limits the release of partitions of budget rows after that.
+	ownershipReleaseTimeout = 300 * time.Millisecond
 	// peerStallTimeout closes a connection to a peer on which nothing has arrived for
 	// this long while a reply is overdue.
 	peerStallTimeout = time.Second
@@ -112,7 +115,9 @@
 	limiter   *limiter.Limiter
 	receiver  *receiver.Receiver
 	surveyor  *surveyor.Runner
-	follower  *followerRunner
+	// owners owns partitions of the second rows of budgets.
+	owners   *allocator.Runner
+	follower *followerRunner
 	// configurationFeed and targetFeed bring the follower up to date.
 	configurationFeed *feed
 	targetFeed        *feed
@@ -144,8 +149,15 @@
 	batcherOptions := batcher.DefaultOptions()
 	batcherOptions.Seed = seed
 	d.borrower = borrower.New(d.messenger, d.registrar, settings.Host, borrower.DefaultOptions(), log)
-	d.recorder = recorder.New(d.store, d.borrower, recorder.Options{
-		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: uuid.NewString(),
+	incarnation := uuid.NewString()
+	d.owners = allocator.NewRunner(allocator.Dependencies{
+		Store: d.store, Clock: bootClock{}, Messenger: d.messenger,
+		Identity: allocator.Identity{Host: settings.Host, Incarnation: incarnation, Boot: bootID()},
+		Domain:   settings.FailureDomain, Others: d.ownerCandidates, Listed: d.registrar.Listed(),
+		RowTable: recorder.ProgramTable, Partitions: recorder.ProgramPartitions(), IsSecondRow: recorder.IsSecondRow,
+	}, allocator.DefaultOptions(), log)
+	d.recorder = recorder.New(d.store, d.owners, d.borrower, recorder.Options{
+		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
 	d.limiter = limiter.New(limiter.Dependencies{
@@ -236,8 +248,8 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
 	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run, d.limiter.Run,
-		d.surveyor.Run,
+		d.recorder.Run, d.recorder.RunCleanup, d.owners.Run, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
+		d.limiter.Run, d.surveyor.Run,
 	} {
 		tasks.Go(func() { task(background) })
 	}
@@ -303,6 +315,11 @@
 	returns.Go(func() { d.recorder.ReturnTokens(returnCtx) })
 	returns.Go(func() { d.limiter.ReturnFractions(returnCtx) })
 	returns.Wait()
+	releaseCtx, cancelRelease := context.WithTimeout(context.Background(), ownershipReleaseTimeout)
+	defer cancelRelease()
+	if err := d.owners.Release(releaseCtx); err != nil {
+		d.log.Warn("ownership of budget rows not released; it will expire", zap.Error(err))
+	}
 	d.log.Info("finished serving callers", zap.Int64("serving", d.receiver.InFlightCalls()), zap.Duration("took", time.Since(began)))
 }
 
@@ -377,5 +394,6 @@
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
+		d.metrics.setOwnership(d.owners.Stats())
 	}
 }
--- a/assembler/peers.go
+++ b/assembler/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 
+	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/registrar"
@@ -36,6 +37,16 @@
 	return peers
 }
 
+// ownerCandidates returns the other daemons, which may own partitions of the second rows of budgets.
+func (d *Daemon) ownerCandidates() []allocator.Member {
+	entries := d.registrar.Entries()
+	members := make([]allocator.Member, len(entries))
+	for i, e := range entries {
+		members[i] = allocator.Member{Peer: messenger.Peer{Host: e.Host, Address: e.Address}, Domain: e.Domain}
+	}
+	return members
+}
+
 // errUnknownMethod is the reply to a method that this daemon does not serve.
 var errUnknownMethod = errors.New("unknown method")
 
@@ -57,6 +68,9 @@
 	if !handled {
 		result, handled, err = h.daemon.surveyor.Handle(from, method, params)
 	}
+	if !handled {
+		result, handled, err = h.daemon.owners.Handle(ctx, method, params)
+	}
 	if !handled {
 		return nil, errUnknownMethod
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -35,6 +35,7 @@
 	MethodPermits      = "permits"
 	MethodQuotaNotice  = "quotaNotice"
 	MethodTargetLoad   = "targetLoad"
+	MethodBudgetRow    = "budgetRow"
 
 	methodHello     = "hello"
 	methodPing      = "ping"
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -34,6 +35,29 @@
 }
 func (p peer) Turn(_ context.Context, id string) *historian.Turn { return p.lender.Turn(id) }
 
+// storedRows are second rows that are written to the store at once, as an owner does while the store is
+// available.
+type storedRows struct{ rows provider.RowStore }
+
+func (storedRows) Activate() {}
+func (s storedRows) Read(ctx context.Context, key provider.RowKey) (provider.VersionedRow, provider.Kind) {
+	page, err := s.rows.Range(ctx, provider.RowRange{Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00"})
+	if err != nil || len(page.Rows) == 0 {
+		return provider.VersionedRow{RowKey: key}, provider.KindOf(err)
+	}
+	return page.Rows[0], provider.KindNone
+}
+func (s storedRows) Write(ctx context.Context, key provider.RowKey, version int64, value []byte) (provider.VersionedRow, provider.Kind) {
+	written, err := s.rows.Apply(ctx, provider.RowTransaction{
+		Conditions: []provider.RowCondition{{RowKey: key, Version: version}}, Writes: []provider.RowWrite{{RowKey: key, Value: value}},
+	})
+	var conflict *provider.RowConflictError
+	if errors.As(err, &conflict) {
+		return conflict.Rows[0], provider.KindConflict
+	}
+	return provider.VersionedRow{RowKey: key, Version: written, Value: value}, provider.KindOf(err)
+}
+
 // start returns a recorder that runs until the end of the test.
 func start(t *testing.T, rows provider.RowStore, name string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
@@ -43,7 +67,7 @@
 // startAgain returns a recorder like start, as a further incarnation of a daemon on the host.
 func startAgain(t *testing.T, rows provider.RowStore, host, incarnation string, peers recorder.Peers) *recorder.Recorder {
 	t.Helper()
-	r := recorder.New(rows, peers, recorder.Options{
+	r := recorder.New(rows, storedRows{rows}, peers, recorder.Options{
 		Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: host, Incarnation: incarnation,
 		CacheBytes: 1 << 20, RowBytes: 65536,
 	}, zap.NewNop())
