Probe one partition at a time while the whole store is away

Cause: each daemon probed each of 32 partitions up to every 0.8 s.

Change: while all partitions are down, a daemon probes one each 200 ms. The first that responds makes the others be probed at once, as before.

--- a/recorder/partitions.go
+++ b/recorder/partitions.go
@@ -22,6 +22,11 @@
 // lock, so the loop replaces it when the health of a partition changes.
 type partitionSet map[string]bool
 
+// minOutageProbeInterval is the time between two probes while all partitions are down. The first partition
+// that responds makes the others be probed at once, so that a probe of each would only add to the load of
+// a store that comes back.
+const minOutageProbeInterval = 200 * time.Millisecond
+
 // Up reports whether at least one partition of the store accepts writes, as far as is known.
 func (r *Recorder) Up() bool {
 	down := *r.down.Load()
@@ -65,7 +70,11 @@
 		case batcher.Resolve:
 			r.resolve(ctx, now, c)
 		case batcher.Probe:
-			r.probe(ctx, partition, c.Timeout)
+			if r.Up() || r.takeOutageProbe(now) {
+				r.probe(ctx, partition, c.Timeout)
+				continue
+			}
+			r.tasks.Go(func() { r.send(ctx, partitionMessage{partition, batcher.Probed{}}) })
 		case batcher.HealthChanged:
 			r.healthChanged(ctx, now, partition, c.Up)
 		}
@@ -116,6 +125,15 @@
 	})
 }
 
+// takeOutageProbe reports whether a partition may be probed while all are down.
+func (r *Recorder) takeOutageProbe(now time.Time) bool {
+	if now.Before(r.nextOutageProbe) {
+		return false
+	}
+	r.nextOutageProbe = now.Add(minOutageProbeInterval)
+	return true
+}
+
 // probe reads at most one row of a partition.
 func (r *Recorder) probe(ctx context.Context, partition string, timeout time.Duration) {
 	r.tasks.Go(func() {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -113,8 +113,10 @@
 	cleanupStart map[string]string
 
 	// Only the loop uses the fields below.
-	queues  map[string]*partitionQueue
-	budgets *accountant.State
+	queues map[string]*partitionQueue
+	// nextOutageProbe is when the next partition is probed while all are down.
+	nextOutageProbe time.Time
+	budgets         *accountant.State
 	// submitReplies and budgetWrites hold the owners of queued entries by ticket,
 	// reserveReplies and lendReplies those of requests for tokens.
 	submitReplies  map[batcher.Ticket]chan batcher.Outcome
