Compare one drawn target, and further ones only if none has a free slot

Cause: replays with reports 100 to 250 ms old had more uneven engines the more targets a call compares; the observed delay of a target repeats its reported load. Change: one drawn target beside those of the session, one more and those of other failure domains for calls that would wait; a report replaces the observed delay.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -12,7 +12,9 @@
 	maxLoadAge    = 500 * time.Millisecond
 	// drawnTargets is the number of targets that are compared beside those that a session prefers or has
 	// used. All daemons would choose the idlest of all targets of the same report at the same time.
-	drawnTargets = 2
+	drawnTargets = 1
+	// spareTargets is the number of further ones that are compared if none of these has a free slot.
+	spareTargets = 1
 )
 
 // EngineCalls returns, for each engine of this daemon's failure domain with calls of this daemon, their
@@ -101,10 +103,23 @@
 	return max(own, l.weight*l.perSlot*float64(max(1, n.target.Slots)))
 }
 
+// hasFreeSlot reports whether a target has room for another call.
+func (l *loads) hasFreeSlot(n *node) bool { return l.of(n)+1 <= float64(max(1, n.target.Slots)) }
+
+// queueDelay returns the observed delay at a target that its load does not explain. A reported load takes the
+// place of what this daemon has observed: the few responses that it gets from a target are older.
+func (l *loads) queueDelay(now time.Time, n *node) time.Duration {
+	delay := n.decayedQueueDelay(now)
+	if !l.known() || n.target.Domain != l.domain {
+		return delay
+	}
+	return time.Duration((1 - l.weight) * float64(delay))
+}
+
 // drawFew returns the targets to compare if the load of others is known: the one that the session prefers, the
-// one that had its last turn, and others drawn at random in proportion to their sizes.
-func (s *State) drawFew(now time.Time, r *Request, preferred *node) []*node {
-	few := make([]*node, 0, drawnTargets+2)
+// one that had its last turn, and others drawn at random in proportion to their sizes. The spare ones are for
+// calls that would wait at these: further targets, and those of other failure domains.
+func (s *State) drawFew(now time.Time, r *Request, preferred *node) (few, spare []*node) {
 	last := s.sessions.get(sessionID(r))
 	var others []*node
 	weight := 0.0
@@ -116,17 +131,38 @@
 		case n.target.Domain == s.location.Domain:
 			others = append(others, n)
 			weight += n.Weight()
+		default:
+			spare = append(spare, n)
 		}
 	}
-	for range min(drawnTargets, len(others)) {
+	for number := range min(drawnTargets+spareTargets, len(others)) {
 		drawn := s.random.Float64() * weight
 		i := 0
 		for ; i < len(others)-1 && drawn >= others[i].Weight(); i++ {
 			drawn -= others[i].Weight()
 		}
-		few = append(few, others[i])
+		if number < drawnTargets {
+			few = append(few, others[i])
+		} else {
+			spare = append(spare, others[i])
+		}
 		weight -= others[i].Weight()
 		others = slices.Delete(others, i, i+1)
 	}
-	return few
+	return few, spare
+}
+
+// chooseOfFew returns the cheapest of a few targets, or nil if all have to be compared.
+func (s *State) chooseOfFew(now time.Time, r *Request, load *loads, preferred *node) *candidate {
+	few, spare := s.drawFew(now, r, preferred)
+	best, _ := s.cheapest(now, r, load, few, preferred)
+	if best == nil || !load.hasFreeSlot(best.node) {
+		if other, _ := s.cheapest(now, r, load, spare, preferred); other != nil && (best == nil || other.cost < best.cost) {
+			best = other
+		}
+	}
+	if best == nil || best.expectedFirstEvent > r.Remaining {
+		return nil
+	}
+	return best
 }
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -151,14 +151,12 @@
 }
 
 // choose sends the call to the candidate with the lowest cost. If the load that other daemons cause is
-// known, it compares a few targets of the failure domain first, and all targets only if none of these has
-// a free slot.
+// known, it compares a few targets, and all only if none of these can take the call.
 func (s *State) choose(now time.Time, r *Request) Command {
 	preferred := s.preferred(now, r)
 	load := s.loads(now, r)
 	if load.known() && r.RequiredTarget == "" {
-		best, _ := s.cheapest(now, r, &load, s.drawFew(now, r, preferred), preferred)
-		if best != nil && load.of(best.node)+1 <= float64(max(1, best.node.target.Slots)) && best.expectedFirstEvent <= r.Remaining {
+		if best := s.chooseOfFew(now, r, &load, preferred); best != nil {
 			return s.send(now, best, r)
 		}
 	}
@@ -257,7 +255,7 @@
 		c.delayOfOthers = time.Duration(float64(v.engines.prefillTime(c.prompt.expectedTokens)) * calls)
 		c.expectedFirstEvent += milliseconds(batchDelayShare * v.engines.firstEvent * calls)
 	}
-	c.expectedFirstEvent = time.Duration(float64(c.expectedFirstEvent)*n.slowness) + n.decayedQueueDelay(now)
+	c.expectedFirstEvent = time.Duration(float64(c.expectedFirstEvent)*n.slowness) + load.queueDelay(now, n)
 	if now.Before(n.target.WarmAt) {
 		c.expectedFirstEvent *= 2
 	}
--- a/surveyor/replay_test.go
+++ b/surveyor/replay_test.go
@@ -10,6 +10,7 @@
 	"github.com/dogwoodweir/dogwoodweir/dispatcher"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
+	"github.com/dogwoodweir/dogwoodweir/surveyor"
 )
 
 // The load that is replayed: the worst seconds of a day.
@@ -211,6 +212,8 @@
 	// turnFactor changes the rate of arrivals over time.
 	turnFactor func(at time.Duration) float64
 	result     replayResult
+	// reports and reportBytes count the reports and the bytes of loads in them and their replies.
+	reports, reportBytes, collectorChanges int
 }
 
 func (r *replay) after(wait time.Duration, run func()) {
@@ -314,6 +317,22 @@
 	r.after(way, func() { e.submit(request.Prompt, call) })
 }
 
+// watchIdlest counts how often the idlest engine of a domain is its busiest one at the time of the next report.
+func (r *replay) watchIdlest(engines []*replayEngine) {
+	byCalls := func(a, b *replayEngine) int { return a.calls - b.calls }
+	idlest, busiest := slices.MinFunc(engines, byCalls), slices.MaxFunc(engines, byCalls)
+	uneven := busiest.calls-idlest.calls >= freeSlots
+	r.after(surveyor.DefaultOptions().Interval, func() {
+		if uneven {
+			r.result.reportRounds++
+			if idlest.calls >= slices.MaxFunc(engines, byCalls).calls {
+				r.result.reversals++
+			}
+		}
+		r.watchIdlest(engines)
+	})
+}
+
 // run replays the load for the given time and returns what it has measured after the warm-up.
 func (r *replay) run(length time.Duration) *replayResult {
 	samples := 0
@@ -340,6 +359,9 @@
 			}
 		}
 	}
+	for _, engines := range r.engines {
+		r.after(warmUp, func() { r.watchIdlest(engines) })
+	}
 	r.after(0, sample)
 	r.after(0, r.arrive)
 	for r.now < length {
@@ -353,36 +375,84 @@
 	return &r.result
 }
 
-// startReports lets the daemons of each domain report with the given interval, delay and loss.
-func (r *replay) startReports(interval, delay time.Duration, lost float64) {
-	type report struct {
-		at    time.Duration
-		calls map[string]int
-	}
+// exchange describes how reports travel in a replay.
+type exchange struct {
+	// delay is added to the way of each reply, lost is the share of replies that do not arrive.
+	delay time.Duration
+	lost  float64
+	// collectorEnds is the interval at which the collector of each domain stops for a second, 0 for never.
+	collectorEnds time.Duration
+}
+
+// startReports lets the daemons of each domain exchange reports.
+func (r *replay) startReports(x exchange) {
 	for _, daemons := range r.byDomain {
-		collected := map[string]report{}
+		var ids []string
+		for _, e := range r.engines[daemons[0].domain] {
+			ids = append(ids, e.target.ID)
+		}
+		surveyors, silentUntil := map[string]*surveyor.State{}, map[string]time.Duration{}
+		var hosts []string
 		for _, d := range daemons {
-			var send func()
-			send = func() {
-				r.after(interval, send)
-				if r.random.Float64() < lost {
-					return
+			hosts = append(hosts, d.name)
+			surveyors[d.name] = surveyor.New(d.name, surveyor.DefaultOptions())
+			_, _ = surveyors[d.name].Update(r.clock(), surveyor.TargetsChanged{IDs: ids})
+		}
+		for _, d := range daemons {
+			peers := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return host == d.name })
+			own := surveyors[d.name]
+			var tick func()
+			var run func(commands []surveyor.Command)
+			pass := func(m surveyor.Message) {
+				commands, err := own.Update(r.clock(), m)
+				if err != nil {
+					panic(err)
 				}
-				sentAt, calls := r.clock(), d.state.EngineCalls()
-				r.after(oneWay, func() {
-					collected[d.name] = report{r.now, calls}
-					sum := map[string]int{}
-					for host, other := range collected {
-						if host != d.name && r.now-other.at < 500*time.Millisecond {
-							for id, n := range other.calls {
-								sum[id] += n
+				run(commands)
+			}
+			run = func(commands []surveyor.Command) {
+				for _, command := range commands {
+					switch c := command.(type) {
+					case surveyor.Publish:
+						d.state.Update(r.clock(), dispatcher.LoadReported{InFlight: c.InFlight, At: r.clock().Add(-c.Age)})
+					case surveyor.SendReport:
+						r.reports++
+						r.reportBytes += len(c.Load)
+						r.after(oneWay, func() {
+							if r.now < silentUntil[c.Host] || r.random.Float64() < x.lost {
+								r.after(100*time.Millisecond, func() { pass(surveyor.SumMissing{Report: c}) })
+								return
 							}
-						}
+							replies, err := surveyors[c.Host].Update(r.clock(), surveyor.ReportReceived{From: d.name, Load: c.Load})
+							if err != nil {
+								panic(err)
+							}
+							sum := replies[0].(surveyor.Reply)
+							r.reportBytes += len(sum.Load)
+							r.after(oneWay+x.delay, func() {
+								pass(surveyor.SumReceived{Report: c, Load: sum.Load, Reports: sum.Reports, Age: sum.Age})
+							})
+						})
+					case surveyor.CollectorChanged:
+						r.collectorChanges++
 					}
-					r.after(oneWay+delay, func() { d.state.Update(r.clock(), dispatcher.LoadReported{InFlight: sum, At: sentAt}) })
-				})
+				}
+			}
+			tick = func() {
+				if r.now >= silentUntil[d.name] {
+					pass(surveyor.Tick{Peers: peers, Calls: d.state.EngineCalls()})
+				}
+				r.after(max(5*time.Millisecond, own.NextAt().Sub(r.clock())), tick)
+			}
+			r.after(time.Duration(r.random.Int64N(int64(100*time.Millisecond))), tick)
+		}
+		if x.collectorEnds > 0 {
+			var end func()
+			end = func() {
+				silentUntil[surveyors[daemons[0].name].Collector()] = r.now + time.Second
+				r.after(x.collectorEnds, end)
 			}
-			r.after(time.Duration(r.random.Int64N(int64(interval))), send)
+			r.after(x.collectorEnds, end)
 		}
 	}
 }
