Compare other failure domains only if the engines hardly have free slots

Cause: with the callers of two failure domains in one, an assumed load of distant targets kept calls at home: programs ended later than without reports. Change: distant targets are estimated as without reports, and compared if the few have less than a quarter of their slots free; one drawn target.

--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -11,10 +11,8 @@
 	fullWeightAge = 150 * time.Millisecond
 	maxLoadAge    = 500 * time.Millisecond
 	// drawnTargets is the number of targets that are compared beside those that a session prefers or has
-	// used. All daemons would choose the idlest of all targets of the same report at the same time.
+	// used. With two, twelve daemons that get the same report at once make the idlest target the busiest.
 	drawnTargets = 1
-	// spareTargets is the number of further ones that are compared if none of these has a free slot.
-	spareTargets = 1
 )
 
 // EngineCalls returns, for each engine of this daemon's failure domain with calls of this daemon, their
@@ -59,30 +57,15 @@
 	domain   string
 	weight   float64
 	inFlight map[string]int
-	// perSlot is the mean number of calls for each slot of the failure domain, at most 1.
-	perSlot float64
 }
 
-// loads returns the load of the targets of a service as of the given time.
+// loads returns the load of the targets for a call.
 func (s *State) loads(now time.Time, r *Request) loads {
 	l := loads{domain: s.location.Domain}
 	if r.Engine == nil {
 		return l
 	}
-	if l.weight = s.reported.weight(now); l.weight == 0 {
-		return l
-	}
-	l.inFlight = s.reported.inFlight
-	calls, slots := 0.0, 0
-	for _, n := range s.service(r.Service).nodes {
-		if n.target.Domain == l.domain && !n.target.Leaving {
-			calls += l.of(n)
-			slots += max(1, n.target.Slots)
-		}
-	}
-	if slots > 0 {
-		l.perSlot = min(1, calls/float64(slots))
-	}
+	l.weight, l.inFlight = s.reported.weight(now), s.reported.inFlight
 	return l
 }
 
@@ -90,21 +73,19 @@
 func (l *loads) known() bool { return l.weight > 0 }
 
 // of returns the calls at a target: those of this daemon, and as many of others as the last report gives.
-// Nothing is reported about other failure domains. Their targets are assumed to be as busy as those of
-// this one, since they would otherwise look idle to all daemons at once.
+// Nothing is reported about other failure domains, whose targets are estimated as without reports.
 func (l *loads) of(n *node) float64 {
-	own := float64(n.inFlight)
-	switch {
-	case !l.known():
-		return own
-	case n.target.Domain == l.domain:
-		return own + l.weight*float64(l.inFlight[n.target.ID])
+	if !l.known() || n.target.Domain != l.domain {
+		return float64(n.inFlight)
 	}
-	return max(own, l.weight*l.perSlot*float64(max(1, n.target.Slots)))
+	return float64(n.inFlight) + l.weight*float64(l.inFlight[n.target.ID])
 }
 
-// hasFreeSlot reports whether a target has room for another call.
-func (l *loads) hasFreeSlot(n *node) bool { return l.of(n)+1 <= float64(max(1, n.target.Slots)) }
+// hasFreeSlots reports whether a target has room for calls that other daemons have sent since the report.
+func (l *loads) hasFreeSlots(n *node) bool {
+	slots := float64(max(1, n.target.Slots))
+	return l.of(n)+max(1, freeSlotShare*slots) <= slots
+}
 
 // queueDelay returns the observed delay at a target that its load does not explain. A reported load takes the
 // place of what this daemon has observed: the few responses that it gets from a target are older.
@@ -117,9 +98,9 @@
 }
 
 // drawFew returns the targets to compare if the load of others is known: the one that the session prefers, the
-// one that had its last turn, and others drawn at random in proportion to their sizes. The spare ones are for
-// calls that would wait at these: further targets, and those of other failure domains.
-func (s *State) drawFew(now time.Time, r *Request, preferred *node) (few, spare []*node) {
+// one that had its last turn, and others drawn at random in proportion to their sizes. distant are the targets
+// of other failure domains.
+func (s *State) drawFew(now time.Time, r *Request, preferred *node) (few, distant []*node) {
 	last := s.sessions.get(sessionID(r))
 	var others []*node
 	weight := 0.0
@@ -132,32 +113,29 @@
 			others = append(others, n)
 			weight += n.Weight()
 		default:
-			spare = append(spare, n)
+			distant = append(distant, n)
 		}
 	}
-	for number := range min(drawnTargets+spareTargets, len(others)) {
+	for range min(drawnTargets, len(others)) {
 		drawn := s.random.Float64() * weight
 		i := 0
 		for ; i < len(others)-1 && drawn >= others[i].Weight(); i++ {
 			drawn -= others[i].Weight()
 		}
-		if number < drawnTargets {
-			few = append(few, others[i])
-		} else {
-			spare = append(spare, others[i])
-		}
+		few = append(few, others[i])
 		weight -= others[i].Weight()
 		others = slices.Delete(others, i, i+1)
 	}
-	return few, spare
+	return few, distant
 }
 
-// chooseOfFew returns the cheapest of a few targets, or nil if all have to be compared.
+// chooseOfFew returns the cheapest of a few targets, or nil if all have to be compared. A call goes to another
+// failure domain only if the few hardly have free slots.
 func (s *State) chooseOfFew(now time.Time, r *Request, load *loads, preferred *node) *candidate {
-	few, spare := s.drawFew(now, r, preferred)
+	few, distant := s.drawFew(now, r, preferred)
 	best, _ := s.cheapest(now, r, load, few, preferred)
-	if best == nil || !load.hasFreeSlot(best.node) {
-		if other, _ := s.cheapest(now, r, load, spare, preferred); other != nil && (best == nil || other.cost < best.cost) {
+	if best == nil || !load.hasFreeSlots(best.node) {
+		if other, _ := s.cheapest(now, r, load, distant, preferred); other != nil && (best == nil || other.cost < best.cost) {
 			best = other
 		}
 	}
--- a/surveyor/state.go
+++ b/surveyor/state.go
@@ -45,7 +45,7 @@
 	return Options{
 		Interval: 100 * time.Millisecond, ActiveTime: time.Second, MaxAge: 500 * time.Millisecond,
 		ReplyTimeout: 100 * time.Millisecond, CallTimeout: 400 * time.Millisecond, SuspendTime: 2 * time.Second,
-		MaxReportsPerSecond: 160, MaxBytesPerSecond: 2_500, LogInterval: 10 * time.Second,
+		MaxReportsPerSecond: 160, MaxBytesPerSecond: 2_000, LogInterval: 10 * time.Second,
 	}
 }
 
