--- a/dispatcher/load.go
+++ b/dispatcher/load.go
@@ -23,9 +23,9 @@
 // number.
 func (s *State) EngineCalls() map[string]int {
 	calls := map[string]int{}
-	for id, n := range s.nodes {
-		if n.isEngine && n.inFlight > 0 && n.target.Domain == s.location.Domain {
-			calls[id] = n.inFlight
+	for _, a := range s.attempts {
+		if a.service != nil && a.node.target.Domain == s.location.Domain {
+			calls[a.node.target.ID]++
 		}
 	}
 	return calls
--- a/dispatcher/node.go
+++ b/dispatcher/node.go
@@ -35,8 +35,6 @@
 	// emptySince is when the target was first listed or restarted.
 	emptySince time.Time
 	inFlight   int
-	// isEngine is set once this daemon has sent a call of an engine.
-	isEngine bool
 	// pendingTokens counts the prompt tokens to prefill of attempts without a first event.
 	pendingTokens float64
 	// queueDelay is the smoothed time to the first event beyond that of an idle target, as of
--- a/dispatcher/state.go
+++ b/dispatcher/state.go
@@ -282,7 +282,6 @@
 	n.inFlight++
 	if r.Engine != nil {
 		a.service, a.prompt, a.pendingBefore = s.service(r.Service), c.prompt, n.pendingTokens
-		n.isEngine = true
 		n.pendingTokens += c.prompt.expectedTokens
 		// The engine prefills the prompt once, so calls that follow at once can count on its cache.
 		n.recordPrompt(r.Prompt, r.Engine.CacheTokens)
--- a/surveyor/state.go
+++ b/surveyor/state.go
@@ -12,7 +12,7 @@
 	// orderKey is the key of the order in which the daemons of a failure domain collect.
 	orderKey = "targetLoad"
 	// messageOverhead is the size of a report and its reply without the targets.
-	messageOverhead = 190
+	messageOverhead = 150
 	// maxMisses is the number of replies that are missing in a row until a daemon is passed over. A daemon
 	// with a small share of a core replies late at times, and two collectors each know a part only.
 	maxMisses = 2
