--- a/surveyor/state.go
+++ b/surveyor/state.go
@@ -12,7 +12,7 @@
 	// orderKey is the key of the order in which the daemons of a failure domain collect.
 	orderKey = "targetLoad"
 	// messageOverhead is the size of a report and its reply without the targets.
-	messageOverhead = 190
+	messageOverhead = 150
 	// maxMisses is the number of replies that are missing in a row until a daemon is passed over. A daemon
 	// with a small share of a core replies late at times, and two collectors each know a part only.
 	maxMisses = 2
@@ -45,7 +45,7 @@
 	return Options{
 		Interval: 100 * time.Millisecond, ActiveTime: time.Second, MaxAge: 500 * time.Millisecond,
 		ReplyTimeout: 100 * time.Millisecond, CallTimeout: 400 * time.Millisecond, SuspendTime: 2 * time.Second,
-		MaxReportsPerSecond: 160, MaxBytesPerSecond: 2_500, LogInterval: 10 * time.Second,
+		MaxReportsPerSecond: 160, MaxBytesPerSecond: 2_000, LogInterval: 10 * time.Second,
 	}
 }
 
