--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -358,6 +358,7 @@
 		}
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
+		d.metrics.setFractions(d.limiter.Fractions())
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
 	}
 }
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	prom "github.com/prometheus/client_golang/prometheus"
@@ -10,6 +11,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/relayer"
 )
 
@@ -23,6 +25,9 @@
 	handler http.Handler
 }
 
+// quotaBuckets begin below a question within a failure domain and end above the longest wait.
+var quotaBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 12)
+
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)
 
 func newMetrics(s Settings) *metrics {
@@ -60,7 +65,32 @@
 
 // quotaObserver returns an observer that records the figures of quotas.
 func (m *metrics) quotaObserver() limiter.Observer {
-	return limiter.Observer{}
+	return limiter.Observer{
+		Decision: func(workspace string, d *limiter.Decision, took time.Duration) {
+			m.scope.Tagged(map[string]string{"workspace": workspace, "reason": d.Reason}).Counter("quota_decisions").Inc(1)
+			m.scope.Histogram("quota_seconds", quotaBuckets).RecordDuration(took)
+		},
+		StoreCall: func(operation string, kind provider.Kind) {
+			m.scope.Tagged(map[string]string{"operation": operation, "kind": kind.String()}).Counter("quota_store_calls").Inc(1)
+		},
+		Borrowed: func(tokens int) {
+			m.scope.Counter("quota_borrows").Inc(1)
+			m.scope.Counter("quota_borrowed_tokens").Inc(int64(tokens))
+		},
+		NoticeSent: func(delivered bool) {
+			m.scope.Tagged(map[string]string{"delivered": strconv.FormatBool(delivered)}).Counter("quota_notices").Inc(1)
+		},
+	}
+}
+
+// setFractions records the fractions of quotas that this daemon holds and the rest of their lease.
+func (m *metrics) setFractions(fractions map[string]float64, lease time.Duration) {
+	for workspace, fraction := range fractions {
+		m.scope.Tagged(map[string]string{"workspace": workspace}).Gauge("quota_fraction").Update(fraction)
+	}
+	if len(fractions) > 0 {
+		m.setGauge("quota_lease_seconds", lease.Seconds())
+	}
 }
 
 // setFeedAge records the time since the store last responded to the feed of a table.
--- a/cmd/dogwoodweir-view/main.go
+++ b/cmd/dogwoodweir-view/main.go
@@ -6,6 +6,8 @@
 //	dogwoodweir-view -store 10.200.1.7:8142 targets
 //	dogwoodweir-view -settings FILE configuration
 //	dogwoodweir-view -settings FILE daemons
+//	dogwoodweir-view -settings FILE quotas
+//	dogwoodweir-view -settings FILE quotaholders
 //	dogwoodweir-view -settings FILE program NAME
 //	dogwoodweir-view -settings FILE turn ID
 package main
@@ -85,6 +87,8 @@
 		{name: "configuration", synopsis: "routes of the newest configuration", query: withoutArgument((*viewer.Viewer).Configuration)},
 		{name: "targets", synopsis: "targets as they have registered", query: withoutArgument((*viewer.Viewer).Targets)},
 		{name: "daemons", synopsis: "daemons as they have registered", query: withoutArgument((*viewer.Viewer).Daemons)},
+		{name: "quotas", synopsis: "fractions of the quotas that daemons hold", query: withoutArgument((*viewer.Viewer).Quotas)},
+		{name: "quotaholders", synopsis: "daemons that may hold fractions of quotas", query: withoutArgument((*viewer.Viewer).QuotaHolders)},
 		{name: "program", argument: "NAME", synopsis: "budget of a program", query: func(ctx context.Context, v *viewer.Viewer, name string) (*viewer.Table, error) {
 			return v.Program(ctx, name)
 		}},
--- a/limiter/commands.go
+++ b/limiter/commands.go
@@ -118,8 +118,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	m := holdersRead{}
-	for n := 0; n < holderPartitions && m.kind == provider.KindNone; n++ {
-		m.kind = l.readPartition(ctx, provider.RowRange{Table: HolderTable, Partition: holderPartition(n)}, &m.rows)
+	for _, r := range HolderRanges() {
+		if m.kind = l.readPartition(ctx, r, &m.rows); m.kind != provider.KindNone {
+			break
+		}
 	}
 	l.update(m)
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -99,8 +99,10 @@
 	deps     Dependencies
 	settings Settings
 	quotas   atomic.Pointer[map[string]*Quota]
-	wake     chan struct{}
-	tickets  atomic.Uint64
+	// names are the names of the workspaces in metrics.
+	names   atomic.Pointer[map[string]string]
+	wake    chan struct{}
+	tickets atomic.Uint64
 
 	// mutex guards the fields below. Their updates take microseconds.
 	mutex    sync.Mutex
@@ -119,6 +121,7 @@
 		holder: newHolder(settings.Own.Host, settings.Incarnation, settings.Seed), topology: newTopology(settings.Own, nil),
 	}
 	l.quotas.Store(&map[string]*Quota{})
+	l.names.Store(&map[string]string{})
 	return l
 }
 
@@ -140,6 +143,8 @@
 	if len(byName) == 0 && len(*l.quotas.Load()) == 0 {
 		return
 	}
+	names := metricNames(m.quotas)
+	l.names.Store(&names)
 	l.quotas.Store(&byName)
 	l.update(m)
 	l.mutex.Lock()
@@ -315,11 +320,11 @@
 		extra = l.asker.extra(now, request.Workspace)
 	}
 	l.mutex.Unlock()
-	if ok {
-		return Decision{Admitted: true, Limited: true, Expires: expires}
+	d := Decision{Admitted: true, Limited: true, Expires: expires}
+	if !ok {
+		d = l.ask(ctx, now, q, request, extra)
 	}
-	d := l.ask(ctx, now, q, request, extra)
-	l.deps.Observe.decision(request.Workspace, &d, l.deps.Clock.Now().Sub(now))
+	l.deps.Observe.decision((*l.names.Load())[request.Workspace], &d, l.deps.Clock.Now().Sub(now))
 	return d
 }
 
@@ -520,6 +525,19 @@
 	}
 }
 
+// Fractions returns the sum of the fractions that this daemon holds, by the name of the workspace in
+// metrics, and the time until the end of their lease.
+func (l *Limiter) Fractions() (fractions map[string]float64, lease time.Duration) {
+	names := *l.names.Load()
+	fractions = map[string]float64{}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for workspace, h := range l.holder.holdings {
+		fractions[names[workspace]] += h.bucket.fraction()
+	}
+	return fractions, max(0, l.holder.lease.end.Sub(l.deps.Clock.Now()))
+}
+
 func (l *Limiter) returned() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/limiter/observer.go
+++ b/limiter/observer.go
@@ -8,7 +8,7 @@
 
 // Observer gets the figures of a Limiter for metrics. Nil functions are not called. They must not block.
 type Observer struct {
-	// Decision is called for each call that did not find an unused permit.
+	// Decision is called for each call. workspace is the name in metrics.
 	Decision func(workspace string, d *Decision, took time.Duration)
 	// StoreCall is called for each call to the store.
 	StoreCall func(operation string, kind provider.Kind)
--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -1,7 +1,9 @@
 package limiter
 
 import (
+	"cmp"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"time"
 
@@ -89,6 +91,38 @@
 
 func holderPartition(n int) string { return "h" + strconv.Itoa(n) }
 
+// HolderRanges returns the ranges of all rows of HolderTable.
+func HolderRanges() []provider.RowRange {
+	ranges := make([]provider.RowRange, holderPartitions)
+	for i := range ranges {
+		ranges[i] = provider.RowRange{Table: HolderTable, Partition: holderPartition(i)}
+	}
+	return ranges
+}
+
+const (
+	// namedWorkspaces is the number of workspaces that metrics name, those with the largest quotas.
+	namedWorkspaces = 20
+	// OtherWorkspaces is the name that metrics give to all other workspaces.
+	OtherWorkspaces = "other"
+)
+
+// metricNames returns the names of workspaces in metrics.
+func metricNames(quotas []Quota) map[string]string {
+	sorted := slices.Clone(quotas)
+	slices.SortFunc(sorted, func(a, b Quota) int {
+		return cmp.Or(cmp.Compare(b.RatePerSecond, a.RatePerSecond), cmp.Compare(a.Workspace, b.Workspace))
+	})
+	names := make(map[string]string, len(sorted))
+	for i, q := range sorted {
+		names[q.Workspace] = OtherWorkspaces
+		if i < namedWorkspaces {
+			names[q.Workspace] = q.Workspace
+		}
+	}
+	return names
+}
+
 // Reasons of rejections.
 const (
 	// ReasonOverQuota means that the holder's fraction has no token in time.
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -14,6 +14,7 @@
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/follower"
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/limiter"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 	"github.com/dogwoodweir/dogwoodweir/registrar"
@@ -162,6 +163,69 @@
 	return t, nil
 }
 
+// Quotas returns the fractions of the quotas that daemons hold, and what is left of each quota.
+func (v *Viewer) Quotas(ctx context.Context) (*Table, error) {
+	const operation = "quotas"
+	t := &Table{Columns: []string{"WORKSPACE", "ROW", "VERSION", "HOLDER", "INCARNATION", "FRACTION", "NEED", "TOKENS"}}
+	workspaces := 0
+	for _, key := range limiter.Keys() {
+		rows, _, err := v.readRange(ctx, operation, provider.RowRange{
+			Table: key.Table, Partition: key.Partition, From: key.Key, To: key.Key + "\x00",
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var quotas encoder.QuotaRow
+			if err := json.Unmarshal(row.Value, &quotas); err != nil {
+				t.Rows = append(t.Rows, []string{"unreadable: " + err.Error(), row.Key, fmt.Sprint(row.Version), "-", "-", "-", "-", "-"})
+				continue
+			}
+			for _, e := range quotas.Entries {
+				workspaces++
+				rest := 1.0
+				for _, s := range e.Shares {
+					rest -= millionths(s.Parts)
+					t.Rows = append(t.Rows, []string{
+						e.Workspace, row.Key, fmt.Sprint(row.Version), s.Host, s.Incarnation, fmt.Sprintf("%.3f", millionths(s.Parts)),
+						fmt.Sprintf("%.3f", millionths(s.Need)), "-",
+					})
+				}
+				t.Rows = append(t.Rows, []string{
+					e.Workspace, row.Key, fmt.Sprint(row.Version), "(nobody)", "-", fmt.Sprintf("%.3f", rest), "-", fmt.Sprintf("%.1f", float64(e.MilliTokens)/1000),
+				})
+			}
+		}
+	}
+	t.Title = fmt.Sprintf("fractions of the quotas of %d workspaces", workspaces)
+	return t, nil
+}
+
+func millionths(n int) float64 { return float64(n) / 1e6 }
+
+// QuotaHolders returns the daemons that may hold fractions of quotas. A row whose version no longer changes
+// belongs to a daemon that has ended or does not reach the store.
+func (v *Viewer) QuotaHolders(ctx context.Context) (*Table, error) {
+	t := &Table{Columns: []string{"HOST", "INCARNATION", "RENEWALS", "VERSION"}}
+	for _, r := range limiter.HolderRanges() {
+		rows, _, err := v.readRange(ctx, "quotaHolders", r)
+		if err != nil {
+			return nil, err
+		}
+		for _, row := range rows {
+			var h encoder.QuotaHolder
+			if err := json.Unmarshal(row.Value, &h); err != nil {
+				t.Rows = append(t.Rows, []string{row.Key, "unreadable: " + err.Error(), "-", fmt.Sprint(row.Version)})
+				continue
+			}
+			t.Rows = append(t.Rows, []string{row.Key, h.Incarnation, fmt.Sprint(h.Renewals), fmt.Sprint(row.Version)})
+		}
+	}
+	slices.SortFunc(t.Rows, func(a, b []string) int { return strings.Compare(a[0], b[0]) })
+	t.Title = fmt.Sprintf("%d daemons that may hold fractions of quotas", len(t.Rows))
+	return t, nil
+}
+
 // Program returns the budget rows of a program: the tokens granted to daemons, which daemons may
 // have unused tokens, and how many were lost with daemons.
 func (v *Viewer) Program(ctx context.Context, program string) (*Table, error) {
