--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -655,7 +655,7 @@
 
 // desired returns the fraction that this daemon should hold according to the row, and whether it
 // needs more than the remainder has.
-func (s *holder) desired(now time.Time, r *rowState, h *holding) (parts int, short bool) {
+func (s *holder) desired(now time.Time, r *rowState, h *holding) (parts int, wantsMore bool) {
 	a := r.allocations[h.quota.Workspace]
 	if a == nil {
 		a = &allocation{}
@@ -677,16 +677,8 @@
 		return 0, false
 	}
 	need := h.need(now)
-	var others []int
-	othersShort := false
-	for _, o := range a.shares {
-		if o.host == s.host {
-			continue
-		}
-		others = append(others, o.need)
-		othersShort = othersShort || o.short()
-	}
-	fair := fairParts(need, others)
+	fair := fairParts(need, a.othersNeeds(s.host))
+	othersShort := slices.ContainsFunc(a.shares, func(o share) bool { return o.host != s.host && a.lacks(&o) })
 	available := held + a.remainder()
 	if len(a.shares) >= maxShares && held == 0 {
 		available = 0
@@ -713,14 +705,13 @@
 		return 0, false
 	case float64(need) > growAt*float64(held):
 		wanted := max(fair, held)
-		missing := share{parts: available, need: min(need, wanted)}
 		if wanted > available && !now.Before(h.rereadAt) && now.Sub(r.confirmed) > minRereadDelay {
 			// Others may have returned parts since the row was read.
 			h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
 			h.rereadAt = now.Add(h.rereadDelay)
 			r.reread = true
 		}
-		return min(wanted, max(available, held)), missing.short()
+		return min(wanted, max(available, held)), short(need, fair, available)
 	case !young && held > 2*max(fair, floor) && idle < keepTime:
 		return max(fair, floor), false
 	}
@@ -739,7 +730,7 @@
 		need      int
 	}
 	var decisions []decision
-	short := false
+	scarce := false
 	for _, workspace := range s.workspaces[g] {
 		h := s.holdings[workspace]
 		held := s.ownParts(r, h)
@@ -754,11 +745,11 @@
 		if wants && need > 0 && !now.Before(h.wantAt) {
 			h.wantDelay = min(maxWantDelay, max(minWantDelay, 2*h.wantDelay))
 			h.wantAt = now.Add(h.wantDelay)
-			short, changed = true, true
+			scarce, changed = true, true
 		}
 		if !changed {
 			if wants {
-				short = true
+				scarce = true
 			} else if a := r.allocations[workspace]; a != nil && held > 0 && s.misleads(a, need) {
 				changed = true
 			}
@@ -774,7 +765,7 @@
 			decisions = append(decisions, decision{workspace, parts, need})
 		}
 	}
-	if short {
+	if scarce {
 		s.findEnded(now)
 	}
 	if len(decisions) == 0 && !r.unresolved && !(r.stale && s.holds(r, g)) {
@@ -825,12 +816,9 @@
 	if own == nil {
 		return false
 	}
-	sum, short := 0, false
-	for i := range a.shares {
-		sum += a.shares[i].need
-		short = short || a.shares[i].short()
-	}
-	return short && sum*10 > wholeQuota*6 && abs(own.need-need) > max(minChange, own.need/3)
+	others := a.othersNeeds(s.host)
+	believed, fair := fairParts(own.need, others), fairParts(need, others)
+	return abs(believed-fair) > max(minChange, believed/3) && slices.ContainsFunc(a.shares, func(o share) bool { return o.host != s.host && a.lacks(&o) })
 }
 
 // findEnded reads the rows of the holders, some of which may have ended.
@@ -923,10 +911,10 @@
 			h.grownAt = now
 		}
 		// All others hear that this daemon is short; those that are short, that it has returned a part.
-		own := share{parts: c.after, need: c.need}
-		short := own.short()
-		for _, o := range r.allocations[c.workspace].shares {
-			if o.host != s.host && (short || c.after < c.before && o.short()) {
+		a := r.allocations[c.workspace]
+		lacks := a.lacks(&share{host: s.host, parts: c.after, need: c.need})
+		for _, o := range a.shares {
+			if o.host != s.host && (lacks || c.after < c.before && a.lacks(&o)) {
 				notified[o.host] = true
 			}
 		}
--- a/limiter/row.go
+++ b/limiter/row.go
@@ -16,8 +16,10 @@
 	need int
 }
 
-// short reports whether the holder needs much more than it has.
-func (s *share) short() bool { return float64(s.need) > float64(s.parts)*shortAt+minChange/2 }
+// short reports whether a demand needs much more than a fraction that it could fairly have.
+func short(need, fair, parts int) bool {
+	return float64(min(need, fair)) > float64(parts)*shortAt+minChange/2
+}
 
 // allocation is the allocation of a workspace's quota.
 type allocation struct {
@@ -74,6 +76,22 @@
 	return len(a.shares) < before
 }
 
+// othersNeeds returns the demands of all holders but those on a host.
+func (a *allocation) othersNeeds(host string) []int {
+	var needs []int
+	for i := range a.shares {
+		if a.shares[i].host != host {
+			needs = append(needs, a.shares[i].need)
+		}
+	}
+	return needs
+}
+
+// lacks reports whether a holder is short.
+func (a *allocation) lacks(s *share) bool {
+	return short(s.need, fairParts(s.need, a.othersNeeds(s.host)), s.parts)
+}
+
 func (a *allocation) capTokens(q *Quota) {
 	a.tokens = min(a.tokens, float64(a.remainder())/wholeQuota*q.depth())
 }
