Keep ticks from being put off by requests

Each request restarted the timer of the tick, so that holders under load answered late and were taken for lost.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -160,7 +160,8 @@
 func (l *Limiter) Run(ctx context.Context) {
 	refresh := time.NewTimer(refreshDelay/2 + rand.N(refreshDelay))
 	defer refresh.Stop()
-	timer := time.NewTimer(idleTick)
+	interval := idleTick
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	for {
 		select {
@@ -172,11 +173,16 @@
 			}
 			continue
 		case <-l.wake:
-			timer.Reset(busyTick)
+			// A tick that is due soon must not be put off by each request.
+			if interval > busyTick {
+				interval = busyTick
+				timer.Reset(interval)
+			}
 			continue
 		case <-timer.C:
 		}
-		timer.Reset(l.tick())
+		interval = l.tick()
+		timer.Reset(interval)
 	}
 }
 
