--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -73,8 +73,10 @@
 	holdersInterval = 4 * time.Second
 	// refreshInterval is the interval at which a holder reads the rows of its fractions: a notice may be lost.
 	refreshInterval = 20 * time.Second
-	// borrowCooldown is how long a holder that had no tokens is not asked again.
+	// borrowCooldown is how long a holder that had no tokens is not asked again, startCooldown replaces it
+	// while this daemon has no fraction: the other one may be about to get its own.
 	borrowCooldown = 150 * time.Millisecond
+	startCooldown  = 25 * time.Millisecond
 	// maxBorrowing bounds the requests for tokens of a workspace that are under way.
 	maxBorrowing = 2
 	// maxShares bounds the holders of a workspace.
@@ -426,6 +428,10 @@
 	g := groupOf(m.workspace)
 	if r := s.row(g); !r.known && r.write == nil && r.conflicts == 0 {
 		r.retryAt = time.Time{}
+		if !s.usable(now) {
+			// The row names holders that may lend tokens until this daemon has a lease.
+			s.read(now, g, r)
+		}
 	}
 	s.maintain(now, g)
 	s.help(now, h)
@@ -604,7 +610,11 @@
 	h.borrowing--
 	h.coolUntil[m.host] = time.Time{}
 	if m.tokens == 0 || m.late {
-		h.coolUntil[m.host] = now.Add(borrowCooldown)
+		cooldown := borrowCooldown
+		if h.bucket.parts == 0 {
+			cooldown = startCooldown
+		}
+		h.coolUntil[m.host] = now.Add(cooldown)
 	}
 	if !m.late {
 		h.bucket.refill(now, s.lease.end, &h.quota)
