--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -707,7 +707,7 @@
 		}
 		return min(wanted, available), available < min(wanted, fair)
 	case othersShort && float64(held) > float64(fair)*shortAt+minChange:
-		if idle > requestMemory && need < minChange {
+		if idle > keepTime {
 			return 0, false
 		}
 		return max(fair, min(h.quota.minParts(), held)), false
