--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -611,7 +611,7 @@
 	h.coolUntil[m.host] = time.Time{}
 	if m.tokens == 0 || m.late {
 		cooldown := borrowCooldown
-		if h.bucket.parts == 0 {
+		if h.bucket.parts == 0 && m.host != h.first {
 			cooldown = startCooldown
 		}
 		h.coolUntil[m.host] = now.Add(cooldown)
@@ -680,7 +680,11 @@
 	}
 	idle := now.Sub(h.lastRequest)
 	takesOver := h.first == s.host || now.Sub(h.firstRequest) >= takeoverDelay || now.Sub(h.takeoverAt) < takeoverDelay
-	if held == 0 && (!takesOver || idle > requestMemory) {
+	keep := requestMemory
+	if h.first == s.host {
+		keep = keepTime
+	}
+	if held == 0 && (!takesOver || idle > keep) {
 		return 0, false
 	}
 	if h.first != s.host && idle > requestMemory {
@@ -703,6 +707,7 @@
 		// The demand is not known yet.
 		wanted := max(fair, h.initialParts(), floor)
 		if available < h.quota.minParts() || need == 0 && available < h.initialParts() {
+			s.rereadLater(now, r, h)
 			return 0, need > 0
 		}
 		return min(wanted, available), available < min(wanted, fair)
@@ -715,11 +720,8 @@
 		return 0, false
 	case float64(need) > growAt*float64(held):
 		wanted := max(fair, held)
-		if wanted > available && !now.Before(h.rereadAt) && now.Sub(r.confirmed) > minRereadDelay {
-			// Others may have returned parts since the row was read.
-			h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
-			h.rereadAt = now.Add(h.rereadDelay)
-			r.reread = true
+		if wanted > available {
+			s.rereadLater(now, r, h)
 		}
 		return min(wanted, max(available, held)), short(need, fair, available)
 	case !young && held > 2*max(fair, floor) && idle < keepTime:
@@ -728,6 +730,16 @@
 	return held, false
 }
 
+// rereadLater reads a row again from time to time: others may have returned parts since it was read.
+func (s *holder) rereadLater(now time.Time, r *rowState, h *holding) {
+	if now.Before(h.rereadAt) || now.Sub(r.confirmed) < minRereadDelay {
+		return
+	}
+	h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
+	h.rereadAt = now.Add(h.rereadDelay)
+	r.reread = true
+}
+
 // maintain writes the row of a group if a fraction should change or a write has to be resolved.
 func (s *holder) maintain(now time.Time, g group) {
 	r := s.groups[g]
