--- a/limiter/calm_test.go
+++ b/limiter/calm_test.go
@@ -118,6 +118,11 @@
 				calls, rejected, examples := f.rejections(quotas, 0)
 				t.Logf("%d calls, %d rejected, wait %v at 50 %%, %v at 99 %%, %d store calls", calls, rejected, f.percentile(0.5), f.percentile(0.99), f.storeCalls)
 				t.Log(f.operations)
+				byWorkspace := map[string]int{}
+				for workspace, list := range f.rejected {
+					byWorkspace[workspace] = len(list)
+				}
+				t.Log("rejected, also over the quota: ", byWorkspace)
 				if float64(rejected) > test.allowed*float64(calls) {
 					t.Errorf("%d of %d calls rejected: %q", rejected, calls, examples)
 				}
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -77,6 +77,8 @@
 	// while this daemon has no fraction: the other one may be about to get its own.
 	borrowCooldown = 150 * time.Millisecond
 	startCooldown  = 25 * time.Millisecond
+	// lentKept is how long borrowed tokens are kept that the bucket has no room for.
+	lentKept = 100 * time.Millisecond
 	// maxBorrowing bounds the requests for tokens of a workspace that are under way.
 	maxBorrowing = 2
 	// maxShares bounds the holders of a workspace.
@@ -116,6 +118,9 @@
 	// borrowing is the number of requests for tokens without a reply.
 	borrowing int
 	programs  programs
+	// lent are borrowed tokens that the bucket has no room for. They are valid until lentUntil.
+	lent      int
+	lentUntil time.Time
 	// coolUntil holds the hosts that had no tokens.
 	coolUntil map[string]time.Time
 }
@@ -485,14 +490,13 @@
 func (s *holder) serve(now time.Time, h *holding) {
 	for len(h.queue) > 0 {
 		w := &h.queue[0]
-		if h.bucket.tokens < 1 {
+		permits := h.takeTokens(now, w.needed)
+		if permits == 0 {
 			break
 		}
-		permits := min(w.needed, int(h.bucket.tokens))
 		if permits == w.needed && len(h.queue) == 1 {
-			permits += max(0, min(w.extra, int(h.bucket.tokens-float64(permits)-h.bucket.depth(&h.quota)/4)))
+			permits += h.takeTokens(now, max(0, min(w.extra, int(h.bucket.tokens-h.bucket.depth(&h.quota)/4))))
 		}
-		h.bucket.tokens -= float64(permits)
 		h.programs.record(now, w.program)
 		s.emit(grant{ticket: w.ticket, permits: permits, fraction: h.bucket.fraction(), age: s.age(now, h)})
 		h.queue = h.queue[1:]
@@ -602,6 +606,33 @@
 	return best
 }
 
+// keepLent adds borrowed tokens to the bucket. Those that it has no room for are kept for a moment: the
+// request for which they were borrowed may have been answered with reasonPending and come again.
+func (h *holding) keepLent(now time.Time, tokens int) {
+	room := max(0, int(h.bucket.depth(&h.quota)-h.bucket.tokens))
+	added := min(tokens, room)
+	h.bucket.tokens += float64(added)
+	if !now.Before(h.lentUntil) {
+		h.lent = 0
+	}
+	if tokens > added {
+		h.lent += tokens - added
+		h.lentUntil = now.Add(lentKept)
+	}
+}
+
+// takeTokens takes up to a number of tokens, borrowed ones first.
+func (h *holding) takeTokens(now time.Time, wanted int) int {
+	taken := 0
+	if now.Before(h.lentUntil) {
+		taken = min(wanted, h.lent)
+		h.lent -= taken
+	}
+	own := min(wanted-taken, int(h.bucket.tokens))
+	h.bucket.tokens -= float64(own)
+	return taken + own
+}
+
 func (s *holder) receiveLent(now time.Time, m *tokensLent) {
 	h := s.holdings[m.workspace]
 	if h == nil {
@@ -618,9 +649,8 @@
 	}
 	if !m.late {
 		h.bucket.refill(now, s.lease.end, &h.quota)
-		h.bucket.tokens += float64(m.tokens)
+		h.keepLent(now, m.tokens)
 		s.serve(now, h)
-		h.bucket.tokens = min(h.bucket.tokens, h.bucket.depth(&h.quota))
 	}
 	s.help(now, h)
 }
