--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -793,7 +793,12 @@
 			decisions = append(decisions, decision{workspace: workspace})
 			continue
 		}
-		changed := parts != held && (abs(parts-held) >= max(minChange, held/6) || parts == 0 || held == 0)
+		least := max(minChange, held/6)
+		if need > held && parts > held {
+			// A part of the quota that is left over is taken, however small.
+			least = minChange / 4
+		}
+		changed := parts != held && (abs(parts-held) >= least || parts == 0 || held == 0)
 		if wants && need > 0 && !now.Before(h.wantAt) {
 			h.wantDelay = min(maxWantDelay, max(minWantDelay, 2*h.wantDelay))
 			h.wantAt = now.Add(h.wantDelay)
