--- a/limiter/commands.go
+++ b/limiter/commands.go
@@ -155,6 +155,9 @@
 		if err == nil {
 			m.tokens = reply.Permits
 		}
+	} else {
+		// A holder that started after the list was read.
+		go l.refresh(context.Background())
 	}
 	// Tokens of a late reply belong to a time for which the lender has got others since.
 	m.late = l.deps.Clock.Now().Sub(sentAt) > lentValidity
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -24,6 +24,8 @@
 	// left out if it has more than maxRefreshed entries.
 	refreshDelay = 300 * time.Millisecond
 	maxRefreshed = 128
+	// refreshPause is the shortest interval between additional reads of the list.
+	refreshPause = 2 * time.Second
 	// storeTimeout bounds a call to the store. Fractions stay reduced after it until the outcome is
 	// known, so that it is longer than the responses of a slow store.
 	storeTimeout = 3 * time.Second
@@ -103,6 +105,8 @@
 	names   atomic.Pointer[map[string]string]
 	wake    chan struct{}
 	tickets atomic.Uint64
+	// refreshedAt is when the list of daemons was last read again, in Unix nanoseconds.
+	refreshedAt atomic.Int64
 
 	// mutex guards the fields below. Their updates take microseconds.
 	mutex    sync.Mutex
@@ -189,6 +193,10 @@
 // refresh reads the list of daemons: those that started at the same time are missing from the first list,
 // and a host that wrongly counts as the first of its cell takes a fraction that others need.
 func (l *Limiter) refresh(ctx context.Context) {
+	now := l.deps.Clock.Now().UnixNano()
+	if last := l.refreshedAt.Load(); now-last < int64(refreshPause) || !l.refreshedAt.CompareAndSwap(last, now) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := l.deps.Refresh(ctx); err != nil {
@@ -298,9 +306,10 @@
 }
 
 func (l *Limiter) peer(host string) (messenger.Peer, bool) {
+	entries := l.deps.Daemons()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	e, ok := l.topology.byHost[host]
+	e, ok := l.currentTopology(entries).byHost[host]
 	return messenger.Peer{Host: e.Host, Address: e.Address}, ok
 }
 
@@ -438,7 +447,7 @@
 	left := maxWait - sentAt.Sub(began)
 	if host == l.settings.Own.Host {
 		g := l.hold(permitsRequested{
-			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left), limit: sentAt.Add(left),
+			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left - replyMargin), limit: sentAt.Add(left - replyMargin),
 			takeover: takeover, first: r.order[0], lenders: r.lenders,
 		})
 		return answer{host: host, grant: g, expires: sentAt.Add(permitValidity)}
