--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -41,6 +41,9 @@
 	// Smaller differences are made up by borrowed tokens.
 	minChange = wholeQuota / 50
 	shortAt   = 1.25
+	// initialShare is the part of the quota that the holders of all cells take together before their demand
+	// is known.
+	initialShare = 0.9
 	// keptShare is the part of the initial fraction that the first host of a cell keeps while others do not
 	// need it, since the demand of a small workspace is uneven.
 	keptShare = 0.75
@@ -691,7 +694,7 @@
 }
 
 // initialParts is the fraction that a holder takes while its demand is not known yet.
-func (h *holding) initialParts() int { return wholeQuota / (h.cells + 1) }
+func (h *holding) initialParts() int { return int(initialShare * wholeQuota / float64(h.cells)) }
 
 // desired returns the fraction that this daemon should hold according to the row, and whether it
 // needs more than the remainder has.
