--- a/limiter/history_test.go
+++ b/limiter/history_test.go
@@ -34,7 +34,6 @@
 	kind   string
 	daemon int
 	length time.Duration
-	factor float64
 }
 
 // historyLength leaves time for leases to end and for fractions to be freed.
@@ -140,7 +139,7 @@
 }
 
 // play runs a history and returns the fleet.
-func play(t testing.TB, ctx context.Context, h history) *fleet {
+func play(ctx context.Context, t testing.TB, h history) *fleet {
 	f := newFleet(ctx, t, h.seed, h.domains, h.size, h.regions)
 	cuts := cutSet{}
 	f.cut = func(a, b string) bool {
@@ -185,7 +184,7 @@
 func checkHistory(t *testing.T, h history, fail func(format string, args ...any)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := play(t, ctx, h)
+		f := play(ctx, t, h)
 		time.Sleep(time.Second)
 		for _, d := range f.daemons {
 			d.kill()
