--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -73,9 +73,8 @@
 		StoreCall: func(operation string, kind provider.Kind) {
 			m.scope.Tagged(map[string]string{"operation": operation, "kind": kind.String()}).Counter("quota_store_calls").Inc(1)
 		},
-		Borrowed: func(tokens int) {
-			m.scope.Counter("quota_borrows").Inc(1)
-			m.scope.Counter("quota_borrowed_tokens").Inc(int64(tokens))
+		Borrowed: func(tokens float64) {
+			m.scope.Tagged(map[string]string{"lent": strconv.FormatBool(tokens > 0)}).Counter("quota_borrows").Inc(1)
 		},
 		NoticeSent: func(delivered bool) {
 			m.scope.Tagged(map[string]string{"delivered": strconv.FormatBool(delivered)}).Counter("quota_notices").Inc(1)
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -281,7 +281,8 @@
 	Extra int `json:"extra,omitempty,omitzero"`
 
 	// The sender holds a fraction itself and asks for tokens that the receiver does
-	// not need.
+	// not need. The numbers of the request and of the reply are thousandths of a
+	// token.
 	Lend bool `json:"lend,omitempty,omitzero"`
 
 	// Time in milliseconds after which the call is rejected.
--- a/limiter/commands.go
+++ b/limiter/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"math"
 
 	"go.uber.org/zap"
 
@@ -149,17 +150,27 @@
 	if peer, ok := l.peer(c.host); ok {
 		ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
 		defer cancel()
-		reply, err := l.deps.Peers.AskPermits(ctx, peer, encoder.PermitQuestion{
-			Workspace: c.workspace, Needed: max(1, c.missing), Extra: c.spare, Lend: !c.ask, WaitMs: int(borrowWait.Milliseconds()), LimitMs: int(borrowWait.Milliseconds()),
-		})
+		question := encoder.PermitQuestion{
+			Workspace: c.workspace, Needed: int(math.Ceil(c.missing * lendUnit)), Extra: int(c.spare * lendUnit), Lend: true,
+		}
+		unit := float64(lendUnit)
+		if c.ask {
+			unit = 1
+			question = encoder.PermitQuestion{
+				Workspace: c.workspace, Needed: max(1, int(math.Ceil(c.missing))), Extra: int(c.spare),
+				WaitMs: int(borrowWait.Milliseconds()), LimitMs: int(borrowWait.Milliseconds()),
+			}
+		}
+		reply, err := l.deps.Peers.AskPermits(ctx, peer, question)
 		if err == nil {
-			m.tokens = reply.Permits
+			m.tokens = float64(reply.Permits) / unit
 		}
 	} else {
 		// A holder that started after the list was read.
 		go l.refresh(context.Background())
 	}
 	// Tokens of a late reply belong to a time for which the lender has got others since.
+	m.drained = m.tokens < c.missing
 	m.late = l.deps.Clock.Now().Sub(sentAt) > lentValidity
 	l.deps.Observe.borrowed(m.tokens)
 	l.update(m)
--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -80,6 +79,9 @@
 	// while this daemon has no fraction: the other one may be about to get its own.
 	borrowCooldown = 150 * time.Millisecond
 	startCooldown  = 25 * time.Millisecond
+	// lendUnit is the number of units into which tokens are divided when holders lend them to each other:
+	// several holders may have less than a whole one each.
+	lendUnit = 1000
 	// lentKept is how long borrowed tokens are kept that the bucket has no room for.
 	lentKept = 100 * time.Millisecond
 	// maxBorrowing bounds the requests for tokens of a workspace that are under way.
@@ -122,7 +124,7 @@
 	borrowing int
 	programs  programs
 	// lent are borrowed tokens that the bucket has no room for. They are valid until lentUntil.
-	lent      int
+	lent      float64
 	lentUntil time.Time
 	// coolUntil holds the hosts that had no tokens.
 	coolUntil map[string]time.Time
@@ -470,14 +472,14 @@
 
 // lend gives tokens that this holder does not need to another one.
 func (s *holder) lend(now time.Time, h *holding, m *permitsRequested) {
-	tokens := 0
+	tokens := 0.0
 	if s.usable(now) && len(h.queue) == 0 {
-		tokens = min(m.needed, int(h.bucket.tokens))
+		tokens = min(float64(m.needed)/lendUnit, h.bucket.tokens)
 		// Of the rest, half is lent, so that the buckets level out.
-		tokens += min(m.extra, int((h.bucket.tokens-float64(tokens))/2))
+		tokens += min(float64(m.extra)/lendUnit, (h.bucket.tokens-tokens)/2)
 	}
-	h.bucket.tokens -= float64(tokens)
-	s.emit(grant{ticket: m.ticket, permits: tokens, fraction: h.bucket.fraction(), age: s.age(now, h)})
+	h.bucket.tokens -= tokens
+	s.emit(grant{ticket: m.ticket, permits: int(tokens * lendUnit), fraction: h.bucket.fraction(), age: s.age(now, h)})
 }
 
 // age returns the time since the store confirmed the fraction.
@@ -572,6 +574,9 @@
 	}
 	h.coolUntil[host] = now.Add(borrowTimeout)
 	missing := -h.bucket.tokens
+	if now.Before(h.lentUntil) {
+		missing -= h.lent
+	}
 	for _, w := range h.queue {
 		missing += float64(w.needed)
 	}
@@ -580,7 +585,7 @@
 	}
 	h.borrowing++
 	s.emit(borrowTokens{
-		workspace: h.quota.Workspace, host: host, missing: int(math.Ceil(missing)), spare: int(h.bucket.depth(&h.quota) / 2), ask: host == h.first,
+		workspace: h.quota.Workspace, host: host, missing: missing, spare: min(maxExtra, h.bucket.depth(&h.quota)/2), ask: host == h.first,
 	})
 }
 
@@ -611,10 +616,9 @@
 
 // keepLent adds borrowed tokens to the bucket. Those that it has no room for are kept for a moment: the
 // request for which they were borrowed may have been answered with reasonPending and come again.
-func (h *holding) keepLent(now time.Time, tokens int) {
-	room := max(0, int(h.bucket.depth(&h.quota)-h.bucket.tokens))
-	added := min(tokens, room)
-	h.bucket.tokens += float64(added)
+func (h *holding) keepLent(now time.Time, tokens float64) {
+	added := min(tokens, max(0, h.bucket.depth(&h.quota)-h.bucket.tokens))
+	h.bucket.tokens += added
 	if !now.Before(h.lentUntil) {
 		h.lent = 0
 	}
@@ -626,14 +630,16 @@
 
 // takeTokens takes up to a number of tokens, borrowed ones first.
 func (h *holding) takeTokens(now time.Time, wanted int) int {
-	taken := 0
-	if now.Before(h.lentUntil) {
-		taken = min(wanted, h.lent)
-		h.lent -= taken
+	if !now.Before(h.lentUntil) {
+		h.lent = 0
 	}
-	own := min(wanted-taken, int(h.bucket.tokens))
-	h.bucket.tokens -= float64(own)
-	return taken + own
+	// The tolerance is far above the errors of the sums and far below a token.
+	const tolerance = 1e-6
+	taken := min(wanted, int(h.lent+h.bucket.tokens+tolerance))
+	borrowed := min(h.lent, float64(taken))
+	h.lent -= borrowed
+	h.bucket.tokens = max(0, h.bucket.tokens-(float64(taken)-borrowed))
+	return taken
 }
 
 func (s *holder) receiveLent(now time.Time, m *tokensLent) {
@@ -643,7 +649,7 @@
 	}
 	h.borrowing--
 	h.coolUntil[m.host] = time.Time{}
-	if m.tokens == 0 || m.late {
+	if m.drained || m.late {
 		cooldown := borrowCooldown
 		if h.bucket.parts == 0 && m.host != h.first {
 			cooldown = startCooldown
--- a/limiter/holder_test.go
+++ b/limiter/holder_test.go
@@ -228,21 +228,30 @@
 		t.Run(test.name, func(t *testing.T) {
 			b := newBench(t, testQuota)
 			b.renew(provider.KindNone)
-			b.write(provider.KindConflict)
-			b.update(rowRead{group: group, row: provider.VersionedRow{RowKey: group.key(), Version: 50, Value: row}})
+			w, ok := next[writeRow](b)
+			for !ok {
+				b.advance(10 * time.Millisecond)
+				w, ok = next[writeRow](b)
+			}
+			// The conflict tells the row.
+			b.update(rowWritten{group: w.group, kind: provider.KindConflict, conflict: []provider.VersionedRow{{RowKey: group.key(), Version: 50, Value: row}}})
+			advance := func() {
+				b.advance(time.Second)
+				if _, ok := next[readRow](b); ok {
+					b.update(rowRead{group: group, row: provider.VersionedRow{RowKey: group.key(), Version: 50, Value: row}})
+				}
+			}
 			for _, r := range test.rows {
 				rows := []provider.VersionedRow{}
 				if r.Version != provider.VersionAbsent {
 					rows = append(rows, r)
 				}
 				b.update(holdersRead{rows: rows})
-				b.advance(time.Second)
+				advance()
 			}
 			for passed := time.Duration(0); passed < test.after; passed += time.Second {
-				b.advance(time.Second)
+				advance()
 			}
-			b.pending = nil
-			b.holder.groups[group].write = nil
 			b.ask("w", "")
 			freed := false
 			for w, ok := next[writeRow](b); ok; w, ok = next[writeRow](b) {
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -511,8 +511,12 @@
 	}
 	r := l.route(q)
 	now := l.deps.Clock.Now()
+	most := maxExtra
+	if question.Lend {
+		most *= lendUnit
+	}
 	g := l.hold(permitsRequested{
-		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: min(maxExtra, question.Extra),
+		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: max(0, min(most, question.Extra)),
 		deadline: now.Add(min(maxWait, time.Duration(question.WaitMs)*time.Millisecond)), again: question.Again,
 		limit: now.Add(min(maxWait, time.Duration(question.LimitMs)*time.Millisecond)),
 		lend:  question.Lend, takeover: question.Takeover, first: r.order[0], lenders: r.lenders,
--- a/limiter/message.go
+++ b/limiter/message.go
@@ -35,7 +35,8 @@
 	limit    time.Time
 	// again is set if the same call has been answered with reasonPending.
 	again bool
-	// lend is set if another holder asks for tokens that this one does not need.
+	// lend is set if another holder asks for tokens that this one does not need. needed, extra and the
+	// permits of the answer are thousandths of a token then.
 	lend bool
 	// takeover is set if the hosts before this one in the order of its cell did not accept the request.
 	takeover bool
@@ -79,7 +80,9 @@
 type tokensLent struct {
 	workspace string
 	host      string
-	tokens    int
+	tokens    float64
+	// drained is set if the other holder has no more.
+	drained bool
 	// late is set if the reply took so long that its tokens may no longer be used.
 	late bool
 }
@@ -154,8 +157,8 @@
 	workspace string
 	host      string
 	// missing is the number of tokens for calls that wait, spare that of further useful ones.
-	missing int
-	spare   int
+	missing float64
+	spare   float64
 	// ask is set if the host is the first of the cell, which serves requests like those of any daemon.
 	ask bool
 }
--- a/limiter/observer.go
+++ b/limiter/observer.go
@@ -13,7 +13,7 @@
 	// StoreCall is called for each call to the store.
 	StoreCall func(operation string, kind provider.Kind)
 	// Borrowed is called with the tokens that another holder lent, 0 for none.
-	Borrowed func(tokens int)
+	Borrowed func(tokens float64)
 	// NoticeSent is called for each notice to another holder.
 	NoticeSent func(delivered bool)
 }
@@ -30,7 +30,7 @@
 	}
 }
 
-func (o *Observer) borrowed(tokens int) {
+func (o *Observer) borrowed(tokens float64) {
 	if o.Borrowed != nil {
 		o.Borrowed(tokens)
 	}
