--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -41,6 +40,9 @@
 	// Smaller differences are made up by borrowed tokens.
 	minChange = wholeQuota / 50
 	shortAt   = 1.25
+	// initialShare is the part of the quota that the holders of all cells take together before their demand
+	// is known.
+	initialShare = 0.9
 	// keptShare is the part of the initial fraction that the first host of a cell keeps while others do not
 	// need it, since the demand of a small workspace is uneven.
 	keptShare = 0.75
@@ -73,8 +75,15 @@
 	holdersInterval = 4 * time.Second
 	// refreshInterval is the interval at which a holder reads the rows of its fractions: a notice may be lost.
 	refreshInterval = 20 * time.Second
-	// borrowCooldown is how long a holder that had no tokens is not asked again.
+	// borrowCooldown is how long a holder that had no tokens is not asked again, startCooldown replaces it
+	// while this daemon has no fraction: the other one may be about to get its own.
 	borrowCooldown = 150 * time.Millisecond
+	startCooldown  = 25 * time.Millisecond
+	// lendUnit is the number of units into which tokens are divided when holders lend them to each other:
+	// several holders may have less than a whole one each.
+	lendUnit = 1000
+	// lentKept is how long borrowed tokens are kept that the bucket has no room for.
+	lentKept = 100 * time.Millisecond
 	// maxBorrowing bounds the requests for tokens of a workspace that are under way.
 	maxBorrowing = 2
 	// maxShares bounds the holders of a workspace.
@@ -114,6 +123,9 @@
 	// borrowing is the number of requests for tokens without a reply.
 	borrowing int
 	programs  programs
+	// lent are borrowed tokens that the bucket has no room for. They are valid until lentUntil.
+	lent      float64
+	lentUntil time.Time
 	// coolUntil holds the hosts that had no tokens.
 	coolUntil map[string]time.Time
 }
@@ -426,6 +438,10 @@
 	g := groupOf(m.workspace)
 	if r := s.row(g); !r.known && r.write == nil && r.conflicts == 0 {
 		r.retryAt = time.Time{}
+		if !s.usable(now) {
+			// The row names holders that may lend tokens until this daemon has a lease.
+			s.read(now, g, r)
+		}
 	}
 	s.maintain(now, g)
 	s.help(now, h)
@@ -456,14 +472,14 @@
 
 // lend gives tokens that this holder does not need to another one.
 func (s *holder) lend(now time.Time, h *holding, m *permitsRequested) {
-	tokens := 0
+	tokens := 0.0
 	if s.usable(now) && len(h.queue) == 0 {
-		tokens = min(m.needed, int(h.bucket.tokens))
+		tokens = min(float64(m.needed)/lendUnit, h.bucket.tokens)
 		// Of the rest, half is lent, so that the buckets level out.
-		tokens += min(m.extra, int((h.bucket.tokens-float64(tokens))/2))
+		tokens += min(float64(m.extra)/lendUnit, (h.bucket.tokens-tokens)/2)
 	}
-	h.bucket.tokens -= float64(tokens)
-	s.emit(grant{ticket: m.ticket, permits: tokens, fraction: h.bucket.fraction(), age: s.age(now, h)})
+	h.bucket.tokens -= tokens
+	s.emit(grant{ticket: m.ticket, permits: int(tokens * lendUnit), fraction: h.bucket.fraction(), age: s.age(now, h)})
 }
 
 // age returns the time since the store confirmed the fraction.
@@ -479,14 +495,13 @@
 func (s *holder) serve(now time.Time, h *holding) {
 	for len(h.queue) > 0 {
 		w := &h.queue[0]
-		if h.bucket.tokens < 1 {
+		permits := h.takeTokens(now, w.needed)
+		if permits == 0 {
 			break
 		}
-		permits := min(w.needed, int(h.bucket.tokens))
 		if permits == w.needed && len(h.queue) == 1 {
-			permits += max(0, min(w.extra, int(h.bucket.tokens-float64(permits)-h.bucket.depth(&h.quota)/4)))
+			permits += h.takeTokens(now, max(0, min(w.extra, int(h.bucket.tokens-h.bucket.depth(&h.quota)/4))))
 		}
-		h.bucket.tokens -= float64(permits)
 		h.programs.record(now, w.program)
 		s.emit(grant{ticket: w.ticket, permits: permits, fraction: h.bucket.fraction(), age: s.age(now, h)})
 		h.queue = h.queue[1:]
@@ -559,6 +574,9 @@
 	}
 	h.coolUntil[host] = now.Add(borrowTimeout)
 	missing := -h.bucket.tokens
+	if now.Before(h.lentUntil) {
+		missing -= h.lent
+	}
 	for _, w := range h.queue {
 		missing += float64(w.needed)
 	}
@@ -567,7 +585,7 @@
 	}
 	h.borrowing++
 	s.emit(borrowTokens{
-		workspace: h.quota.Workspace, host: host, missing: int(math.Ceil(missing)), spare: int(h.bucket.depth(&h.quota) / 2), ask: host == h.first,
+		workspace: h.quota.Workspace, host: host, missing: missing, spare: min(maxExtra, h.bucket.depth(&h.quota)/2), ask: host == h.first,
 	})
 }
 
@@ -596,6 +614,34 @@
 	return best
 }
 
+// keepLent adds borrowed tokens to the bucket. Those that it has no room for are kept for a moment: the
+// request for which they were borrowed may have been answered with reasonPending and come again.
+func (h *holding) keepLent(now time.Time, tokens float64) {
+	added := min(tokens, max(0, h.bucket.depth(&h.quota)-h.bucket.tokens))
+	h.bucket.tokens += added
+	if !now.Before(h.lentUntil) {
+		h.lent = 0
+	}
+	if tokens > added {
+		h.lent += tokens - added
+		h.lentUntil = now.Add(lentKept)
+	}
+}
+
+// takeTokens takes up to a number of tokens, borrowed ones first.
+func (h *holding) takeTokens(now time.Time, wanted int) int {
+	if !now.Before(h.lentUntil) {
+		h.lent = 0
+	}
+	// The tolerance is far above the errors of the sums and far below a token.
+	const tolerance = 1e-6
+	taken := min(wanted, int(h.lent+h.bucket.tokens+tolerance))
+	borrowed := min(h.lent, float64(taken))
+	h.lent -= borrowed
+	h.bucket.tokens = max(0, h.bucket.tokens-(float64(taken)-borrowed))
+	return taken
+}
+
 func (s *holder) receiveLent(now time.Time, m *tokensLent) {
 	h := s.holdings[m.workspace]
 	if h == nil {
@@ -603,14 +649,17 @@
 	}
 	h.borrowing--
 	h.coolUntil[m.host] = time.Time{}
-	if m.tokens == 0 || m.late {
-		h.coolUntil[m.host] = now.Add(borrowCooldown)
+	if m.drained || m.late {
+		cooldown := borrowCooldown
+		if h.bucket.parts == 0 && m.host != h.first {
+			cooldown = startCooldown
+		}
+		h.coolUntil[m.host] = now.Add(cooldown)
 	}
 	if !m.late {
 		h.bucket.refill(now, s.lease.end, &h.quota)
-		h.bucket.tokens += float64(m.tokens)
+		h.keepLent(now, m.tokens)
 		s.serve(now, h)
-		h.bucket.tokens = min(h.bucket.tokens, h.bucket.depth(&h.quota))
 	}
 	s.help(now, h)
 }
@@ -651,11 +700,11 @@
 }
 
 // initialParts is the fraction that a holder takes while its demand is not known yet.
-func (h *holding) initialParts() int { return wholeQuota / (h.cells + 1) }
+func (h *holding) initialParts() int { return int(initialShare * wholeQuota / float64(h.cells)) }
 
 // desired returns the fraction that this daemon should hold according to the row, and whether it
 // needs more than the remainder has.
-func (s *holder) desired(now time.Time, r *rowState, h *holding) (parts int, short bool) {
+func (s *holder) desired(now time.Time, r *rowState, h *holding) (parts int, wantsMore bool) {
 	a := r.allocations[h.quota.Workspace]
 	if a == nil {
 		a = &allocation{}
@@ -670,23 +719,19 @@
 	}
 	idle := now.Sub(h.lastRequest)
 	takesOver := h.first == s.host || now.Sub(h.firstRequest) >= takeoverDelay || now.Sub(h.takeoverAt) < takeoverDelay
-	if held == 0 && (!takesOver || idle > requestMemory) {
+	keep := requestMemory
+	if h.first == s.host {
+		keep = keepTime
+	}
+	if held == 0 && (!takesOver || idle > keep) {
 		return 0, false
 	}
 	if h.first != s.host && idle > requestMemory {
 		return 0, false
 	}
 	need := h.need(now)
-	var others []int
-	othersShort := false
-	for _, o := range a.shares {
-		if o.host == s.host {
-			continue
-		}
-		others = append(others, o.need)
-		othersShort = othersShort || o.short()
-	}
-	fair := fairParts(need, others)
+	fair := fairParts(need, a.othersNeeds(s.host))
+	othersShort := slices.ContainsFunc(a.shares, func(o share) bool { return o.host != s.host && a.lacks(&o) })
 	available := held + a.remainder()
 	if len(a.shares) >= maxShares && held == 0 {
 		available = 0
@@ -701,11 +746,12 @@
 		// The demand is not known yet.
 		wanted := max(fair, h.initialParts(), floor)
 		if available < h.quota.minParts() || need == 0 && available < h.initialParts() {
+			s.rereadLater(now, r, h)
 			return 0, need > 0
 		}
 		return min(wanted, available), available < min(wanted, fair)
 	case othersShort && float64(held) > float64(fair)*shortAt+minChange:
-		if idle > requestMemory && need < minChange {
+		if idle > keepTime {
 			return 0, false
 		}
 		return max(fair, min(h.quota.minParts(), held)), false
@@ -713,20 +759,26 @@
 		return 0, false
 	case float64(need) > growAt*float64(held):
 		wanted := max(fair, held)
-		missing := share{parts: available, need: min(need, wanted)}
-		if wanted > available && !now.Before(h.rereadAt) && now.Sub(r.confirmed) > minRereadDelay {
-			// Others may have returned parts since the row was read.
-			h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
-			h.rereadAt = now.Add(h.rereadDelay)
-			r.reread = true
+		if wanted > available {
+			s.rereadLater(now, r, h)
 		}
-		return min(wanted, max(available, held)), missing.short()
+		return min(wanted, max(available, held)), short(need, fair, available)
 	case !young && held > 2*max(fair, floor) && idle < keepTime:
 		return max(fair, floor), false
 	}
 	return held, false
 }
 
+// rereadLater reads a row again from time to time: others may have returned parts since it was read.
+func (s *holder) rereadLater(now time.Time, r *rowState, h *holding) {
+	if now.Before(h.rereadAt) || now.Sub(r.confirmed) < minRereadDelay {
+		return
+	}
+	h.rereadDelay = min(maxRereadDelay, max(minRereadDelay, 2*h.rereadDelay))
+	h.rereadAt = now.Add(h.rereadDelay)
+	r.reread = true
+}
+
 // maintain writes the row of a group if a fraction should change or a write has to be resolved.
 func (s *holder) maintain(now time.Time, g group) {
 	r := s.groups[g]
@@ -739,7 +791,7 @@
 		need      int
 	}
 	var decisions []decision
-	short := false
+	scarce := false
 	for _, workspace := range s.workspaces[g] {
 		h := s.holdings[workspace]
 		held := s.ownParts(r, h)
@@ -750,15 +802,20 @@
 			decisions = append(decisions, decision{workspace: workspace})
 			continue
 		}
-		changed := parts != held && (abs(parts-held) >= max(minChange, held/6) || parts == 0 || held == 0)
+		least := max(minChange, held/6)
+		if need > held && parts > held {
+			// A part of the quota that is left over is taken, however small.
+			least = minChange / 4
+		}
+		changed := parts != held && (abs(parts-held) >= least || parts == 0 || held == 0)
 		if wants && need > 0 && !now.Before(h.wantAt) {
 			h.wantDelay = min(maxWantDelay, max(minWantDelay, 2*h.wantDelay))
 			h.wantAt = now.Add(h.wantDelay)
-			short, changed = true, true
+			scarce, changed = true, true
 		}
 		if !changed {
 			if wants {
-				short = true
+				scarce = true
 			} else if a := r.allocations[workspace]; a != nil && held > 0 && s.misleads(a, need) {
 				changed = true
 			}
@@ -774,7 +831,7 @@
 			decisions = append(decisions, decision{workspace, parts, need})
 		}
 	}
-	if short {
+	if scarce {
 		s.findEnded(now)
 	}
 	if len(decisions) == 0 && !r.unresolved && !(r.stale && s.holds(r, g)) {
@@ -825,12 +882,9 @@
 	if own == nil {
 		return false
 	}
-	sum, short := 0, false
-	for i := range a.shares {
-		sum += a.shares[i].need
-		short = short || a.shares[i].short()
-	}
-	return short && sum*10 > wholeQuota*6 && abs(own.need-need) > max(minChange, own.need/3)
+	others := a.othersNeeds(s.host)
+	believed, fair := fairParts(own.need, others), fairParts(need, others)
+	return abs(believed-fair) > max(minChange, believed/3) && slices.ContainsFunc(a.shares, func(o share) bool { return o.host != s.host && a.lacks(&o) })
 }
 
 // findEnded reads the rows of the holders, some of which may have ended.
@@ -923,10 +977,10 @@
 			h.grownAt = now
 		}
 		// All others hear that this daemon is short; those that are short, that it has returned a part.
-		own := share{parts: c.after, need: c.need}
-		short := own.short()
-		for _, o := range r.allocations[c.workspace].shares {
-			if o.host != s.host && (short || c.after < c.before && o.short()) {
+		a := r.allocations[c.workspace]
+		lacks := a.lacks(&share{host: s.host, parts: c.after, need: c.need})
+		for _, o := range a.shares {
+			if o.host != s.host && (lacks || c.after < c.before && a.lacks(&o)) {
 				notified[o.host] = true
 			}
 		}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -24,6 +24,8 @@
 	// left out if it has more than maxRefreshed entries.
 	refreshDelay = 300 * time.Millisecond
 	maxRefreshed = 128
+	// refreshPause is the shortest interval between additional reads of the list.
+	refreshPause = 2 * time.Second
 	// storeTimeout bounds a call to the store. Fractions stay reduced after it until the outcome is
 	// known, so that it is longer than the responses of a slow store.
 	storeTimeout = 3 * time.Second
@@ -99,8 +101,12 @@
 	deps     Dependencies
 	settings Settings
 	quotas   atomic.Pointer[map[string]*Quota]
-	wake     chan struct{}
-	tickets  atomic.Uint64
+	// names are the names of the workspaces in metrics.
+	names   atomic.Pointer[map[string]string]
+	wake    chan struct{}
+	tickets atomic.Uint64
+	// refreshedAt is when the list of daemons was last read again, in Unix nanoseconds.
+	refreshedAt atomic.Int64
 
 	// mutex guards the fields below. Their updates take microseconds.
 	mutex    sync.Mutex
@@ -119,6 +125,7 @@
 		holder: newHolder(settings.Own.Host, settings.Incarnation, settings.Seed), topology: newTopology(settings.Own, nil),
 	}
 	l.quotas.Store(&map[string]*Quota{})
+	l.names.Store(&map[string]string{})
 	return l
 }
 
@@ -140,6 +147,8 @@
 	if len(byName) == 0 && len(*l.quotas.Load()) == 0 {
 		return
 	}
+	names := metricNames(m.quotas)
+	l.names.Store(&names)
 	l.quotas.Store(&byName)
 	l.update(m)
 	l.mutex.Lock()
@@ -155,7 +164,8 @@
 func (l *Limiter) Run(ctx context.Context) {
 	refresh := time.NewTimer(refreshDelay/2 + rand.N(refreshDelay))
 	defer refresh.Stop()
-	timer := time.NewTimer(idleTick)
+	interval := idleTick
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	for {
 		select {
@@ -167,17 +177,26 @@
 			}
 			continue
 		case <-l.wake:
-			timer.Reset(busyTick)
+			// A tick that is due soon must not be put off by each request.
+			if interval > busyTick {
+				interval = busyTick
+				timer.Reset(interval)
+			}
 			continue
 		case <-timer.C:
 		}
-		timer.Reset(l.tick())
+		interval = l.tick()
+		timer.Reset(interval)
 	}
 }
 
 // refresh reads the list of daemons: those that started at the same time are missing from the first list,
 // and a host that wrongly counts as the first of its cell takes a fraction that others need.
 func (l *Limiter) refresh(ctx context.Context) {
+	now := l.deps.Clock.Now().UnixNano()
+	if last := l.refreshedAt.Load(); now-last < int64(refreshPause) || !l.refreshedAt.CompareAndSwap(last, now) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	if err := l.deps.Refresh(ctx); err != nil {
@@ -287,9 +306,10 @@
 }
 
 func (l *Limiter) peer(host string) (messenger.Peer, bool) {
+	entries := l.deps.Daemons()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	e, ok := l.topology.byHost[host]
+	e, ok := l.currentTopology(entries).byHost[host]
 	return messenger.Peer{Host: e.Host, Address: e.Address}, ok
 }
 
@@ -315,11 +335,11 @@
 		extra = l.asker.extra(now, request.Workspace)
 	}
 	l.mutex.Unlock()
-	if ok {
-		return Decision{Admitted: true, Limited: true, Expires: expires}
+	d := Decision{Admitted: true, Limited: true, Expires: expires}
+	if !ok {
+		d = l.ask(ctx, now, q, request, extra)
 	}
-	d := l.ask(ctx, now, q, request, extra)
-	l.deps.Observe.decision(request.Workspace, &d, l.deps.Clock.Now().Sub(now))
+	l.deps.Observe.decision((*l.names.Load())[request.Workspace], &d, l.deps.Clock.Now().Sub(now))
 	return d
 }
 
@@ -427,7 +447,7 @@
 	left := maxWait - sentAt.Sub(began)
 	if host == l.settings.Own.Host {
 		g := l.hold(permitsRequested{
-			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left), limit: sentAt.Add(left),
+			workspace: request.Workspace, program: request.Program, needed: 1, deadline: sentAt.Add(left - replyMargin), limit: sentAt.Add(left - replyMargin),
 			takeover: takeover, first: r.order[0], lenders: r.lenders,
 		})
 		return answer{host: host, grant: g, expires: sentAt.Add(permitValidity)}
@@ -491,8 +511,12 @@
 	}
 	r := l.route(q)
 	now := l.deps.Clock.Now()
+	most := maxExtra
+	if question.Lend {
+		most *= lendUnit
+	}
 	g := l.hold(permitsRequested{
-		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: min(maxExtra, question.Extra),
+		workspace: question.Workspace, program: question.Program, needed: max(1, question.Needed), extra: max(0, min(most, question.Extra)),
 		deadline: now.Add(min(maxWait, time.Duration(question.WaitMs)*time.Millisecond)), again: question.Again,
 		limit: now.Add(min(maxWait, time.Duration(question.LimitMs)*time.Millisecond)),
 		lend:  question.Lend, takeover: question.Takeover, first: r.order[0], lenders: r.lenders,
@@ -520,6 +544,19 @@
 	}
 }
 
+// Fractions returns the sum of the fractions that this daemon holds, by the name of the workspace in
+// metrics, and the time until the end of their lease.
+func (l *Limiter) Fractions() (fractions map[string]float64, lease time.Duration) {
+	names := *l.names.Load()
+	fractions = map[string]float64{}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for workspace, h := range l.holder.holdings {
+		fractions[names[workspace]] += h.bucket.fraction()
+	}
+	return fractions, max(0, l.holder.lease.end.Sub(l.deps.Clock.Now()))
+}
+
 func (l *Limiter) returned() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/limiter/observer.go
+++ b/limiter/observer.go
@@ -8,12 +8,12 @@
 
 // Observer gets the figures of a Limiter for metrics. Nil functions are not called. They must not block.
 type Observer struct {
-	// Decision is called for each call that did not find an unused permit.
+	// Decision is called for each call. workspace is the name in metrics.
 	Decision func(workspace string, d *Decision, took time.Duration)
 	// StoreCall is called for each call to the store.
 	StoreCall func(operation string, kind provider.Kind)
 	// Borrowed is called with the tokens that another holder lent, 0 for none.
-	Borrowed func(tokens int)
+	Borrowed func(tokens float64)
 	// NoticeSent is called for each notice to another holder.
 	NoticeSent func(delivered bool)
 }
@@ -30,7 +30,7 @@
 	}
 }
 
-func (o *Observer) borrowed(tokens int) {
+func (o *Observer) borrowed(tokens float64) {
 	if o.Borrowed != nil {
 		o.Borrowed(tokens)
 	}
