Hold the overage of a quota in its buckets

Cause: buckets held the burst and 8 requests.

Change: buckets hold the overage of a window as well (0.1 of what 5 s allow), and 12 requests of the 20 that the platform allows beyond it.

Result: the window bound holds in all tests of package limiter.

--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -27,7 +27,11 @@
 	// extraDepth is the number of requests that all buckets of a workspace together hold beyond its
 	// burst. The bound of the platform allows 20 requests beyond the quota; the rest of them is for
 	// restartTokens and for calls that are under way.
-	extraDepth = 8
+	extraDepth = 12
+	// overage is the share of a quota that the platform allows beyond it in boundWindow. Callers may send
+	// what a window allows at any moment of it, so that buckets hold this share as well.
+	overage     = 0.1
+	boundWindow = 5 * time.Second
 	// minHolderDepth is the smallest mean depth of a bucket with one holder in each failure domain.
 	// Below it, calls at random times are rejected too often, and each region has one holder.
 	minHolderDepth = 6
@@ -41,7 +45,9 @@
 }
 
 // depth returns the depth of all buckets of the workspace together.
-func (q *Quota) depth() float64 { return q.Burst + extraDepth }
+func (q *Quota) depth() float64 {
+	return q.Burst + overage*(q.RatePerSecond*boundWindow.Seconds()+q.Burst) + extraDepth
+}
 
 // minParts returns the smallest fraction that holds one request.
 func (q *Quota) minParts() int { return min(wholeQuota, int(wholeQuota/q.depth())+1) }
