--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 race:
 	go test -race -timeout 20m ./platform ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger \
 		./provider ./registrar ./follower
+	go test -race -timeout 20m ./limiter -run 'TestMoved|TestLowered|TestNo'
 
 SCHEMAS := $(wildcard encoder/*.schema.json)
 
