--- a/limiter/holder.go
+++ b/limiter/holder.go
@@ -683,8 +683,13 @@
 	conditions = map[string]int64{}
 	return func(other *share) bool {
 		if other.host == s.host {
-			// This process runs, so that an earlier one on its host has ended.
-			return other.incarnation != s.incarnation
+			// This process runs, so that an earlier one on its host has ended, unless the own row has been
+			// replaced by a later one meanwhile.
+			if other.incarnation == s.incarnation || !s.lease.written {
+				return false
+			}
+			conditions[s.host] = s.lease.version
+			return true
 		}
 		seen, ok := s.seen[other.host]
 		if !ok {
--- a/limiter/holder_test.go
+++ b/limiter/holder_test.go
@@ -273,6 +273,28 @@
 	return provider.VersionedRow{RowKey: holderKey("other"), Version: version, Value: []byte(`{"incarnation":"` + incarnation + `","renewals":1}`)}
 }
 
+// Guards against a process that frees the fractions of a later one on its host.
+func TestFreedSharesOfOwnHost(t *testing.T) {
+	b := newBench(t, testQuota)
+	b.renew(provider.KindNone)
+	w, ok := next[writeRow](b)
+	for !ok {
+		b.advance(10 * time.Millisecond)
+		w, ok = next[writeRow](b)
+	}
+	row := encodeRow(map[string]*allocation{"w": {shares: []share{{"own", "own#0", wholeQuota, 0}}}})
+	b.update(rowWritten{group: w.group, kind: provider.KindConflict, conflict: []provider.VersionedRow{{RowKey: w.group.key(), Version: 50, Value: row}}})
+	b.ask("w", "")
+	w, ok = next[writeRow](b)
+	if !ok || w.changes[0].after == 0 {
+		t.Fatalf("the fraction of the earlier process is not taken: %+v", w)
+	}
+	want := []provider.RowCondition{{RowKey: w.group.key(), Version: 50}, {RowKey: holderKey("own"), Version: b.holder.lease.version}}
+	if diff := cmp.Diff(want, w.conditions); diff != "" {
+		t.Errorf("conditions (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against fractions that follow demand in a way that leaves a holder without its part.
 func TestFairParts(t *testing.T) {
 	tests := []struct {
