--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,8 @@
 # Runs the tests of concurrent packages with the race detector.
 race:
 	go test -race -timeout 20m ./platform ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger \
-		./provider ./registrar ./follower ./surveyor
+		./provider ./registrar ./follower ./surveyor ./borrower ./controller
+	go test -race -timeout 20m ./limiter -run 'TestMoved|TestLowered|TestNo'
 
 SCHEMAS := $(wildcard encoder/*.schema.json)
 
