Take a call's bytes and mark its connection in one step

Cause: callerConnection.Read took the bytes from the socket and marked the connection as reading a head afterwards. Between the two, closeIfIdle found nothing to read and closed the connection, and the call got no response ("unexpected EOF").

Change: the descriptor is read within syscall.RawConn.Read with the connection's mutex held. The system calls are the same (a read, and a wait by the runtime's poller when nothing has arrived), and deadlines keep working. The mutex is released before Close, which waits for a reader. Errors keep the operation "read", by which the HTTP library tells that nobody is left to respond to.

--- a/assembler/callers_test.go
+++ b/assembler/callers_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -167,6 +169,80 @@
 	}
 }
 
+// pausingListener accepts connections that signal on taken and wait for resume after their first
+// read.
+type pausingListener struct {
+	*net.TCPListener
+	taken, resume chan struct{}
+}
+
+func (l pausingListener) Accept() (net.Conn, error) {
+	c, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	var once sync.Once
+	pause := func() {
+		once.Do(func() {
+			close(l.taken)
+			<-l.resume
+		})
+	}
+	return pausingConnection{c, pause}, nil
+}
+
+type pausingConnection struct {
+	*net.TCPConn
+	pause func()
+}
+
+func (c pausingConnection) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	c.pause()
+	return n, err
+}
+
+func (c pausingConnection) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return pausingRawConnection{raw, c.pause}, err
+}
+
+type pausingRawConnection struct {
+	syscall.RawConn
+	pause func()
+}
+
+func (c pausingRawConnection) Read(read func(fd uintptr) bool) error {
+	err := c.RawConn.Read(read)
+	c.pause()
+	return err
+}
+
+// Guards against the closing of a connection whose call has just been taken from the socket: nothing
+// was left to read, and the connection was not marked as reading a head yet.
+func TestShutdownKeepsCallThatHasJustBeenRead(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pausing := pausingListener{listener.(*net.TCPListener), make(chan struct{}), make(chan struct{})}
+	s := newCallerServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), zap.NewNop())
+	go s.serve(pausing)
+	t.Cleanup(func() { _ = s.close() })
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	fmt.Fprint(c, "GET /call HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-pausing.taken
+	s.beginShutdown()
+	s.closeIdle()
+	close(pausing.resume)
+	readResponse(t, bufio.NewReader(c))
+}
+
 // Guards against the closing of a connection whose idle timeout has passed while the head of a
 // call is being read. A configuration with a shorter timeout affects many connections at once.
 func TestIdleTimeoutKeepsCallsBeingRead(t *testing.T) {
--- a/assembler/connection.go
+++ b/assembler/connection.go
@@ -1,10 +1,15 @@
 package assembler
 
 import (
+	"errors"
+	"io"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/dogwoodweir/dogwoodweir/forwarder"
 )
 
@@ -30,20 +35,37 @@
 	if err != nil {
 		return nil, err
 	}
-	connection := &callerConnection{Conn: c, server: l.server}
+	raw, err := rawConnection(c)
+	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	connection := &callerConnection{Conn: c, raw: raw, server: l.server}
 	l.server.mutex.Lock()
 	defer l.server.mutex.Unlock()
 	l.server.connections[connection] = true
 	return connection, nil
 }
 
+// rawConnection returns access to the descriptor of a connection.
+func rawConnection(c net.Conn) (syscall.RawConn, error) {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return nil, &Error{operation: "access the descriptor of a caller's connection", kind: KindListen, cause: errors.ErrUnsupported}
+	}
+	return socket.SyscallConn()
+}
+
 // callerConnection tracks whether bytes of a call have arrived. The HTTP library treats a
 // connection as idle until it has read a whole request head, and closes idle connections
 // when the server stops. A call whose head was being read would run, and its response
 // would be lost.
 type callerConnection struct {
 	net.Conn
+	raw    syscall.RawConn
 	server *callerServer
+	// mutex is also held while the descriptor is read, so it must not be held during Close, which
+	// waits for the reader.
 	mutex  sync.Mutex
 	phase  phase
 	closed bool
@@ -53,22 +75,60 @@
 	firstCall bool
 }
 
-// Read implements net.Conn. Bytes that arrive after the connection was closed as idle are
-// discarded, so that their call does not run.
+// Read implements net.Conn. Taking bytes from the socket and marking the connection are one step
+// under the mutex: between the two, closeIfIdle would find nothing to read and close the
+// connection of a call that has arrived. Bytes that arrive after the connection was closed as idle
+// are not read, so that their call does not run.
 func (c *callerConnection) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n == 0 {
-		return n, err
+	if len(p) == 0 {
+		return 0, nil
+	}
+	var n int
+	var failure error
+	if err := c.raw.Read(func(fd uintptr) bool {
+		n, failure = c.readDescriptor(int(fd), p)
+		return !errors.Is(failure, unix.EAGAIN)
+	}); err != nil {
+		return 0, c.readError(err)
+	}
+	if failure != nil && !errors.Is(failure, io.EOF) {
+		return 0, c.readError(failure)
 	}
+	return n, failure
+}
+
+// readError returns the error of a failed read in the form that net.Conn gives it: the HTTP library
+// tells by the operation that there is no caller to respond to.
+func (c *callerConnection) readError(cause error) error {
+	failure := &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: cause}
+	if operation, ok := errors.AsType[*net.OpError](cause); ok {
+		failure.Err = operation.Err
+	}
+	return failure
+}
+
+// readDescriptor reads without waiting.
+func (c *callerConnection) readDescriptor(fd int, p []byte) (int, error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	if c.phase == waitingForCall {
-		c.phase = readingHead
+	for {
+		n, err := unix.Read(fd, p)
+		switch {
+		case errors.Is(err, unix.EINTR):
+			continue
+		case err != nil:
+			return 0, err
+		case n == 0:
+			return 0, io.EOF
+		}
+		if c.phase == waitingForCall {
+			c.phase = readingHead
+		}
+		return n, nil
 	}
-	return n, err
 }
 
 // Close implements net.Conn. While the server stops, it ignores the HTTP library's closing
@@ -104,11 +164,12 @@
 // mutex must be held.
 func (c *callerConnection) closeIfIdle() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	if c.phase != waitingForCall || c.closed || forwarder.PeekInput(c.Conn) == forwarder.InputWaiting {
+		c.mutex.Unlock()
 		return
 	}
 	c.closed = true
+	c.mutex.Unlock()
 	delete(c.server.connections, c)
 	// The connection is closed even if Close returns an error.
 	_ = c.Conn.Close()
@@ -118,8 +179,8 @@
 // held.
 func (c *callerConnection) closeFinished() {
 	c.mutex.Lock()
-	defer c.mutex.Unlock()
 	c.closed = true
+	c.mutex.Unlock()
 	delete(c.server.connections, c)
 	// Close fails if the connection is closed already.
 	_ = c.Conn.Close()
