Buffer the in-memory connections of tests like TCP connections

Cause: net.Pipe has no buffer. While a receiver decoded a message of 1 MB (0.7 s with the race detector), the sender's heartbeats waited for its next read and exceeded the write deadline of 0.6 s, so that the sender closed the connection and TestLargeRequestOnSlowConnection failed.

Change: MemoryNetwork uses connections that hold up to 128 KB in each direction, the default receive buffer of a TCP connection on Linux.

--- a/messenger/memory.go
+++ b/messenger/memory.go
@@ -87,7 +87,7 @@
 	if listener == nil {
 		return nil, fmt.Errorf("dial %q: no listener", to)
 	}
-	client, server := net.Pipe()
+	client, server := newMemoryPipe(from, to)
 	dialled, accepted := n.newConn(client, from, to), n.newConn(server, to, from)
 	select {
 	case listener.queue <- accepted:
