Start the stall timeout of a connection at the end of a long write

Cause: while a message is written, a stall is not checked, but the time of the write counted: after a write that took longer than the stall timeout, the sender closed the connection at its next check unless the peer's reply had come by then.

Change: the stall timeout counts from the last chunk of a message that is written in several.

--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -158,7 +158,7 @@
 	if !pending {
 		return now.Sub(time.Unix(0, c.lastUsed.Load())) > settings.IdleTimeout
 	}
-	last := time.Unix(0, c.lastReceived.Load())
+	last := time.Unix(0, max(c.lastReceived.Load(), c.stream.lastLargeWrite.Load()))
 	if last.Before(since) {
 		last = since
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -143,6 +143,44 @@
 	}
 }
 
+// slowWriter delays large writes only, like a link that a large message fills.
+type slowWriter struct{ net.Conn }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	if len(p) > 32<<10 {
+		time.Sleep(60 * time.Millisecond)
+	}
+	return w.Conn.Write(p)
+}
+
+// Guards against a connection that is taken for stalled right after a long write: the time of the
+// write, in which the receiver had nothing to reply to, counted toward the stall timeout.
+func TestReplyAfterLongWriteIsNoStall(t *testing.T) {
+	a, _, peer, network := newPair(t, func(a, b *Settings) {
+		a.StallTimeout, b.StallTimeout = 600*time.Millisecond, 600*time.Millisecond
+		a.DialTimeout, b.DialTimeout = 2*time.Second, 2*time.Second
+		dial := a.Dial
+		a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := dial(ctx, address)
+			return slowWriter{c}, err
+		}
+	}, &fakeHandler{})
+	network.SetDelay(func(from, _ string) time.Duration {
+		if from == "a" {
+			return 0
+		}
+		return 250 * time.Millisecond
+	})
+	request, err := json.Marshal(strings.Repeat("x", 1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = a.Forward(t.Context(), peer, encoder.ForwardedCall{Call: "c", Request: request}, func(encoder.CallEvent) error { return nil })
+	if err != nil {
+		t.Errorf("large call: %v", err)
+	}
+}
+
 // Guards against gaps and duplicates in the sequence of events that the caller gets.
 func TestIncomingSequence(t *testing.T) {
 	tests := []struct {
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -41,6 +41,9 @@
 	// writing is set during a write, which has a deadline of its own; a stall is not
 	// checked then.
 	writing atomic.Bool
+	// lastLargeWrite is the time, in Unix nanoseconds, of the last write of a chunk of a message
+	// that has several. The peer has nothing to reply to before the message has arrived.
+	lastLargeWrite atomic.Int64
 }
 
 func newObjectStream(conn net.Conn, settings Settings, counters *counters, c *peerConn) *objectStream {
@@ -121,6 +124,7 @@
 // writeChunks sets a new write deadline for each chunk, so that a large message may take
 // long on a slow connection as long as it makes progress.
 func (s *objectStream) writeChunks(writer *bufio.Writer, message []byte) error {
+	large := len(message) > chunkBytes
 	for len(message) > 0 {
 		if err := s.conn.SetWriteDeadline(time.Now().Add(s.stallTimeout)); err != nil {
 			return err
@@ -130,6 +134,9 @@
 			return err
 		}
 		message = message[n:]
+		if large {
+			s.lastLargeWrite.Store(time.Now().UnixNano())
+		}
 	}
 	return nil
 }
