Delete all log rows of a request, and keep the committer's limits

Causes and changes, each with a test that failed before and passes: - A request with TrimThrough and records reported the deletion done without any. No caller makes such requests; they are now rejected as invalid. - A deletion of more than 200 rows was reported done after 200. It now stays queued until its last rows are deleted. - Jitter exceeded MaxBackoff by up to half. The longest delay now is MaxBackoff. - A transaction with 63 shard rows took a further request of any size. A request that would exceed maxShardRows now waits for the next transaction.

--- a/committer/flight.go
+++ b/committer/flight.go
@@ -50,7 +50,13 @@
 	f := pendingTransaction{leaseRow: s.leaseRow}
 	head := &s.queue.entries[0]
 	if !head.hasRecords() {
-		f.leaseRow.Checkpoint = max(f.leaseRow.Checkpoint, s.trimLimit(head.trimThrough))
+		through := min(head.trimThrough, s.leaseRow.Sequence)
+		if limit := s.leaseRow.Checkpoint + maxTrimRows; through > limit {
+			// The entry stays queued until its last rows are deleted.
+			f.leaseRow.Checkpoint = limit
+			return f
+		}
+		f.leaseRow.Checkpoint = max(f.leaseRow.Checkpoint, through)
 		f.entries = s.queue.take(s.ownedShardEntries())
 		return f
 	}
@@ -73,19 +79,15 @@
 // shards in such transactions.
 func (s *State) ownedShardEntries() int {
 	n, rows := 0, 0
-	for n < len(s.queue.entries) && s.queue.entries[n].writesOwnedShards() && rows < maxShardRows {
-		rows += len(s.queue.entries[n].shards)
+	for n < len(s.queue.entries) && s.queue.entries[n].writesOwnedShards() {
+		if rows += len(s.queue.entries[n].shards); rows > maxShardRows {
+			break
+		}
 		n++
 	}
 	return max(1, n)
 }
 
-// trimLimit limits a deletion of log rows to durable rows and to as many as one
-// transaction may delete. It returns the last sequence to delete.
-func (s *State) trimLimit(through int) int {
-	return min(through, s.leaseRow.Sequence, s.leaseRow.Checkpoint+maxTrimRows)
-}
-
 // send builds the transaction of f and sends it.
 func (s *State) send(now time.Time, f pendingTransaction) {
 	s.transactionCount++
@@ -100,10 +102,8 @@
 	}
 	for i := range f.entries {
 		s.addShardWrites(&f, f.entries[i].shards)
-		if f.entries[i].trimThrough > 0 {
-			s.addLogDeletes(&f)
-		}
 	}
+	s.addLogDeletes(&f)
 	f.firstSentAt = now
 	s.pending = &f
 	s.sendAttempt(now)
--- a/committer/message.go
+++ b/committer/message.go
@@ -29,7 +29,8 @@
 type Message interface{ message() }
 
 // AppendRequested requests a durable write of records or of shard rows, or the
-// deletion of the log rows up to TrimThrough. A request is atomic. A request with
+// deletion of the log rows up to TrimThrough. A write is atomic; a deletion takes
+// several transactions if it has more rows than one may delete. A request with
 // none of these is a marker and needs no write: all records requested before it are
 // in log rows up to the Sequence of its TicketCommitted, all later ones in rows
 // after it.
--- a/committer/options.go
+++ b/committer/options.go
@@ -34,8 +34,8 @@
 // and a host restarts once or twice a day.
 const maxPast = 8
 
-// maxShardRows limits the requests for owned shards that share a transaction: no
-// request is added once the transaction has this many shard rows.
+// maxShardRows limits the shard rows of requests for owned shards that share a transaction. A request
+// with more rows has a transaction of its own.
 const maxShardRows = 64
 
 // maxTrimRows bounds the log rows that one transaction deletes.
--- a/committer/queue.go
+++ b/committer/queue.go
@@ -92,13 +92,18 @@
 	return recordOverhead + len(r.Shard) + len(r.Program) + len(r.Kind) + len(r.Body) + len(r.Object)
 }
 
-// enqueue adds a request to the queue. It rejects the request when the bounds on
+// enqueue adds a request to the queue. It rejects a request that deletes log rows and has records or
+// shard rows too, since the deletion may take several transactions. It rejects the request when the bounds on
 // pending requests would be exceeded and drops it when the lease is lost or released.
 func (s *State) enqueue(m AppendRequested) {
 	if s.phase == phaseLost || s.phase == phaseReleased {
 		s.emit(TicketDropped{Ticket: m.Ticket})
 		return
 	}
+	if m.TrimThrough > 0 && len(m.Records)+len(m.Shards) > 0 {
+		s.emit(TicketRejected{Ticket: m.Ticket, Kind: provider.KindInvalid})
+		return
+	}
 	e := entry{ticket: m.Ticket, records: append([]encoder.Record(nil), m.Records...), shards: m.Shards, trimThrough: m.TrimThrough}
 	for i := range e.records {
 		e.transactionBytes += recordSize(&e.records[i])
--- a/committer/state.go
+++ b/committer/state.go
@@ -247,13 +247,13 @@
 	}
 }
 
-// backoff returns the delay after the given number of consecutive failures. It has
-// jitter of up to half the delay in both directions, so that daemons do not return to a
+// backoff returns the delay after the given number of consecutive failures, at most MaxBackoff. It
+// has jitter of up to half the delay in both directions, so that daemons do not return to a
 // recovered store at the same time.
 func (s *State) backoff(failures int) time.Duration {
-	delay := s.options.InitialBackoff << min(failures-1, 16)
-	if delay > s.options.MaxBackoff || delay <= 0 {
-		delay = s.options.MaxBackoff
+	delay, limit := s.options.InitialBackoff<<min(failures-1, 16), s.options.MaxBackoff*2/3
+	if delay > limit || delay <= 0 {
+		delay = limit
 	}
 	return delay/2 + time.Duration(s.random.Int64N(int64(delay)))
 }
--- a/committer/state_test.go
+++ b/committer/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -225,6 +226,64 @@
 	}
 }
 
+// Guards against a deletion of log rows that is reported done though it was cut short, because it
+// shared a request with records or exceeded the rows that one transaction may delete.
+func TestTrim(t *testing.T) {
+	const rows = 2*maxTrimRows + 50
+	h := newHarness(t, Options{WritesPerSec: 1e6})
+	for ticket := range Ticket(rows) {
+		h.send(records(ticket, "x"))
+		h.sleep(time.Millisecond)
+	}
+	h.outcomes = nil
+	h.send(AppendRequested{Ticket: 1000, TrimThrough: 10, Records: records(0, "x").Records})
+	h.send(AppendRequested{Ticket: 1001, TrimThrough: 10, Shards: []ShardWrite{{Row: encoder.ShardRow{Shard: "s/1"}, Version: AnyVersion}}})
+	h.sleep(time.Second)
+	h.wantOutcomes(TicketRejected{1000, provider.KindInvalid}, TicketRejected{1001, provider.KindInvalid})
+	h.send(AppendRequested{Ticket: 1002, TrimThrough: rows - 1})
+	h.send(records(1003, "y"))
+	h.sleep(time.Second)
+	h.wantOutcomes(TicketCommitted{1002, rows}, TicketCommitted{1003, rows + 1})
+	if left := h.tables.Rows(TableLog, "", "", 0); len(left) != 2 {
+		t.Errorf("%d log rows after the deletion, want 2", len(left))
+	}
+}
+
+// Guards against transactions with more shard rows than the limit, which one request that still
+// found the limit not reached exceeded.
+func TestShardRowsOfTransaction(t *testing.T) {
+	h := newHarness(t, Options{})
+	h.sleep(time.Second)
+	h.holdCommits = true
+	h.send(records(1, "x"))
+	held := h.heldCommits[0]
+	for ticket := range Ticket(3) {
+		request := AppendRequested{Ticket: 2 + ticket}
+		for i := range maxShardRows/2 + 1 {
+			request.Shards = append(request.Shards, ShardWrite{Row: encoder.ShardRow{Shard: fmt.Sprintf("s/%d-%d", ticket, i)}, Version: AnyVersion})
+		}
+		h.send(request)
+	}
+	h.commit(held)
+	h.sleep(100 * time.Millisecond)
+	if got := len(h.heldCommits[len(h.heldCommits)-1].Writes) - 1; got > maxShardRows {
+		t.Errorf("a transaction writes %d shard rows, want at most %d", got, maxShardRows)
+	}
+}
+
+// Guards against a delay after a failure that exceeds MaxBackoff, or that is the same for all daemons.
+func TestBackoffIsBounded(t *testing.T) {
+	s := New(Options{Host: "a", Incarnation: "a1", MaxBackoff: time.Second})
+	shortest, longest := time.Hour, time.Duration(0)
+	for range 1_000 {
+		delay := s.backoff(20)
+		shortest, longest = min(shortest, delay), max(longest, delay)
+	}
+	if longest > time.Second || longest-shortest < 500*time.Millisecond {
+		t.Errorf("delays of %v to %v, want at most %v and a range of 500ms", shortest, longest, time.Second)
+	}
+}
+
 // Guards against an outage of the store that lets memory grow without bound, that is
 // not reported, or that loses records.
 func TestOutage(t *testing.T) {
