Name the invalid field in errors of the server

Cause: an invalid Dogwoodweir-Parent was reported as Dogwoodweir-Program, a long adapter as the model, and a long or malformed reason of a drain as the host.

Result: TestErrorNamesField failed for these and passes. go test ./server passed.

--- a/server/decode.go
+++ b/server/decode.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
 	"strconv"
 	"strings"
@@ -69,9 +70,12 @@
 		call.Messages = append(call.Messages, message)
 	}
 	call.Service, call.Model, _ = strings.Cut(body.Model, "/")
-	if call.Service == "" || len(body.Model) > maxNameBytes || len(body.Adapter) > maxNameBytes {
+	if call.Service == "" || len(body.Model) > maxNameBytes {
 		return invalidField("model", "a service, or service/model")
 	}
+	if len(body.Adapter) > maxNameBytes {
+		return invalidField("adapter", fmt.Sprintf("at most %d bytes", maxNameBytes))
+	}
 	call.MaxTokens = max(body.MaxTokens, body.MaxCompletionTokens)
 	if body.MaxTokens < 0 || body.MaxCompletionTokens < 0 || call.MaxTokens > maxTokensPerCall {
 		return invalidField("max_tokens", "0 to 16777216")
@@ -84,8 +88,10 @@
 // header, or "" if it is missing.
 func decodeHeaders(get func(string) string, call *Call) error {
 	call.Program, call.ParentProgram, call.IdempotencyKey = get(HeaderProgram), get(HeaderParentProgram), get(HeaderIdempotencyKey)
-	if !validID(call.Program) || !validID(call.ParentProgram) {
-		return invalidField(HeaderProgram, "a program ID from an earlier response")
+	for _, id := range []struct{ header, value string }{{HeaderProgram, call.Program}, {HeaderParentProgram, call.ParentProgram}} {
+		if !validID(id.value) {
+			return invalidField(id.header, "a program ID from an earlier response")
+		}
 	}
 	if len(call.IdempotencyKey) > maxIdempotencyKeyBytes {
 		return invalidField(HeaderIdempotencyKey, "at most 256 bytes")
--- a/server/operators.go
+++ b/server/operators.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -186,15 +187,14 @@
 // after a conflict.
 func (s *Server) drainHandler(action string) fiber.Handler {
 	return func(c *fiber.Ctx) error {
-		var body drainBody
-		if err := json.Unmarshal(c.Body(), &body); err != nil || !validID(body.Host) || body.Host == "" || len(body.Reason) > maxReasonBytes {
-			return s.rejectInvalid(c, invalidField("host", "the name of a host or target"))
+		body, err := decodeDrain(c.Body())
+		if err != nil {
+			return s.rejectInvalid(c, err)
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), adminTimeout)
 		defer cancel()
 		operator, _ := c.Locals("client").(string)
 		var version int
-		var err error
 		for range maxDrainAttempts {
 			version, err = s.publishDrain(ctx, action, operator, body)
 			if !publisher.IsConflict(err) {
@@ -208,6 +208,20 @@
 	}
 }
 
+func decodeDrain(data []byte) (drainBody, error) {
+	var body drainBody
+	if err := json.Unmarshal(data, &body); err != nil {
+		return body, &Error{operation: "request", kind: KindDecode, cause: err}
+	}
+	if !validID(body.Host) || body.Host == "" {
+		return body, invalidField("host", "the name of a host or target")
+	}
+	if len(body.Reason) > maxReasonBytes {
+		return body, invalidField("reason", fmt.Sprintf("at most %d bytes", maxReasonBytes))
+	}
+	return body, nil
+}
+
 // publishDrain publishes the current configuration with one drain added or removed
 // and returns the new version.
 func (s *Server) publishDrain(ctx context.Context, action, operator string, body drainBody) (int, error) {
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -153,6 +153,36 @@
 	}
 }
 
+// Guards against an error that names another field than the one with the invalid value.
+func TestErrorNamesField(t *testing.T) {
+	long := strings.Repeat("x", maxNameBytes+1)
+	tests := []struct {
+		name, key, path, body string
+		headers               map[string]string
+		field                 string
+	}{
+		{"program", "member", "/v1/chat/completions", chatBodyText, map[string]string{HeaderProgram: "../x"}, HeaderProgram},
+		{"parent", "member", "/v1/chat/completions", chatBodyText, map[string]string{HeaderParentProgram: "../x"}, HeaderParentProgram},
+		{"model", "member", "/v1/chat/completions", `{"model":"` + long + `","messages":[{"role":"user"}]}`, nil, "model"},
+		{"adapter", "member", "/v1/chat/completions", `{"model":"a","adapter":"` + long + `","messages":[{"role":"user"}]}`, nil, "adapter"},
+		{"host", "operator", "/admin/v1/drain", `{"host":"../x"}`, nil, "host"},
+		{"reason", "operator", "/admin/v1/drain", `{"host":"a","reason":"` + strings.Repeat("x", maxReasonBytes+1) + `"}`, nil, "reason"},
+		{"reason of another type", "operator", "/admin/v1/drain", `{"host":"a","reason":1}`, nil, "reason"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			_, text := do(t, newTestServer(&fakeDaemon{}), test.key, "POST", test.path, test.body, test.headers)
+			var body errorBody
+			if err := json.Unmarshal([]byte(text), &body); err != nil {
+				t.Fatalf("%v: %s", err, text)
+			}
+			if field := fmt.Sprintf("%q", test.field); !strings.Contains(body.Error.Message, field) && !strings.Contains(body.Error.Message, "drainBody."+test.field) {
+				t.Errorf("message %q does not name the field %s", body.Error.Message, field)
+			}
+		})
+	}
+}
+
 // Guards against headers that are lost between the caller and the daemon.
 func TestCallHeaders(t *testing.T) {
 	daemon := &fakeDaemon{finalResponse: Response{Outcome: OutcomeDone, Program: "nl-ams-1", Step: 3, Text: "yes"}}
