Reject body limits above what daemons read

Cause: limits.maxBodyBytes was accepted up to 64 MiB, while the server reads at most 8 MiB, so that a higher limit had no effect.

Change: the parser rejects it; server and parser share the constant. A configuration with a higher limit can no longer be published.

Result: the new case of TestParseServiceErrors failed and passes. go test ./parser ./server ./publisher passed.

--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -24,6 +24,7 @@
 		{"bad kind", `{"name":"a","kind":"other","workspace":"w","targets":{}}`, KindRange, "kind"},
 		{"no models", `{"name":"a","kind":"model","workspace":"w","targets":{}}`, KindMissing, "models"},
 		{"impossible limit", `{"name":"a","kind":"plain","workspace":"w","targets":{},"limits":{"retryRatio":2}}`, KindRange, "limits.retryRatio"},
+		{"body limit without effect", `{"name":"a","kind":"plain","workspace":"w","targets":{},"limits":{"maxBodyBytes":8388609}}`, KindRange, "limits.maxBodyBytes"},
 		{"relative path", `{"name":"a","kind":"plain","workspace":"w","targets":{},"nonRepeatable":[{"path":"x"}]}`, KindRange, "nonRepeatable[0].path"},
 	}
 	for _, test := range tests {
--- a/parser/service.go
+++ b/parser/service.go
@@ -37,6 +37,11 @@
 	DefaultIdleTimeoutMs      = 24 * 3_600_000
 )
 
+// MaxBodyBytes is the highest allowed value of limits.maxBodyBytes. Daemons read no larger body: a
+// small host can hold some tens of requests of this size at once, and a message between daemons
+// has the same limit.
+const MaxBodyBytes = 8 << 20
+
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
 // ParseService parses and checks one service file and fills in the defaults.
@@ -173,7 +178,7 @@
 		add("limits.maxTurns", float64(l.MaxTurns), 0, 10_000)
 		add("limits.maxHistoryTokens", float64(l.MaxHistoryTokens), 0, 2_000_000)
 		add("limits.maxTokensPerCall", float64(l.MaxTokensPerCall), 0, 200_000)
-		add("limits.maxBodyBytes", float64(l.MaxBodyBytes), 0, 64<<20)
+		add("limits.maxBodyBytes", float64(l.MaxBodyBytes), 0, MaxBodyBytes)
 		add("limits.retryRatio", l.RetryRatio, 0, 1)
 	}
 	if b := s.Budget; b != nil {
--- a/server/server.go
+++ b/server/server.go
@@ -9,12 +9,12 @@
 	"github.com/gofiber/fiber/v2"
 	"github.com/google/uuid"
 	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/parser"
 )
 
-// maxBodyBytes bounds a request body before its service is known. A small host can
-// hold some tens of requests of this size at once. A higher limit of a service has
-// no effect.
-const maxBodyBytes = 8 << 20
+// maxBodyBytes bounds a request body before its service is known.
+const maxBodyBytes = parser.MaxBodyBytes
 
 const maxHeaderBytes = 16 << 10
 
