Count a rejected peer once, and keep it rejected

Cause: between the rejection of a connection and its close 0.1 s later, each further message was authenticated: it was counted as rejected again, or accepted if its token was right.

Result: TestRejectedConnectionStaysRejected failed (2 rejected, 1 accepted) and passes. go test ./messenger passed.

--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -37,6 +37,8 @@
 	authenticate func(encoder.Hello) error
 	// peerHost is nil on the accepting side until the peer is authenticated.
 	peerHost atomic.Pointer[string]
+	// rejected is set on the accepting side once the connection is rejected; it is closed soon.
+	rejected atomic.Bool
 	// Times in Unix nanoseconds.
 	lastReceived atomic.Int64
 	lastSent     atomic.Int64
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -334,6 +334,28 @@
 	}
 }
 
+// Guards against a connection that is counted as rejected for each of its messages, and against a
+// peer that is accepted after its rejection.
+func TestRejectedConnectionStaysRejected(t *testing.T) {
+	a, b, _, network := newPair(t, func(_, b *Settings) { b.Token = "s" }, &fakeHandler{})
+	conn, err := network.dial(context.Background(), "a", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := a.newPeerConn(conn, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, token := range []string{"wrong", "wrong", "s"} {
+		if err := l.request(context.Background(), methodHello, encoder.Hello{Host: "a", Token: token}, nil); err == nil {
+			t.Errorf("hello with token %q was accepted after a rejection", token)
+		}
+	}
+	if diff := cmp.Diff([]int64{1, 0}, []int64{b.Counters().Rejected, b.Counters().Accepted}); diff != "" {
+		t.Errorf("rejected and accepted connections (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against dials without backoff, and against a peer that stays unreachable after
 // the network recovers.
 func TestReconnect(t *testing.T) {
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -70,8 +70,7 @@
 		return
 	}
 	timer := time.AfterFunc(m.settings.DialTimeout, func() {
-		if c.peerHost.Load() == nil {
-			m.counters.rejected.Add(1)
+		if c.peerHost.Load() == nil && c.reject() {
 			m.logger.Warn("rejected connection", zap.String("address", remote), zap.String("reason", "no hello in time"))
 			c.rpc.Close()
 		}
@@ -99,8 +98,17 @@
 	return nil
 }
 
+// reject marks the connection as rejected and counts it; it returns false if it was rejected before.
+func (c *peerConn) reject() bool {
+	if !c.rejected.CompareAndSwap(false, true) {
+		return false
+	}
+	c.messenger.counters.rejected.Add(1)
+	return true
+}
+
 // handleHello authenticates the dialling side by its first message. A peer that fails
-// is sent an error reply, and the connection is closed.
+// is sent an error reply, and the connection is closed; it cannot authenticate meanwhile.
 func (c *peerConn) handleHello(request *jsonrpc2.Request) {
 	m := c.messenger
 	var hello encoder.Hello
@@ -113,8 +121,11 @@
 			err = errors.New("hello without a host name")
 		}
 	}
-	if err != nil {
-		m.counters.rejected.Add(1)
+	if err != nil || c.rejected.Load() {
+		if !c.reject() {
+			c.sendErrorReply(request, codeUnauthenticated, "not authenticated")
+			return
+		}
 		m.logger.Warn("rejected connection: peer not authenticated", zap.String("host", hello.Host), zap.Error(err))
 		c.sendErrorReply(request, codeUnauthenticated, "not authenticated")
 		time.AfterFunc(rejectionFlushDelay, func() { c.rpc.Close() })
