Resolve expired entries of a batch as without effect

Cause: an entry whose deadline passed in the queue was resolved as unknown, though it was never sent, or only in transactions without effect. Its owner then had to find out whether it took effect.

Change: it is resolved as unavailable.

--- a/batcher/state.go
+++ b/batcher/state.go
@@ -272,7 +272,7 @@
 	s.queue = nil
 }
 
-// expire resolves queued entries whose deadline has passed as unknown. They have not been
+// expire resolves queued entries whose deadline has passed as unavailable: they have not been
 // sent, or only in transactions that had no effect.
 func (s *State) expire(now time.Time) {
 	kept := s.queue[:0]
@@ -281,7 +281,7 @@
 			kept = append(kept, e)
 			continue
 		}
-		s.resolve(&e, Outcome{Kind: provider.KindUnknown})
+		s.resolve(&e, Outcome{Kind: provider.KindUnavailable})
 	}
 	s.queue = kept
 }
