Count an order in progress as a replica of its model only

Cause: an order to a target counted as a replica of every model, so that a model without replicas waited for the orders of others.

Change: an order counts for the model that it loads or for which it makes room.

Result: TestOrderCountsForItsModelOnly failed and passes; TestOneUnloadForOneReplica passes before and after. go test ./loader passed.

--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodweir/dogwoodweir/loader"
@@ -110,6 +111,43 @@
 	}
 }
 
+// Guards against an order in progress that counts as a replica of models that it does not load: they
+// waited for its end.
+func TestOrderCountsForItsModelOnly(t *testing.T) {
+	s := loader.New(loader.DefaultOptions())
+	s.Update(start, loader.TargetsChanged{Targets: []loader.Target{{Name: "t0", ChecksFencing: true, Slots: 1}, {Name: "t1", ChecksFencing: true, Slots: 1}}})
+	s.Update(start, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 1}}})
+	s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: "t0"}})
+	s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: "t1"}})
+	var ordered []string
+	for range 2 {
+		for _, c := range s.Update(start, loader.Tick{}) {
+			o := c.(loader.SendOrder)
+			ordered = append(ordered, o.Order.Kind+" "+o.Order.Model+" on "+o.Target)
+		}
+	}
+	if diff := cmp.Diff([]string{"load a on t0", "load b on t1"}, ordered); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against further unloads while an order in progress makes room for the wanted replica.
+func TestOneUnloadForOneReplica(t *testing.T) {
+	s := loader.New(loader.DefaultOptions())
+	s.Update(start, loader.TargetsChanged{Targets: []loader.Target{{Name: "t0", ChecksFencing: true, Slots: 1}, {Name: "t1", ChecksFencing: true, Slots: 1}}})
+	s.Update(start, loader.ModelsChanged{Models: []loader.Model{{Name: "a", MinReplicas: 1}, {Name: "b", MinReplicas: 0}}})
+	for _, name := range []string{"t0", "t1"} {
+		s.Update(start, loader.ReportReceived{Report: provider.LoadReport{Target: name, Models: []string{"b"}}})
+	}
+	orders := 0
+	for range 3 {
+		orders += len(s.Update(start.Add(time.Hour), loader.Tick{}))
+	}
+	if orders != 1 {
+		t.Errorf("%d orders for one replica, want 1", orders)
+	}
+}
+
 // Guards against loads at the previous rate after the issuer's share has become smaller.
 func TestRateChangeLimitsLoads(t *testing.T) {
 	options := loader.DefaultOptions()
--- a/loader/state.go
+++ b/loader/state.go
@@ -52,8 +52,10 @@
 	Target
 	loaded   []modelKey
 	loadedAt map[modelKey]time.Time
-	// pendingUntil is the expiry of the order in progress, zero if there is none.
+	// pendingUntil is the expiry of the order in progress, zero if there is none. pendingFor is
+	// the model that it loads or for which it makes room.
 	pendingUntil time.Time
+	pendingFor   modelKey
 	// reportsCurrentAt is the time from which a report that arrives is newer than the
 	// last order.
 	reportsCurrentAt time.Time
@@ -209,8 +211,7 @@
 		k := modelKey{m.Name, m.Adapter}
 		current := 0
 		for _, t := range s.targets {
-			// An order in progress counts as a replica, because it may load the model.
-			if slices.Contains(t.loaded, k) || now.Before(t.pendingUntil) {
+			if slices.Contains(t.loaded, k) || now.Before(t.pendingUntil) && t.pendingFor == k {
 				current++
 			}
 		}
@@ -235,7 +236,7 @@
 			if !s.limiter.AllowN(now, 1) {
 				return nil, false
 			}
-			return s.issueOrder(now, t, "load", m), true
+			return s.issueOrder(now, t, k, "load", m), true
 		}
 	}
 	for _, t := range s.targets {
@@ -244,7 +245,7 @@
 		}
 		for _, h := range t.loaded {
 			if now.Sub(t.loadedAt[h]) >= s.options.MinResidence && s.hasSpareReplica(now, h) {
-				return s.issueOrder(now, t, "unload", Model{Name: h.model, Adapter: h.adapter}), true
+				return s.issueOrder(now, t, k, "unload", Model{Name: h.model, Adapter: h.adapter}), true
 			}
 		}
 	}
@@ -273,9 +274,10 @@
 	return t.ChecksFencing || !now.Before(t.noOrdersUntil)
 }
 
-func (s *State) issueOrder(now time.Time, t *target, kind string, m Model) Command {
+// issueOrder returns an order for a replica of the wanted model.
+func (s *State) issueOrder(now time.Time, t *target, wanted modelKey, kind string, m Model) Command {
 	s.orderCount++
-	t.pendingUntil = now.Add(s.options.OrderExpiry)
+	t.pendingUntil, t.pendingFor = now.Add(s.options.OrderExpiry), wanted
 	return SendOrder{Target: t.Name, Order: provider.Order{
 		Kind: kind, Model: m.Name, Adapter: m.Adapter, Version: m.Version,
 		FencingNumber: t.Epoch<<32 | s.orderCount, ExpiresAfter: s.options.OrderExpiry,
