--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -33,8 +33,6 @@
 			})
 			return
 		}
-	}
-	if info.Attempt == 0 {
 		decision := v.shedder.Decide(s.now, s.admissionRequest(v, &info))
 		if decision.Code != "" {
 			after := decision.RetryAfter
