State the kind in errors of package historian

Cause: the text of an error had its operation and its cause only, so that a chain with too many turns read "chain".

--- a/historian/error.go
+++ b/historian/error.go
@@ -14,6 +14,21 @@
 	KindTooLong
 )
 
+// String returns the kind's text.
+func (k Kind) String() string {
+	switch k {
+	case KindNotFound:
+		return "not found"
+	case KindUnavailable:
+		return "unavailable"
+	case KindCorrupt:
+		return "corrupt"
+	case KindTooLong:
+		return "chain too long"
+	}
+	return "unknown"
+}
+
 // Error is the error type of the package.
 type Error struct {
 	operation string
@@ -32,9 +47,9 @@
 // Kind returns the class of the error.
 func (e *Error) Kind() Kind { return e.kind }
 
-// Error returns the operation and the cause, if there is one.
+// Error returns the operation, the kind and the cause, if there is one.
 func (e *Error) Error() string {
-	text := e.operation
+	text := e.operation + ": " + e.kind.String()
 	if e.cause != nil {
 		text += ": " + e.cause.Error()
 	}
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -172,6 +173,25 @@
 	}
 }
 
+// Guards against errors whose text does not say what is wrong.
+func TestErrorText(t *testing.T) {
+	tests := []struct {
+		kind  historian.Kind
+		cause error
+		want  string
+	}{
+		{historian.KindNotFound, nil, "read: not found"},
+		{historian.KindUnavailable, errors.New("no response"), "read: unavailable: no response"},
+		{historian.KindCorrupt, errors.New("EOF"), "read: corrupt: EOF"},
+		{historian.KindTooLong, nil, "read: chain too long"},
+	}
+	for _, test := range tests {
+		if diff := cmp.Diff(test.want, historian.NewError("read", test.kind, test.cause).Error()); diff != "" {
+			t.Errorf("text (-want +got):\n%s", diff)
+		}
+	}
+}
+
 func TestCacheIsBounded(t *testing.T) {
 	cache := historian.NewCache(100)
 	for _, id := range []string{"a", "b", "c"} {
