Correct the comment on CommitTimeout

It named two seconds after which callers disconnect. So the value is kept and the comment corrected.

--- a/receiver/options.go
+++ b/receiver/options.go
@@ -13,8 +13,8 @@
 	MaxRejections int
 	// ChainTimeout bounds the time for which a chain is read from the store.
 	ChainTimeout time.Duration
-	// CommitTimeout bounds the time for which the end of a stream waits for the store: callers
-	// disconnect after two seconds without an event. CommitMargin is reserved before the
+	// CommitTimeout bounds the time for which the end of a stream waits for the store. The wait
+	// ends earlier if the caller disconnects. CommitMargin is reserved before the
 	// caller's deadline, so that a response that is aborted still ends before it.
 	CommitTimeout time.Duration
 	CommitMargin  time.Duration
