--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 # Runs the tests of concurrent packages with the race detector.
 race:
 	go test -race -timeout 20m ./platform ./assembler ./recorder ./relayer ./forwarder ./batcher ./accountant ./messenger \
-		./provider ./registrar ./follower
+		./provider ./registrar ./follower ./borrower ./controller
 
 SCHEMAS := $(wildcard encoder/*.schema.json)
 
