--- a/committer/state.go
+++ b/committer/state.go
@@ -218,12 +218,6 @@
 // Sequence returns the sequence of the last log row that is known to be durable.
 func (s *State) Sequence() int { return s.leaseRow.Sequence }
 
-// Incarnation returns the incarnation that the state writes for.
-func (s *State) Incarnation() string { return s.leaseRow.Incarnation }
-
-// Checkpoint returns the last sequence whose log row has been deleted.
-func (s *State) Checkpoint() int { return s.leaseRow.Checkpoint }
-
 // HoldsLease reports whether this daemon was the last known writer of the lease row.
 // The lease may have expired or have been fenced since.
 func (s *State) HoldsLease() bool { return s.phase == phaseHolding }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -69,8 +69,6 @@
 	NotRun bool
 	// Leaving means that the target is about to leave.
 	Leaving bool
-	// ConnectionClose means that the target closes the connection after the response.
-	ConnectionClose bool
 	// KeepAlive is how long the target keeps an idle connection, 0 when unknown.
 	KeepAlive time.Duration
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -116,9 +116,6 @@
 // Head returns the decoded head of the response.
 func (e *Exchange) Head() ResponseHead { return e.head }
 
-// Reused reports whether the call was sent over a connection that had been used before.
-func (e *Exchange) Reused() bool { return e.conn.reused }
-
 // Send sends a call and reads the head of its response. The error of a failed call tells by
 // its kind whether the call may have run. Close the exchange when it is no longer needed.
 func (f *Forwarder) Send(ctx context.Context, r Request) (*Exchange, error) {
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -35,7 +35,6 @@
 	Route string
 	// Workspace is the name of the workspace that holds the call's key.
 	Workspace string
-	Domain    string
 	// ConfigurationVersion is the version of the configuration that contains the route.
 	ConfigurationVersion int64
 	// FeedAge is the age of the configuration or of the list of targets, whichever the store
