Treat a budget row whose numbers are out of range as exhausted

Cause: a row of foreign origin with a number of granted tokens near the largest integer overflowed in the comparison with the budget, which then admitted the turn; a negative number granted tokens beyond the budget.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -220,3 +220,48 @@
 		})
 	}
 }
+
+// Guards against a row of foreign origin whose numbers overflow: it granted tokens beyond the budget.
+func TestRowsOutOfRange(t *testing.T) {
+	tests := []struct {
+		name, value string
+		want        []string
+	}{
+		{"in range", `{"granted":40}`, []string{"1 admitted"}},
+		{"exhausted", `{"granted":100}`, []string{"1 spent"}},
+		{"granted too high", `{"granted":9223372036854775807}`, []string{"1 spent"}},
+		{"granted negative", `{"granted":-9223372036854775808}`, []string{"1 spent"}},
+		{"lost too high", `{"granted":40,"lost":9223372036854775807}`, []string{"1 spent"}},
+		{"spare too high", `{"granted":40,"spare":{"a":9223372036854775807}}`, []string{"1 spent"}},
+		{"another type", `{"granted":"40"}`, []string{"1 spent"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := accountant.New(accountant.DefaultOptions(), "host", "own")
+			now, version := start, int64(7)
+			stored := []byte(test.value)
+			var got []string
+			for queue := s.Update(now, requested(1, 100, 50)); len(queue) > 0 && len(got) == 0; queue = queue[1:] {
+				switch c := queue[0].(type) {
+				case accountant.Decision:
+					got = append(got, fmt.Sprintf("%d %s", c.Ticket, c.Verdict))
+				case accountant.Read:
+					queue = append(queue, s.Update(now, accountant.ReadCompleted{
+						Program: "p", Row: &provider.VersionedRow{Version: version, Value: stored},
+					})...)
+				case accountant.Borrow:
+					queue = append(queue, s.Update(now, accountant.TokensReceived{Program: "p"})...)
+				case accountant.Write:
+					m := accountant.WriteCompleted{Program: "p", Version: version + 1}
+					if c.Version != version {
+						m = accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: &provider.VersionedRow{Version: version, Value: stored}}
+					}
+					queue = append(queue, s.Update(now, m)...)
+				}
+			}
+			if diff := cmp.Diff(test.want, got); diff != "" {
+				t.Errorf("decisions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -421,6 +421,20 @@
 	p.rowKnown, p.rowReadAt, p.pendingRow, p.hasGrant = true, s.now, nil, true
 }
 
+// maxRowTokens bounds the numbers of tokens in a row. Sums of a few of them do not overflow.
+const maxRowTokens = 1 << 53
+
+// inRange reports whether a row has numbers of tokens that daemons write. Others would overflow and
+// grant tokens beyond the budget.
+func inRange(b *encoder.ProgramBudget) bool {
+	for _, tokens := range b.Spare {
+		if tokens < -maxRowTokens || tokens > maxRowTokens {
+			return false
+		}
+	}
+	return b.Granted >= 0 && b.Granted <= maxRowTokens && b.Lost >= -maxRowTokens && b.Lost <= maxRowTokens
+}
+
 // adoptRow makes a row that was read the current one. After a lost response it may be the
 // pending row of this daemon. If that write is applied only later, its tokens are lost.
 func (s *State) adoptRow(p *program, row *provider.VersionedRow) {
@@ -428,7 +442,7 @@
 	version := provider.VersionAbsent
 	if row != nil && row.Version != provider.VersionAbsent {
 		version = row.Version
-		if err := json.Unmarshal(row.Value, &stored); err != nil {
+		if err := json.Unmarshal(row.Value, &stored); err != nil || !inRange(&stored) {
 			// Treat the budget of a row that cannot be decoded as exhausted.
 			stored = encoder.ProgramBudget{Granted: p.budget}
 		}
