Fuzz the messages that a messenger reads

The malformed messages of TestMalformedInputEndsOneRequest do not reach the decoder, since they are framed differently.

--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"math/big"
@@ -468,3 +469,45 @@
 		t.Errorf("Probe() = %+v, %v", result, err)
 	}
 }
+
+// FuzzMessage sends bytes as the body of a message, before and after the peer has authenticated. The
+// messenger must go on serving others.
+func FuzzMessage(f *testing.F) {
+	for _, text := range []string{
+		"{", "null", "[]", "[null]", `{"jsonrpc":"2.0"}`, `{"jsonrpc":"2.0","id":1,"method":"hello","params":7}`, `{"jsonrpc":"2.0","method":"hello"}`,
+		`{"jsonrpc":"2.0","id":1,"method":"call","params":{"call":"c"}}`, `{"jsonrpc":"2.0","method":"callEvent","params":null}`,
+		`{"jsonrpc":"2.0","method":"cancelCall"}`, `{"jsonrpc":"2.0","id":0,"result":null}`, `{"jsonrpc":"2.0","id":null,"error":null}`,
+		`{"jsonrpc":"2.0","id":0,"error":{"code":1}}`, strings.Repeat("[", 100_000),
+	} {
+		f.Add([]byte(text))
+	}
+	network := NewMemoryNetwork()
+	server := New(Settings{Host: "b"}, &fakeHandler{}, zap.NewNop())
+	listener := network.Listen("b")
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	client := New(Settings{Host: "a", Dial: network.Dialer("a")}, &fakeHandler{}, zap.NewNop())
+	f.Cleanup(func() {
+		client.Close()
+		server.Close()
+		<-served
+	})
+	f.Fuzz(func(t *testing.T, message []byte) {
+		frame := func(data []byte) []byte { return append(binary.AppendUvarint(nil, uint64(len(data))), data...) }
+		hello := []byte(`{"jsonrpc":"2.0","id":1,"method":"` + methodHello + `","params":{"host":"x"}}`)
+		for _, messages := range [][][]byte{{message}, {hello, message}} {
+			conn, err := network.dial(t.Context(), "x", "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range messages {
+				_ = conn.SetDeadline(time.Now().Add(time.Second))
+				_, _ = conn.Write(frame(m))
+			}
+			_ = conn.Close()
+		}
+		if err := sendHeartbeat(client, Peer{Host: "b", Address: "b"}, 5*time.Second); err != nil {
+			t.Errorf("heartbeat after the message: %v", err)
+		}
+	})
+}
