Rebuild the recorder's state machines after a panic

Cause: a panic of a task, or of the loop, was held back by the group of goroutines until the daemon's end. The accountant or a partition's queue then waited for a result that never came, and all turns of the program, the partition or the daemon ended in timeouts, without a log line.

Change: a task's panic ends the loop, Run returns it, and Rebuild replaces the state machines, answers all that wait and drops results of earlier tasks.

--- a/accountant/state.go
+++ b/accountant/state.go
@@ -243,7 +243,8 @@
 		return
 	}
 	p.unused += m.Reserved - m.Used
-	p.reserved -= m.Reserved
+	// A turn may have begun before the state was built anew.
+	p.reserved = max(0, p.reserved-m.Reserved)
 	p.lastUsedAt = s.now
 	s.serveWaiters(m.Program, p)
 }
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -228,7 +228,7 @@
 			r.lendReplies[c.Ticket] <- c
 			delete(r.lendReplies, c.Ticket)
 		case accountant.Borrow:
-			r.tasks.Go(func() { r.borrowTokens(ctx, c) })
+			r.spawn(ctx, func() { r.borrowTokens(ctx, c) })
 		case accountant.Write:
 			r.writeBudget(ctx, now, c)
 		case accountant.Read:
@@ -265,7 +265,7 @@
 		r.borrowInstead(ctx, c.Program, c.Needed, unavailable)
 		return
 	}
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, budgetTimeout)
 		defer cancel()
 		page, err := r.readRange(request, provider.RowRange{
@@ -288,7 +288,7 @@
 // borrowInstead borrows tokens from peers in place of a request to the store that was not made
 // or failed, then passes the result of that request to the accountant.
 func (r *Recorder) borrowInstead(ctx context.Context, program string, tokens int, result accountant.Message) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens})
 		r.send(ctx, budgetMessage{result})
 	})
--- a/recorder/partitions.go
+++ b/recorder/partitions.go
@@ -96,7 +96,7 @@
 }
 
 func (r *Recorder) apply(ctx context.Context, partition string, c batcher.Apply) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 		version, err := r.store.Apply(request, c.Transaction)
@@ -118,7 +118,7 @@
 
 // probe reads at most one row of a partition.
 func (r *Recorder) probe(ctx context.Context, partition string, timeout time.Duration) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		_, err := r.store.Range(request, provider.RowRange{Table: programTable, Partition: partition, From: "~", Limit: 1})
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -112,9 +112,10 @@
 	// clean-up begins. Only RunCleanup uses it.
 	cleanupStart map[string]string
 
-	// Only the loop uses the fields below.
-	queues  map[string]*partitionQueue
-	budgets *accountant.State
+	// Only the loop and Rebuild use the fields below.
+	rebuilds int
+	queues   map[string]*partitionQueue
+	budgets  *accountant.State
 	// submitReplies and budgetWrites hold the owners of queued entries by ticket,
 	// reserveReplies and lendReplies those of requests for tokens.
 	submitReplies  map[batcher.Ticket]chan batcher.Outcome
@@ -139,9 +140,12 @@
 // CachedBytes returns the size of the text of the turns in memory.
 func (r *Recorder) CachedBytes() int { return r.turns.Bytes() }
 
-// Run processes messages until the context ends, then waits for the requests in progress.
+// Run processes messages until the context ends, then waits for the requests in progress. After a
+// panic, call Rebuild before Run is called again.
 func (r *Recorder) Run(ctx context.Context) {
 	defer r.tasks.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
 	for {
@@ -195,6 +199,8 @@
 		r.updateQueue(ctx, now, m.partition, m.Message)
 	case idleQuery:
 		m.reply <- len(r.budgetWrites) == 0
+	case taskPanicked:
+		panic(m.recovered.AsError())
 	case storeReachable:
 		for partition := range *r.down.Load() {
 			r.updateQueue(ctx, now, partition, batcher.ProbeRequested{})
