Restart a daemon's loops after a panic

Cause: a panic of the follower, a feed, the registrar or another loop was held back by the group of goroutines until the daemon's end: the loop no longer ran, without a log line.

Change: a supervisor logs and counts the panic (counter panics by loop), builds the loop's state anew and runs it again: the follower's from the store, whose tables both feeds then read again, the recorder's by Rebuild.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -112,6 +112,7 @@
 	configurationFeed *feed
 	targetFeed        *feed
 	callers           *callerServer
+	supervisor        *supervisor
 	pauses            *pauseGuard
 	targets           atomic.Pointer[map[string]follower.Target]
 }
@@ -128,6 +129,10 @@
 	d := &Daemon{
 		settings: settings, dependencies: dependencies, log: log, readiness: &readinessState{}, metrics: newMetrics(settings),
 	}
+	d.supervisor = &supervisor{
+		log: log, count: d.metrics.countPanic, now: time.Now,
+		fail: func(loop string) { log.Fatal("loop panics too often; ending the process", zap.String("loop", loop)) },
+	}
 	d.messenger = messenger.New(messengerSettings(settings.Host), peerHandler{daemon: d}, log)
 	entry := registrar.Entry{
 		Host: settings.Host, Address: settings.PeerAddress, Domain: settings.FailureDomain, Region: settings.Region,
@@ -213,10 +218,19 @@
 	// Background tasks outlive the server for callers, whose last calls need them.
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	var tasks conc.WaitGroup
-	for _, task := range []func(context.Context){
-		d.recorder.Run, d.recorder.RunCleanup, d.follower.run, d.runFeeds, d.runMaintenance, d.registrar.Run,
+	for _, task := range []struct {
+		name    string
+		run     func(context.Context)
+		rebuild func()
+	}{
+		{"recorder", d.recorder.Run, d.recorder.Rebuild},
+		{"cleanUp", d.recorder.RunCleanup, nil},
+		{"follower", d.follower.run, func() { d.follower.rebuild(d.configurationFeed, d.targetFeed) }},
+		{"feeds", d.runFeeds, nil},
+		{"maintenance", d.runMaintenance, nil},
+		{"registrar", d.registrar.Run, nil},
 	} {
-		tasks.Go(func() { task(background) })
+		tasks.Go(func() { d.supervisor.run(background, task.name, task.run, task.rebuild) })
 	}
 	readinessServer := &http.Server{Handler: d.readinessHandler(), ReadHeaderTimeout: time.Second}
 	tasks.Go(func() { d.serve("readiness", readinessServer, readinessListener) })
@@ -254,8 +268,9 @@
 		return
 	}
 	var feeds conc.WaitGroup
-	feeds.Go(func() { d.configurationFeed.run(ctx) })
-	feeds.Go(func() { d.targetFeed.run(ctx) })
+	// A feed that is run again reads its whole table.
+	feeds.Go(func() { d.supervisor.run(ctx, "configurationFeed", d.configurationFeed.run, nil) })
+	feeds.Go(func() { d.supervisor.run(ctx, "targetFeed", d.targetFeed.run, nil) })
 	feeds.Wait()
 }
 
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -67,6 +67,8 @@
 	wanted        atomic.Int64
 	confirmed     atomic.Int64
 	cancelRequest atomic.Pointer[context.CancelFunc]
+	// rereadWanted is set when the whole table must be read again.
+	rereadWanted atomic.Bool
 	// onSnapshot receives all rows of the table, onChanges the rows that changed since.
 	onSnapshot func(ctx context.Context, page provider.RowPage)
 	onChanges  func(ctx context.Context, page provider.RowPage)
@@ -83,6 +85,9 @@
 	listed := false
 	backoff := initialBackoff
 	for ctx.Err() == nil {
+		if f.rereadWanted.Swap(false) {
+			listed = false
+		}
 		var err error
 		if listed {
 			err = f.readChanges(ctx)
@@ -187,6 +192,12 @@
 	}
 }
 
+// reread makes the feed read the whole table again.
+func (f *feed) reread() {
+	f.rereadWanted.Store(true)
+	f.refresh()
+}
+
 // current reports whether the store has responded since the last refresh.
 func (f *feed) current() bool { return f.confirmed.Load() >= f.wanted.Load() }
 
@@ -304,6 +315,15 @@
 	}
 }
 
+// rebuild replaces the state after a panic of run, which must have returned, and makes the feeds read
+// their tables again. Until they have, calls use the configuration and the targets that are known.
+func (r *followerRunner) rebuild(feeds ...*feed) {
+	r.state = follower.New(follower.Options{GracePeriod: targetGracePeriod})
+	for _, f := range feeds {
+		f.reread()
+	}
+}
+
 func (r *followerRunner) update(m follower.Message) {
 	changes := r.state.Update(time.Now(), m)
 	targetsChanged := false
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// countPanic counts a panic of one of the daemon's loops.
+func (m *metrics) countPanic(loop string) {
+	m.scope.Tagged(map[string]string{"loop": loop}).Counter("panics").Inc(1)
+}
+
 // setFeedAge records the time since the store last responded to the feed of a table.
 func (m *metrics) setFeedAge(table string, age time.Duration) {
 	m.scope.Tagged(map[string]string{"table": table}).Gauge("feed_age_seconds").Update(age.Seconds())
