Do not take a late reply of a peer for the replies of the peers being asked

Cause: tokens that arrive after the end of a request to peers were reported like the result of a request. If the accountant was asking other peers by then, it took them for their result, without the peers that had not replied, and rejected the turn with 402 although these may have unused tokens.

Change: late tokens are marked. They admit waiting turns and end no request.

Result: the new case of TestState failed (spent instead of contended) and passes. go test ./accountant ./recorder ./borrower passed.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -73,6 +73,23 @@
 		messages []accountant.Message
 		want     []string
 	}{
+		{
+			name: "a late reply to an earlier request is no reply of the peers being asked",
+			messages: []accountant.Message{
+				requested(1, 1000, 576), accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: spareAtPeer},
+				accountant.TokensReceived{Program: "p", Tokens: 10, Late: true},
+				accountant.TokensReceived{Program: "p", Silent: []string{"other"}},
+			},
+			want: []string{"write at 0", "borrow 576 from [other]", "1 contended"},
+		},
+		{
+			name: "late tokens suffice for a turn that waits for peers",
+			messages: []accountant.Message{
+				requested(1, 1000, 576), accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: spareAtPeer},
+				accountant.TokensReceived{Program: "p", Tokens: 600, Late: true},
+			},
+			want: []string{"write at 0", "borrow 576 from [other]", "1 admitted"},
+		},
 		{
 			name: "a turn starts only after its grant is written",
 			messages: []accountant.Message{
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -60,6 +60,8 @@
 	// since it was granted tokens: its unused ones are lost.
 	Silent []string
 	Ended  []string
+	// Late is set for tokens of a peer that replied after the others were reported.
+	Late bool
 }
 
 // BorrowRequested is a peer's request for tokens of this daemon's grant.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -184,6 +184,11 @@
 	if !p.borrowing {
 		return
 	}
+	if m.Late {
+		// The peers that are being asked have not replied by this.
+		s.admitWaiters(p)
+		return
+	}
 	p.borrowing = false
 	if p.borrowHosts != nil {
 		p.holdersAskedAt, p.holdersAsked, p.holdersSilent = s.now, p.borrowHosts, m.Silent
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -297,7 +297,7 @@
 // borrowTokens borrows tokens from peers and passes them to the accountant.
 func (r *Recorder) borrowTokens(ctx context.Context, c accountant.Borrow) {
 	received := r.peers.BorrowTokens(ctx, c.Program, c.Tokens, c.Hosts, func(tokens int) {
-		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens}})
+		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens, Late: true}})
 	})
 	if received.Tokens > 0 || len(received.Silent) > 0 || len(received.Ended) > 0 {
 		r.log.Info("asked peers for unused tokens", zap.String("program", c.Program), zap.Int("tokens", received.Tokens),
