Repeat the last turn of a program with its End header in the soak test

Cause: a completed last turn was repeated without the header that ended the program, so that the repetition was another request than the one it stands for.

Result: read, not shown by a test; go test ./soaker passed.

--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -102,7 +102,11 @@
 		body["append"], body["messages"] = true, []provider.ChatMessage{user}
 	}
 	data, _ := json.Marshal(body)
-	r, ok := c.runStep(ctx, p, last, "/v1/chat/completions", nil, data, nil)
+	var headers map[string]string
+	if last {
+		headers = map[string]string{"Dogwoodweir-End": "true"}
+	}
+	r, ok := c.runStep(ctx, p, "/v1/chat/completions", headers, data, nil)
 	if !ok {
 		return false
 	}
@@ -134,7 +138,7 @@
 		c.testbed.inspector.recordProgramEnd(p.id)
 	}
 	if c.random.IntN(5) == 0 {
-		c.repeatCompletedStep(ctx, p, "/v1/chat/completions", nil, data, text)
+		c.repeatCompletedStep(ctx, p, "/v1/chat/completions", headers, data, text)
 	}
 	return true
 }
@@ -205,15 +209,12 @@
 // it is done. It reports false if the response has a final or history error code, the response
 // to the first step of a new program is lost, onResponse returns false, stepTimeout has passed
 // or ctx is done. onResponse may be nil.
-func (c *caller) runStep(ctx context.Context, p *program, last bool, path string, extra map[string]string, data []byte, onResponse func(response) bool) (response, bool) {
+func (c *caller) runStep(ctx context.Context, p *program, path string, extra map[string]string, data []byte, onResponse func(response) bool) (response, bool) {
 	step := 0
 	if p != nil {
 		step = p.step + 1
 	}
 	headers := c.requestHeaders(p, step, extra)
-	if last {
-		headers["Dogwoodweir-End"] = "true"
-	}
 	for deadline := time.Now().Add(stepTimeout); ctx.Err() == nil && time.Now().Before(deadline); {
 		r := c.client.send(ctx, c.randomHost(), "POST", path, headers, data)
 		c.testbed.tally.Count("calls", 1)
@@ -262,7 +263,7 @@
 	uncertain, uncertainCount := false, 0
 	abandon := c.random.IntN(2) == 0
 	path := "/v1/services/" + plainServiceName + "/invoices"
-	r, ok := c.runStep(ctx, p, false, path, extra, data, func(r response) bool {
+	r, ok := c.runStep(ctx, p, path, extra, data, func(r response) bool {
 		if r.lost() || r.outcome == "unknown" {
 			uncertain = true
 			uncertainCount++
