Repeat a read of turns and budgets only when nothing of its response arrives

Cause: a read began with a timeout of 150 ms for its whole response and was then repeated with up to 700 ms. On a full link the response was still arriving, and each repetition filled the link further; a large turn never arrived whole.

--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -16,7 +16,8 @@
 	retentionMultiple = 10
 	// clockSkewMargin allows for clocks of daemons that differ.
 	clockSkewMargin = time.Minute
-	// initialReadTimeout is doubled with each attempt, up to maxReadTimeout.
+	// initialReadTimeout is the time without any part of a response after which a read is repeated. It
+	// is doubled with each attempt, up to maxReadTimeout.
 	initialReadTimeout = 150 * time.Millisecond
 	maxReadTimeout     = 700 * time.Millisecond
 	// readRetryDelay is the delay before a failed read is repeated.
@@ -30,7 +31,7 @@
 func (r *Recorder) readRange(ctx context.Context, rows provider.RowRange) (provider.RowPage, error) {
 	timeout := initialReadTimeout
 	for {
-		request, cancel := context.WithTimeout(ctx, timeout)
+		request, cancel := provider.WithStallTimeout(ctx, timeout)
 		page, err := r.store.Range(request, rows)
 		cancel()
 		if err == nil || provider.KindOf(err) == provider.KindInvalid || !r.partitionUp(rows.Partition) {
--- a/relayer/store.go
+++ b/relayer/store.go
@@ -96,7 +96,7 @@
 	switch {
 	case storeResponded(err):
 		c.store.update(DirectResponded{})
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case !errors.Is(context.Cause(ctx), context.Canceled):
 		c.store.update(DirectFailed{Due: due})
 	}
 }
