Let the simulation of leases notice a pause after the detection delay

Cause: a paused daemon counted as unreachable in the last three seconds of its pause, not from three seconds after its beginning, so that long pauses were noticed late.

Result: TestPauseIsNoticedAfterDetectionDelay failed and passes. go test ./lessor passed with the earlier detection.

--- a/lessor/ownership_test.go
+++ b/lessor/ownership_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodweir/dogwoodweir/committer"
@@ -214,7 +215,7 @@
 	d := s.daemons[f.host%len(s.daemons)]
 	switch f.kind {
 	case 0:
-		d.pausedUntil = s.now + f.duration
+		d.pausedAt, d.pausedUntil = s.now, s.now+f.duration
 	case 1:
 		d.down, d.downAt = true, s.now
 		s.after(f.duration, d.start)
@@ -311,3 +312,20 @@
 		})
 	}
 }
+
+// Guards against a simulation whose daemons notice a long pause only shortly before its end: they
+// then take over later than real daemons do.
+func TestPauseIsNoticedAfterDetectionDelay(t *testing.T) {
+	s := newSimulation(1, 3, noMutation)
+	s.run(time.Second)
+	s.inject(fault{kind: 0, host: 1, duration: 20 * time.Second})
+	others := func() int { return len(s.liveHosts(s.daemons[0])) }
+	var got []int
+	for _, wait := range []time.Duration{detectionDelay - time.Second, 2 * time.Second, 20 * time.Second} {
+		s.run(s.now + wait)
+		got = append(got, others())
+	}
+	if diff := cmp.Diff([]int{3, 2, 3}, got); diff != "" {
+		t.Errorf("live hosts before and after the detection, and after the pause (-want +got):\n%s", diff)
+	}
+}
--- a/lessor/simulation_test.go
+++ b/lessor/simulation_test.go
@@ -93,6 +93,7 @@
 	lessor               *lessor.State
 	down                 bool
 	downAt               time.Duration
+	pausedAt             time.Duration
 	pausedUntil          time.Duration
 	// isolated daemons get no requests through to the store; flapping ones are not
 	// live for the others.
@@ -221,7 +222,7 @@
 func (s *simulation) liveHosts(self *daemon) []lessor.Host {
 	var hosts []lessor.Host
 	for _, d := range s.daemons {
-		unreachable := d.down && s.now > d.downAt+detectionDelay || d.flapping || d.pausedUntil > 0 && s.now < d.pausedUntil && s.now > d.pausedUntil-detectionDelay
+		unreachable := d.down && s.now > d.downAt+detectionDelay || d.flapping || s.now < d.pausedUntil && s.now > d.pausedAt+detectionDelay
 		if d == self || !unreachable {
 			hosts = append(hosts, d.host())
 		}
