--- a/committer/state.go
+++ b/committer/state.go
@@ -218,12 +218,6 @@
 // Sequence returns the sequence of the last log row that is known to be durable.
 func (s *State) Sequence() int { return s.leaseRow.Sequence }
 
-// Incarnation returns the incarnation that the state writes for.
-func (s *State) Incarnation() string { return s.leaseRow.Incarnation }
-
-// Checkpoint returns the last sequence whose log row has been deleted.
-func (s *State) Checkpoint() int { return s.leaseRow.Checkpoint }
-
 // HoldsLease reports whether this daemon was the last known writer of the lease row.
 // The lease may have expired or have been fenced since.
 func (s *State) HoldsLease() bool { return s.phase == phaseHolding }
@@ -247,13 +241,13 @@
 	}
 }
 
-// backoff returns the delay after the given number of consecutive failures. It has
-// jitter of up to half the delay in both directions, so that daemons do not return to a
+// backoff returns the delay after the given number of consecutive failures, at most MaxBackoff. It
+// has jitter of up to half the delay in both directions, so that daemons do not return to a
 // recovered store at the same time.
 func (s *State) backoff(failures int) time.Duration {
-	delay := s.options.InitialBackoff << min(failures-1, 16)
-	if delay > s.options.MaxBackoff || delay <= 0 {
-		delay = s.options.MaxBackoff
+	delay, limit := s.options.InitialBackoff<<min(failures-1, 16), s.options.MaxBackoff*2/3
+	if delay > limit || delay <= 0 {
+		delay = limit
 	}
 	return delay/2 + time.Duration(s.random.Int64N(int64(delay)))
 }
--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -37,6 +37,8 @@
 	authenticate func(encoder.Hello) error
 	// peerHost is nil on the accepting side until the peer is authenticated.
 	peerHost atomic.Pointer[string]
+	// rejected is set on the accepting side once the connection is rejected; it is closed soon.
+	rejected atomic.Bool
 	// Times in Unix nanoseconds.
 	lastReceived atomic.Int64
 	lastSent     atomic.Int64
@@ -158,7 +160,7 @@
 	if !pending {
 		return now.Sub(time.Unix(0, c.lastUsed.Load())) > settings.IdleTimeout
 	}
-	last := time.Unix(0, c.lastReceived.Load())
+	last := time.Unix(0, max(c.lastReceived.Load(), c.stream.lastLargeWrite.Load()))
 	if last.Before(since) {
 		last = since
 	}
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"math/big"
@@ -143,6 +144,44 @@
 	}
 }
 
+// slowWriter delays large writes only, like a link that a large message fills.
+type slowWriter struct{ net.Conn }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	if len(p) > 32<<10 {
+		time.Sleep(60 * time.Millisecond)
+	}
+	return w.Conn.Write(p)
+}
+
+// Guards against a connection that is taken for stalled right after a long write: the time of the
+// write, in which the receiver had nothing to reply to, counted toward the stall timeout.
+func TestReplyAfterLongWriteIsNoStall(t *testing.T) {
+	a, _, peer, network := newPair(t, func(a, b *Settings) {
+		a.StallTimeout, b.StallTimeout = 600*time.Millisecond, 600*time.Millisecond
+		a.DialTimeout, b.DialTimeout = 2*time.Second, 2*time.Second
+		dial := a.Dial
+		a.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			c, err := dial(ctx, address)
+			return slowWriter{c}, err
+		}
+	}, &fakeHandler{})
+	network.SetDelay(func(from, _ string) time.Duration {
+		if from == "a" {
+			return 0
+		}
+		return 250 * time.Millisecond
+	})
+	request, err := json.Marshal(strings.Repeat("x", 1<<20))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = a.Forward(t.Context(), peer, encoder.ForwardedCall{Call: "c", Request: request}, func(encoder.CallEvent) error { return nil })
+	if err != nil {
+		t.Errorf("large call: %v", err)
+	}
+}
+
 // Guards against gaps and duplicates in the sequence of events that the caller gets.
 func TestIncomingSequence(t *testing.T) {
 	tests := []struct {
@@ -296,6 +335,28 @@
 	}
 }
 
+// Guards against a connection that is counted as rejected for each of its messages, and against a
+// peer that is accepted after its rejection.
+func TestRejectedConnectionStaysRejected(t *testing.T) {
+	a, b, _, network := newPair(t, func(_, b *Settings) { b.Token = "s" }, &fakeHandler{})
+	conn, err := network.dial(context.Background(), "a", "b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := a.newPeerConn(conn, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, token := range []string{"wrong", "wrong", "s"} {
+		if err := l.request(context.Background(), methodHello, encoder.Hello{Host: "a", Token: token}, nil); err == nil {
+			t.Errorf("hello with token %q was accepted after a rejection", token)
+		}
+	}
+	if diff := cmp.Diff([]int64{1, 0}, []int64{b.Counters().Rejected, b.Counters().Accepted}); diff != "" {
+		t.Errorf("rejected and accepted connections (-want +got):\n%s", diff)
+	}
+}
+
 // Guards against dials without backoff, and against a peer that stays unreachable after
 // the network recovers.
 func TestReconnect(t *testing.T) {
@@ -408,3 +469,45 @@
 		t.Errorf("Probe() = %+v, %v", result, err)
 	}
 }
+
+// FuzzMessage sends bytes as the body of a message, before and after the peer has authenticated. The
+// messenger must go on serving others.
+func FuzzMessage(f *testing.F) {
+	for _, text := range []string{
+		"{", "null", "[]", "[null]", `{"jsonrpc":"2.0"}`, `{"jsonrpc":"2.0","id":1,"method":"hello","params":7}`, `{"jsonrpc":"2.0","method":"hello"}`,
+		`{"jsonrpc":"2.0","id":1,"method":"call","params":{"call":"c"}}`, `{"jsonrpc":"2.0","method":"callEvent","params":null}`,
+		`{"jsonrpc":"2.0","method":"cancelCall"}`, `{"jsonrpc":"2.0","id":0,"result":null}`, `{"jsonrpc":"2.0","id":null,"error":null}`,
+		`{"jsonrpc":"2.0","id":0,"error":{"code":1}}`, strings.Repeat("[", 100_000),
+	} {
+		f.Add([]byte(text))
+	}
+	network := NewMemoryNetwork()
+	server := New(Settings{Host: "b"}, &fakeHandler{}, zap.NewNop())
+	listener := network.Listen("b")
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	client := New(Settings{Host: "a", Dial: network.Dialer("a")}, &fakeHandler{}, zap.NewNop())
+	f.Cleanup(func() {
+		client.Close()
+		server.Close()
+		<-served
+	})
+	f.Fuzz(func(t *testing.T, message []byte) {
+		frame := func(data []byte) []byte { return append(binary.AppendUvarint(nil, uint64(len(data))), data...) }
+		hello := []byte(`{"jsonrpc":"2.0","id":1,"method":"` + methodHello + `","params":{"host":"x"}}`)
+		for _, messages := range [][][]byte{{message}, {hello, message}} {
+			conn, err := network.dial(t.Context(), "x", "b")
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, m := range messages {
+				_ = conn.SetDeadline(time.Now().Add(time.Second))
+				_, _ = conn.Write(frame(m))
+			}
+			_ = conn.Close()
+		}
+		if err := sendHeartbeat(client, Peer{Host: "b", Address: "b"}, 5*time.Second); err != nil {
+			t.Errorf("heartbeat after the message: %v", err)
+		}
+	})
+}
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -265,7 +265,7 @@
 			r.lendReplies[c.Ticket] <- c
 			delete(r.lendReplies, c.Ticket)
 		case accountant.Borrow:
-			r.tasks.Go(func() { r.borrowTokens(ctx, c) })
+			r.spawn(ctx, func() { r.borrowTokens(ctx, c) })
 		case accountant.Write:
 			r.writeBudget(ctx, now, c)
 		case accountant.Read:
@@ -280,7 +280,7 @@
 	key := programKey(c.Program)
 	if isSecond(c.Program) {
 		r.secondWrites++
-		r.tasks.Go(func() {
+		r.spawn(ctx, func() {
 			row, kind := r.secondRows.Write(ctx, key, c.Version, c.Value)
 			r.send(ctx, secondWritten{write: c, row: row, kind: kind})
 		})
@@ -307,7 +307,7 @@
 	key := programKey(c.Program)
 	unavailable := accountant.ReadCompleted{Program: c.Program, Kind: provider.KindUnavailable}
 	if isSecond(c.Program) {
-		r.tasks.Go(func() {
+		r.spawn(ctx, func() {
 			row, kind := r.secondRows.Read(ctx, key)
 			if kind == provider.KindNone {
 				r.send(ctx, budgetMessage{accountant.ReadCompleted{Program: c.Program, Row: &row}})
@@ -322,7 +322,7 @@
 		r.borrowInstead(ctx, c.Program, c.Needed, unavailable)
 		return
 	}
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, budgetTimeout)
 		defer cancel()
 		page, err := r.readRange(request, provider.RowRange{
@@ -345,7 +345,7 @@
 // borrowInstead borrows tokens from peers in place of a request to the store that was not made
 // or failed, then passes the result of that request to the accountant.
 func (r *Recorder) borrowInstead(ctx context.Context, program string, tokens int, result accountant.Message) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true})
 		r.send(ctx, budgetMessage{result})
 	})
@@ -354,7 +354,7 @@
 // borrowTokens borrows tokens from peers and passes them to the accountant.
 func (r *Recorder) borrowTokens(ctx context.Context, c accountant.Borrow) {
 	received := r.peers.BorrowTokens(ctx, c, func(tokens int) {
-		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens}})
+		r.send(ctx, budgetMessage{accountant.TokensReceived{Program: c.Program, Tokens: tokens, Late: true}})
 	})
 	if received.Tokens > 0 || len(received.Silent) > 0 || len(received.Ended) > 0 {
 		r.log.Info("asked peers for unused tokens", zap.String("program", c.Program), zap.Int("tokens", received.Tokens),
--- a/recorder/partitions.go
+++ b/recorder/partitions.go
@@ -74,7 +74,7 @@
 				r.probe(ctx, partition, c.Timeout)
 				continue
 			}
-			r.tasks.Go(func() { r.send(ctx, partitionMessage{partition, batcher.Probed{}}) })
+			r.spawn(ctx, func() { r.send(ctx, partitionMessage{partition, batcher.Probed{}}) })
 		case batcher.HealthChanged:
 			r.healthChanged(ctx, now, partition, c.Up)
 		}
@@ -105,7 +105,7 @@
 }
 
 func (r *Recorder) apply(ctx context.Context, partition string, c batcher.Apply) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, c.Timeout)
 		defer cancel()
 		version, err := r.store.Apply(request, c.Transaction)
@@ -136,7 +136,7 @@
 
 // probe reads at most one row of a partition.
 func (r *Recorder) probe(ctx context.Context, partition string, timeout time.Duration) {
-	r.tasks.Go(func() {
+	r.spawn(ctx, func() {
 		request, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		_, err := r.store.Range(request, provider.RowRange{Table: ProgramTable, Partition: partition, From: "~", Limit: 1})
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -121,8 +121,9 @@
 	// clean-up begins. Only RunCleanup uses it.
 	cleanupStart map[string]string
 
-	// Only the loop uses the fields below.
-	queues map[string]*partitionQueue
+	// Only the loop and Rebuild use the fields below.
+	rebuilds int
+	queues   map[string]*partitionQueue
 	// nextOutageProbe is when the next partition is probed while all are down.
 	nextOutageProbe time.Time
 	budgets         *accountant.State
@@ -152,9 +153,12 @@
 // CachedBytes returns the size of the text of the turns in memory.
 func (r *Recorder) CachedBytes() int { return r.turns.Bytes() }
 
-// Run processes messages until the context ends, then waits for the requests in progress.
+// Run processes messages until the context ends, then waits for the requests in progress. After a
+// panic, call Rebuild before Run is called again.
 func (r *Recorder) Run(ctx context.Context) {
 	defer r.tasks.Wait()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	timer := time.NewTimer(idleTickInterval)
 	defer timer.Stop()
 	for {
@@ -213,6 +217,8 @@
 		r.budgetWritten(ctx, now, m.write, accountant.WriteCompleted{
 			Program: m.write.Program, Kind: m.kind, Version: m.row.Version, Row: &m.row,
 		})
+	case taskPanicked:
+		panic(m.recovered.AsError())
 	case storeReachable:
 		for partition := range *r.down.Load() {
 			r.updateQueue(ctx, now, partition, batcher.ProbeRequested{})
