Play restarts within seconds in the simulation of owners

A third of the histories has few kinds of events only, so that an owner is restarted while its last renewal is recent.

--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -95,10 +95,13 @@
 		options: options, draw: draw, now: time.Unix(1_000, 0), asked: map[allocator.Ticket]*question{},
 		store: simulatedStore{rows: map[string]provider.VersionedRow{}},
 	}
-	s.events = slices.Clone(plainEvents)
-	for _, group := range faultEvents {
-		if draw(2) == 0 {
-			s.events = append(s.events, group...)
+	s.events = slices.Clone(hastyEvents)
+	if draw(3) > 0 {
+		s.events = slices.Clone(plainEvents)
+		for _, group := range faultEvents {
+			if draw(2) == 0 {
+				s.events = append(s.events, group...)
+			}
 		}
 	}
 	for i := range hostCount {
@@ -210,6 +213,10 @@
 // longTimes are those of the rules, and others that add up to those between them.
 var longTimes = []time.Duration{3 * time.Second, 6 * time.Second, 12 * time.Second, 21 * time.Second, 2 * time.Minute}
 
+// hastyEvents are those of histories in which an owner is restarted within seconds, so that its next
+// process may find a recent renewal.
+var hastyEvents = []string{"time", "settle", "turn", "turn", "late write", "restart", "outage", "next program"}
+
 // faultEvents are those of which each history has some: a history with all of them hardly ever serves a
 // turn. Events of one group belong together.
 var faultEvents = [][]string{
@@ -250,7 +257,9 @@
 		n.frozen = false
 		return
 	case "kill", "start":
-		s.restart(n, event)
+		if event == "start" || s.draw(3) == 0 {
+			s.restart(n, event)
+		}
 		return
 	case "restart":
 		s.restart(n, "kill")
@@ -298,7 +307,7 @@
 // all their tokens.
 func (s *simulation) restart(n *node, event string) {
 	switch {
-	case event == "kill" && n.alive && s.draw(3) == 0:
+	case event == "kill" && n.alive:
 		s.program.used += n.turns * turnTokens
 		n.turns, n.alive = 0, false
 		if s.draw(4) == 0 {
