Wait for an owner that waits for a slow store

An asker gave up after 100 ms although the owner lived and wrote the row later: the tokens were lost with each try. An owner that waits for the store replies after 50 ms that the request is pending; the same write is asked again for up to 1.2 s, as long as a daemon waits for the store itself, and is served once. The candidates are computed anew when a daemon may begin to claim.

--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -117,6 +117,13 @@
 			},
 			[]string{"apply 3 at 5 k=a at 0", "reply 1 none a", "apply 4 at 6 k=b at 6", "reply 2 none b", "reply 3 conflict b"}, true,
 		},
+		{
+			"a repeated write is served once",
+			[]allocator.Message{
+				write(1, "", "a"), write(2, "", "a"), allocator.Applied{Sequence: 3, Version: 6}, allocator.Applied{Sequence: 4, Version: 7}, write(3, "", "a"),
+			},
+			[]string{"apply 3 at 5 k=a at 0", "reply 1 none a", "apply 4 at 6", "reply 2 none a", "reply 3 none a"}, true,
+		},
 		{
 			"a write of unknown outcome is rejected and found later",
 			[]allocator.Message{
--- a/allocator/runner.go
+++ b/allocator/runner.go
@@ -34,10 +34,14 @@
 	// reading of all second rows of a partition.
 	transactionTimeout = 600 * time.Millisecond
 	loadTimeout        = 5 * time.Second
-	// askTimeout bounds the wait for an owner. silentTime is the time for which an owner that did not
-	// reply is not asked again.
+	// askTimeout bounds the wait for a reply of an owner. silentTime is the time for which an owner that
+	// did not reply is not asked again.
 	askTimeout = 100 * time.Millisecond
 	silentTime = 500 * time.Millisecond
+	// pendingAfter is the time after which an owner that waits for the store says so. requestTimeout is the
+	// time for which a daemon waits for such an owner, as it waits for the store itself.
+	pendingAfter   = 50 * time.Millisecond
+	requestTimeout = 1200 * time.Millisecond
 	// maxHops bounds the daemons that are asked for one request.
 	maxHops = 3
 	// releasePollInterval is the interval at which a stopping daemon checks whether all is released.
@@ -146,11 +150,13 @@
 			}
 		default:
 		}
-		if !listedAt.IsZero() && now.Sub(orderedAt) >= orderInterval {
+		mayClaim := !listedAt.IsZero() && now.Sub(listedAt) >= startGrace
+		// The list of daemons has grown during the grace time.
+		graceEnded := mayClaim && orderedAt.Before(listedAt.Add(startGrace))
+		if !listedAt.IsZero() && (graceEnded || now.Sub(orderedAt) >= orderInterval) {
 			orderedAt = now
 			r.updateOrder()
 		}
-		mayClaim := !listedAt.IsZero() && now.Sub(listedAt) >= startGrace
 		for _, o := range r.owners {
 			rank := -1
 			if mayClaim {
@@ -334,7 +340,7 @@
 	r.asked.Add(1)
 	o := r.owners[key.Partition]
 	now := r.dependencies.Clock.Now()
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 	defer cancel()
 	reply := r.ask(ctx, o, m)
 	host := reply.Owner
@@ -343,7 +349,11 @@
 		if !ok {
 			break
 		}
-		reply = r.askPeer(ctx, o, peer, key, m)
+		for pending, repeated := true, false; pending; repeated = true {
+			reply, pending = r.askPeer(ctx, o, peer, key, m)
+			// An owner that has just replied lives, so that one late reply does not end the request.
+			pending = (pending || repeated && reply.Kind == provider.KindUnknown) && ctx.Err() == nil
+		}
 		host = reply.Owner
 	}
 	if reply.Kind == provider.KindUnavailable || reply.Kind == provider.KindUnknown {
@@ -397,8 +407,13 @@
 	}
 }
 
-// askPeer passes a request to a peer, which may be the owner.
-func (r *Runner) askPeer(ctx context.Context, o *owner, peer messenger.Peer, key provider.RowKey, m Request) Reply {
+// askPeer passes a request to a peer, which may be the owner. If the owner waits for the store, the request
+// is pending and has to be repeated.
+func (r *Runner) askPeer(
+	ctx context.Context, o *owner, peer messenger.Peer, key provider.RowKey, m Request,
+) (reply Reply, pending bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
 	question := encoder.BudgetRowQuestion{Part: key.Partition, Key: key.Key, Version: int(m.Version), Value: string(m.Value)}
 	answer, err := messenger.Call[encoder.BudgetRowAnswer](ctx, r.dependencies.Messenger, peer, messenger.MethodBudgetRow, question)
 	o.mutex.Lock()
@@ -409,21 +424,22 @@
 		if messenger.KindOf(err).NotRun() {
 			kind = provider.KindUnavailable
 		}
-		return Reply{Kind: kind}
+		return Reply{Kind: kind}, false
 	}
+	o.silentUntil = time.Time{}
 	switch {
 	case !answer.NotOwner:
 		o.known = peer.Host
 	case o.known == peer.Host || answer.Owner != "":
 		o.known = answer.Owner
 	}
-	reply := Reply{
+	reply = Reply{
 		Kind: provider.ParseKind(answer.Kind), Version: int64(answer.Version), NotOwner: answer.NotOwner, Owner: answer.Owner,
 	}
 	if answer.Version != int(provider.VersionAbsent) {
 		reply.Value = []byte(answer.Value)
 	}
-	return reply
+	return reply, answer.Pending
 }
 
 // Handle serves the requests of peers. It reports whether the method is one of them.
@@ -444,9 +460,12 @@
 	if question.Value != "" {
 		m.Value = []byte(question.Value)
 	}
-	ctx, cancel := context.WithTimeout(ctx, transactionTimeout)
+	ctx, cancel := context.WithTimeout(ctx, pendingAfter)
 	defer cancel()
 	reply := r.ask(ctx, o, m)
+	if reply.Kind == provider.KindUnknown {
+		return encoder.BudgetRowAnswer{Kind: reply.Kind.String(), Pending: true}, true, nil
+	}
 	return encoder.BudgetRowAnswer{
 		Kind: reply.Kind.String(), Version: int(reply.Version), Value: string(reply.Value), NotOwner: reply.NotOwner, Owner: reply.Owner,
 	}, true, nil
--- a/allocator/simulation_test.go
+++ b/allocator/simulation_test.go
@@ -488,6 +488,14 @@
 		s.asked[allocator.Ticket(-q.request.Ticket)] = &question{asker: &node{}, target: q.target, request: q.request}
 	}
 	delete(s.asked, q.request.Ticket)
+	if timedOut && q.write != nil && s.draw(2) == 0 {
+		// The asker repeats the write.
+		s.serial++
+		again := *q
+		again.request.Ticket, again.sent, again.reply = allocator.Ticket(s.serial), false, nil
+		s.asked[again.request.Ticket] = &again
+		return
+	}
 	reply := allocator.Reply{Kind: provider.KindUnknown}
 	if !timedOut {
 		reply = *q.reply
--- a/allocator/state.go
+++ b/allocator/state.go
@@ -249,6 +249,9 @@
 	case m.Value == nil:
 		value := s.value(m.Key)
 		s.emit(Reply{Ticket: m.Ticket, Version: VersionOf(value), Value: value})
+	case VersionOf(s.value(m.Key)) == VersionOf(m.Value):
+		// The asker repeats a request that has been served. No two writes have the same value.
+		s.emit(Reply{Ticket: m.Ticket, Version: VersionOf(m.Value), Value: m.Value})
 	case s.mayGrantFromMemory():
 		s.serveFromMemory(m)
 	case !s.failingSince.IsZero():
@@ -449,7 +452,11 @@
 		current = s.value(m.Key)
 	}
 	reply := Reply{Ticket: m.Ticket, Kind: provider.KindConflict, Version: VersionOf(current), Value: current}
-	if reply.Version == m.Version {
+	switch reply.Version {
+	case VersionOf(m.Value):
+		// The asker repeats a request that is in this transaction.
+		reply.Kind = provider.KindNone
+	case m.Version:
 		if !isChanged {
 			if len(a.values) == s.options.MaxChanges {
 				return false
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -15,6 +15,10 @@
 	// Host of the owner that the sender knows, empty if it knows none.
 	Owner string `json:"owner,omitempty,omitzero"`
 
+	// The sender owns the partition and waits for the store. The same question asked
+	// again gets the result.
+	Pending bool `json:"pending,omitempty,omitzero"`
+
 	// Value corresponds to the JSON schema field "value".
 	Value string `json:"value,omitempty,omitzero"`
 
