Test an owner that does not reply

TestRequestWithoutResponseEnds bounded the wait for a silent store by 400 ms, which is the bound for an owner that does not reply, with a margin. It now has the time for which a daemon waits for the store itself, 1.2 s; TestSilentOwner bounds the wait for a silent owner by 100 ms and a margin of 100 ms, and a second one by the margin.

--- a/allocator/runner_test.go
+++ b/allocator/runner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/dogwoodweir/dogwoodweir/allocator"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/messenger"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -157,7 +159,48 @@
 	awaitWrite(t, second, allocator.VersionOf([]byte("b")), "c")
 }
 
-// Guards against a call that waits for an owner that does not respond.
+// Guards against a call that waits for an owner that does not reply, and against one that waits for it again.
+func TestSilentOwner(t *testing.T) {
+	t.Parallel()
+	const bound, margin = 100 * time.Millisecond, 100 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	listed := make(chan struct{})
+	close(listed)
+	m := messenger.New(messenger.Settings{Host: "host"}, nil, zap.NewNop())
+	defer m.Close()
+	r := allocator.NewRunner(allocator.Dependencies{
+		Store: emulator.NewRowStore(), Clock: systemClock{}, Messenger: m, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
+		Others: func() []allocator.Member {
+			return []allocator.Member{{Peer: messenger.Peer{Host: "silent", Address: listener.Addr().String()}}}
+		},
+		Listed: listed, RowTable: testTable, Partitions: []string{testPartition}, IsSecondRow: func(string) bool { return true },
+	}, allocator.DefaultOptions(), zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	defer func() {
+		cancel()
+		<-done
+	}()
+	r.Activate()
+	time.Sleep(300 * time.Millisecond)
+	for i, limit := range []time.Duration{bound + margin, margin} {
+		began := time.Now()
+		_, kind := r.Write(t.Context(), secondKey, 0, []byte("a"))
+		if took := time.Since(began); kind == provider.KindNone || took > limit {
+			t.Errorf("write %d: %s after %s, want an error within %s", i, kind, took, limit)
+		}
+	}
+}
+
+// Guards against a call that waits for the store longer than one for a first row does.
 func TestRequestWithoutResponseEnds(t *testing.T) {
 	t.Parallel()
 	rows := emulator.NewRowStore()
@@ -183,7 +226,7 @@
 	close(store.stall)
 	began := time.Now()
 	_, kind := r.Write(t.Context(), secondKey, version, []byte("b"))
-	if took := time.Since(began); kind == provider.KindNone || took > 400*time.Millisecond {
+	if took := time.Since(began); kind == provider.KindNone || took > 1200*time.Millisecond {
 		t.Errorf("write while the store does not respond: %s after %s", kind, took)
 	}
 }
