--- /dev/null
+++ b/assembler/bounds.go
@@ -0,0 +1,51 @@
+package assembler
+
+const (
+	// reservedDescriptors of a host's descriptors are for files, as the platform states.
+	reservedDescriptors = 200
+	// controlDivisor is the share of the other descriptors that is kept for peers, the store, readiness checks
+	// and metrics: a tenth, and minControlDescriptors at least.
+	controlDivisor        = 10
+	minControlDescriptors = 20
+	// connectionMemoryFraction is the fraction of the memory limit that connections of callers may use, with
+	// connectionBytes for each: buffers and stacks of the HTTP library, a request head of the largest size,
+	// and the connection to a target. Bodies and responses are counted apart.
+	connectionMemoryFraction = 0.25
+	connectionBytes          = 40 << 10
+	// callMemoryFraction is the fraction of the memory limit that request bodies may use, and also
+	// that of responses. The rest is for the process itself and for memory that is not collected yet.
+	callMemoryFraction = 0.15
+	// smallCallMemoryFraction is the same for bodies, and for responses, of up to 32 KB.
+	smallCallMemoryFraction = 0.05
+	// minConnections is the least number of connections of callers.
+	minConnections = 16
+)
+
+// bounds are the limits of a daemon that follow from the limits of its host.
+type bounds struct {
+	// CallerConnections and TargetConnections bound the open connections; 0 means no bound.
+	CallerConnections int
+	TargetConnections int
+	// CallBytes and SmallCallBytes bound the memory of bodies, and that of responses.
+	CallBytes      int64
+	SmallCallBytes int64
+}
+
+// hostBounds returns the bounds on a host with the memory limit and the number of descriptors, 0 if that is
+// unknown. A call takes a connection of its caller and at most one to a target at a time, so that both get the
+// same number of descriptors.
+func hostBounds(memoryBytes int64, descriptors int) bounds {
+	b := bounds{
+		CallerConnections: max(minConnections, int(connectionMemoryFraction*float64(memoryBytes)/connectionBytes)),
+		CallBytes:         int64(callMemoryFraction * float64(memoryBytes)),
+		SmallCallBytes:    int64(smallCallMemoryFraction * float64(memoryBytes)),
+	}
+	if descriptors == 0 {
+		return b
+	}
+	sockets := descriptors - reservedDescriptors
+	sockets -= max(minControlDescriptors, sockets/controlDivisor)
+	b.TargetConnections = max(minConnections, sockets/2)
+	b.CallerConnections = min(b.CallerConnections, b.TargetConnections)
+	return b
+}
--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -34,6 +34,11 @@
 	// readHeaderTimeout limits the reading of a request head on a connection that has
 	// served a request. The configuration's HeaderTimeout applies to the first one.
 	readHeaderTimeout = 10 * time.Second
+	// readAheadBytes is what the HTTP library reads beyond a head at most, and some more.
+	readAheadBytes = 4<<10 + 512
+	// roomPollInterval is the interval at which a connection that exceeds the limit waits for another one to
+	// be closed.
+	roomPollInterval = 5 * time.Millisecond
 )
 
 // listen opens a TCP listener whose connections are closed when sent data is not
@@ -68,6 +73,13 @@
 	mutex       sync.Mutex
 	listener    net.Listener
 	connections map[*callerConnection]bool
+	// maxConnections bounds the connections, 0 for no bound.
+	maxConnections int
+	// dropSlowestBody ends the call whose caller sends its body the slowest, with its connection, and reports
+	// whether there was one. It may be nil.
+	dropSlowestBody func() bool
+	// closedFor counts the connections that were closed because of their callers, by reason.
+	closedFor [closeReasons]atomic.Int64
 }
 
 func newCallerServer(handler http.Handler, log *zap.Logger) *callerServer {
@@ -165,6 +177,104 @@
 	}
 }
 
+// closeReason says why the connection of a caller was closed.
+type closeReason int
+
+const (
+	// closedForHead means that a request head was far over the limit.
+	closedForHead closeReason = iota
+	// closedAsStalled and closedAsIdle connections made room for others.
+	closedAsStalled
+	closedAsIdle
+	// closedForBody means that the call with the slowest body made room for others.
+	closedForBody
+	closeReasons
+)
+
+// String returns the reason's name in logs and metrics.
+func (r closeReason) String() string { return [...]string{"head", "stalled", "idle", "body"}[r] }
+
+func (s *callerServer) countClosed(r closeReason) { s.closedFor[r].Add(1) }
+
+// takeClosed returns how many connections were closed for each reason since the last call.
+func (s *callerServer) takeClosed() map[string]int64 {
+	closed := map[string]int64{}
+	for r := range closeReasons {
+		if n := s.closedFor[r].Swap(0); n > 0 {
+			closed[r.String()] = n
+		}
+	}
+	return closed
+}
+
+// connectionCount returns the number of open connections.
+func (s *callerServer) connectionCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.connections)
+}
+
+// awaitRoom waits until the connections are within their limit. It closes stalled ones first, then the longest
+// idle ones, and does not wait while the server stops.
+func (s *callerServer) awaitRoom() {
+	for s.maxConnections > 0 && s.connectionCount() > s.maxConnections && !s.stopping.Load() {
+		if !s.closeOne(time.Now()) {
+			time.Sleep(roomPollInterval)
+		}
+	}
+}
+
+// closeOne closes the connection that is the first in the order of eviction, or ends the call with the slowest
+// body if no connection has stalled. It reports whether a connection was closed.
+func (s *callerServer) closeOne(now time.Time) bool {
+	if s.closeRanked(now, stalled) {
+		s.countClosed(closedAsStalled)
+		return true
+	}
+	if s.dropSlowestBody != nil && s.dropSlowestBody() {
+		s.countClosed(closedForBody)
+		return false // its connection is closed in a moment
+	}
+	if s.closeRanked(now, idleBetweenCalls) {
+		s.countClosed(closedAsIdle)
+		return true
+	}
+	return false
+}
+
+// closeRanked closes the first connection of a rank for which no bytes have arrived that are not read yet, and
+// reports whether there was one.
+func (s *callerServer) closeRanked(now time.Time, wanted evictionRank) bool {
+	type candidate struct {
+		connection *callerConnection
+		state      connectionState
+	}
+	var candidates []candidate
+	s.mutex.Lock()
+	for c := range s.connections {
+		state := c.state(now)
+		if rank, _ := state.rank(); rank == wanted {
+			candidates = append(candidates, candidate{c, state})
+		}
+	}
+	s.mutex.Unlock()
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.state.closedBefore(b.state):
+			return -1
+		case b.state.closedBefore(a.state):
+			return 1
+		}
+		return 0
+	})
+	for _, c := range candidates {
+		if c.connection.evict(c.state) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *callerServer) serve(l net.Listener) {
 	s.mutex.Lock()
 	s.listener = l
--- a/assembler/connection.go
+++ b/assembler/connection.go
@@ -1,6 +1,7 @@
 package assembler
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -32,8 +33,9 @@
 	}
 	connection := &callerConnection{Conn: c, server: l.server}
 	l.server.mutex.Lock()
-	defer l.server.mutex.Unlock()
 	l.server.connections[connection] = true
+	l.server.mutex.Unlock()
+	l.server.awaitRoom()
 	return connection, nil
 }
 
@@ -51,6 +53,10 @@
 	waitingSince time.Time
 	// firstCall is set while that call is the first one of the connection.
 	firstCall bool
+	// headBytes is what has been read while the connection waits for a call and its head.
+	headBytes int
+	// writingSince is when the write in progress began, zero without one.
+	writingSince time.Time
 }
 
 // Read implements net.Conn. Bytes that arrive after the connection was closed as idle are
@@ -68,7 +74,58 @@
 	if c.phase == waitingForCall {
 		c.phase = readingHead
 	}
-	return n, err
+	return c.limitHead(n, err)
+}
+
+// headRejectionTimeout bounds the write of headTooLarge.
+const headRejectionTimeout = 10 * time.Millisecond
+
+// headTooLarge is the response to a head that is far over the limit.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// limitHead counts the bytes of a head and returns the result of the read, or io.EOF once the head is far over
+// the limit of the configuration: the HTTP library would keep up to maxHeaderBytes of each. The mutex must be
+// held.
+func (c *callerConnection) limitHead(n int, err error) (int, error) {
+	limits := c.server.limits.Load()
+	if c.phase != readingHead || limits == nil || limits.HeaderBytes <= 0 {
+		return n, err
+	}
+	if c.headBytes += n; c.headBytes <= limits.HeaderBytes+readAheadBytes {
+		return n, err
+	}
+	c.server.countClosed(closedForHead)
+	// The caller may not read the response, or have left.
+	_ = c.SetWriteDeadline(time.Now().Add(headRejectionTimeout))
+	_, _ = c.Conn.Write([]byte(headTooLarge))
+	return 0, io.EOF
+}
+
+// Write implements net.Conn. It records for how long the caller does not read.
+func (c *callerConnection) Write(p []byte) (int, error) {
+	c.setWriting(time.Now())
+	defer c.setWriting(time.Time{})
+	return c.Conn.Write(p)
+}
+
+func (c *callerConnection) setWriting(since time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.writingSince = since
+}
+
+// state returns the state for the decision which connection is closed.
+func (c *callerConnection) state(now time.Time) connectionState {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	s := connectionState{phase: c.phase, served: !c.firstCall}
+	if c.phase != inCall && !c.waitingSince.IsZero() {
+		s.waited = now.Sub(c.waitingSince)
+	}
+	if !c.writingSince.IsZero() {
+		s.writing = now.Sub(c.writingSince)
+	}
+	return s
 }
 
 // Close implements net.Conn. While the server stops, it ignores the HTTP library's closing
@@ -100,18 +157,35 @@
 	return c.Conn.Close()
 }
 
-// closeIfIdle closes the connection unless bytes of a call have arrived, read or not. The server's
-// mutex must be held.
-func (c *callerConnection) closeIfIdle() {
+// closeIfIdle closes the connection unless bytes of a call have arrived, read or not, and reports whether it
+// did. The server's mutex must be held.
+func (c *callerConnection) closeIfIdle() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.phase != waitingForCall || c.closed || forwarder.PeekInput(c.Conn) == forwarder.InputWaiting {
-		return
+		return false
 	}
 	c.closed = true
 	delete(c.server.connections, c)
 	// The connection is closed even if Close returns an error.
 	_ = c.Conn.Close()
+	return true
+}
+
+// evict closes the connection unless bytes of a call have arrived that are not read yet, and reports whether it
+// did. The server's mutex must not be held.
+func (c *callerConnection) evict(s connectionState) bool {
+	if s.phase == waitingForCall {
+		c.server.mutex.Lock()
+		defer c.server.mutex.Unlock()
+		return c.closeIfIdle()
+	}
+	if s.writing == 0 && forwarder.PeekInput(c.Conn) == forwarder.InputWaiting {
+		return false
+	}
+	// The connection is closed even if Close returns an error.
+	_ = c.abort()
+	return true
 }
 
 // closeFinished closes a connection that is no longer served. The server's mutex must be
@@ -130,7 +204,7 @@
 func (c *callerConnection) startWaiting(now time.Time, firstCall bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.phase, c.waitingSince, c.firstCall = waitingForCall, now, firstCall
+	c.phase, c.waitingSince, c.firstCall, c.headBytes = waitingForCall, now, firstCall, 0
 }
 
 // waitingTime returns how long the connection has waited for a call and its whole request
@@ -147,7 +221,7 @@
 func (c *callerConnection) setPhase(p phase) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.phase = p
+	c.phase, c.headBytes = p, 0
 }
 
 func (c *callerConnection) currentPhase() phase {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -35,9 +35,6 @@
 	targetGracePeriod = 2200 * time.Millisecond
 	// turnCacheFraction is the fraction of the memory limit that texts of turns may use.
 	turnCacheFraction = 0.06
-	// callMemoryFraction is the fraction of the memory limit that request bodies may use, and also
-	// that of responses. The rest is for the process itself and for memory that is not collected yet.
-	callMemoryFraction = 0.15
 	// tokenReturnMargin is the part of the grace period that is reserved for returning
 	// unused tokens after the last responses.
 	tokenReturnMargin = 900 * time.Millisecond
@@ -143,10 +140,13 @@
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: uuid.NewString(),
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
-	d.forwarder = forwarder.New(dependencies.Dialect, forwarder.DefaultOptions())
+	limits := hostBounds(settings.MemoryLimitBytes, settings.MaxDescriptors)
+	forwarderOptions := forwarder.DefaultOptions()
+	forwarderOptions.MaxConnections = limits.TargetConnections
+	d.forwarder = forwarder.New(dependencies.Dialect, forwarderOptions)
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
-	receiverOptions.MemoryBytes = int64(callMemoryFraction * float64(settings.MemoryLimitBytes))
+	receiverOptions.MemoryBytes, receiverOptions.SmallMemoryBytes = limits.CallBytes, limits.SmallCallBytes
 	receiverOptions.MaxKeyAge = settings.RevocationBound
 	if settings.ConfigurationBound > 0 {
 		// A change arrives before the end of a feed request's wait, so that the age between two
@@ -167,6 +167,7 @@
 		ConfigurationAge: func() time.Duration { return d.configurationFeed.age(time.Now()) },
 	}, dispatcher.New(dispatcher.DefaultOptions(), location, seed), receiverOptions)
 	d.callers = newCallerServer(d.receiver, log)
+	d.callers.maxConnections, d.callers.dropSlowestBody = limits.CallerConnections, d.receiver.DropSlowestBody
 	d.pauses = newPauseGuard(bootClock{}, func() []*feed { return []*feed{d.configurationFeed, d.targetFeed} }, log)
 	d.follower = &followerRunner{
 		state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: dependencies.Catalog,
@@ -323,6 +324,20 @@
 // InFlightCalls returns the number of calls that are being served.
 func (d *Daemon) InFlightCalls() int64 { return d.receiver.InFlightCalls() }
 
+// reportClosed counts the connections of callers that were closed to stay within the limits, and logs them in
+// one line.
+func (d *Daemon) reportClosed() {
+	closed := d.callers.takeClosed()
+	if len(closed) == 0 {
+		return
+	}
+	for reason, n := range closed {
+		d.metrics.countClosedConnections(reason, n)
+	}
+	d.log.Warn("closed connections of callers to stay within the limits", zap.Any("closed", closed),
+		zap.Int("open", d.callers.connectionCount()), zap.Int("limit", d.callers.maxConnections))
+}
+
 // runMaintenance closes idle connections and updates gauges at an interval.
 func (d *Daemon) runMaintenance(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
@@ -342,10 +357,14 @@
 			return ok
 		})
 		d.callers.closeTimedOut(time.Now())
+		d.receiver.CloseSlow(maintenanceInterval)
+		d.reportClosed()
 		for _, f := range []*feed{d.configurationFeed, d.targetFeed} {
 			d.metrics.setFeedAge(f.table, f.age(time.Now()))
 		}
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
+		d.metrics.setGauge("connections_to_targets", float64(d.forwarder.OpenConnections()))
+		d.metrics.setGauge("connections_of_callers", float64(d.callers.connectionCount()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
 	}
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -62,4 +62,9 @@
 	m.scope.Tagged(map[string]string{"table": table}).Gauge("feed_age_seconds").Update(age.Seconds())
 }
 
+// countClosedConnections records connections of callers that were closed to stay within the limits.
+func (m *metrics) countClosedConnections(reason string, n int64) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_connections_closed").Inc(n)
+}
+
 func (m *metrics) setGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -23,6 +23,8 @@
 	MetricsPort int
 	// MemoryLimitBytes is the memory limit of the process.
 	MemoryLimitBytes int64
+	// MaxDescriptors is the number of file descriptors of the host, 0 if unknown.
+	MaxDescriptors int
 	// GracePeriod is the longest time from the request to stop to the end of the process.
 	GracePeriod time.Duration
 	// ConfigurationBound is the time within which a published configuration has to be in force, 0 for
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -35,6 +35,8 @@
 	KeepAliveIdle time.Duration
 	// IdleTimeout bounds the time for which an idle connection is kept.
 	IdleTimeout time.Duration
+	// MaxConnections bounds the connections to all targets together, 0 for no bound.
+	MaxConnections int
 }
 
 // DefaultOptions returns options for targets with a latency of tens of milliseconds.
@@ -83,6 +85,9 @@
 	return f.pool.opened
 }
 
+// OpenConnections returns the number of open connections to all targets.
+func (f *Forwarder) OpenConnections() int64 { return f.pool.open.Load() }
+
 // IdleConnections returns the number of idle connections to a target.
 func (f *Forwarder) IdleConnections(target string) int {
 	f.pool.mutex.Lock()
--- a/forwarder/pool.go
+++ b/forwarder/pool.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,17 @@
 	// idleUntil is the time from which the connection must not be used again.
 	idleUntil time.Time
 	reused    bool
+	// open counts the open connections of the pool, of which this one is none once closed is set.
+	open   *atomic.Int64
+	closed atomic.Bool
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	if c.closed.CompareAndSwap(false, true) {
+		c.open.Add(-1)
+	}
+	return c.Conn.Close()
 }
 
 // pool keeps idle connections by target ID.
@@ -65,6 +77,7 @@
 	mutex   sync.Mutex
 	idle    map[string][]*connection
 	opened  int64
+	open    atomic.Int64
 }
 
 func newPool(options Options) *pool {
@@ -94,15 +107,54 @@
 			return c, nil
 		}
 	}
+	if err := p.makeRoom(); err != nil {
+		return nil, err
+	}
 	conn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, err
 	}
 	p.mutex.Lock()
 	p.opened++
 	p.mutex.Unlock()
 	limiter := &headLimiter{reader: conn}
-	return &connection{Conn: conn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, target: target}, nil
+	return &connection{Conn: conn, reader: bufio.NewReaderSize(limiter, readBufferBytes), limiter: limiter, target: target, open: &p.open}, nil
+}
+
+// errNoConnection means that all connections that the pool may have are in use.
+var errNoConnection = errors.New("all connections that may be open are in use")
+
+// makeRoom counts a connection that is about to be opened. If the pool has as many as it may have, it closes
+// the idle connection that times out first.
+func (p *pool) makeRoom() error {
+	limit := int64(p.options.MaxConnections)
+	for open := p.open.Add(1); limit > 0 && open > limit; open = p.open.Load() {
+		if !p.closeOldestIdle() {
+			p.open.Add(-1)
+			return errNoConnection
+		}
+	}
+	return nil
+}
+
+// closeOldestIdle closes the idle connection that times out first, and reports whether there was one.
+func (p *pool) closeOldestIdle() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	oldest := ""
+	for target, list := range p.idle {
+		// The connections of a target are in the order of their use.
+		if len(list) > 0 && (oldest == "" || list[0].idleUntil.Before(p.idle[oldest][0].idleUntil)) {
+			oldest = target
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	_ = p.idle[oldest][0].Close()
+	p.idle[oldest] = p.idle[oldest][1:]
+	return true
 }
 
 // takeIdle returns the most recently used idle connection that is still usable, or nil. It
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -33,6 +33,8 @@
 	// bodyMemory and responseMemory are the call's shares of the memory.
 	bodyMemory     memoryShare
 	responseMemory memoryShare
+	// bodyRead is true once the request body was read to its end.
+	bodyRead bool
 	// callerBody is the caller's request body, targetBody the one sent to the target.
 	callerBody []byte
 	targetBody []byte
@@ -51,6 +53,8 @@
 	// skippingKnownEvents is true while the events of a stream that was generated again from its start
 	// are those that the caller received before it resumed the stream.
 	skippingKnownEvents bool
+	// writeWait is the progress of the response, nil before it begins.
+	writeWait *callerWait
 	// headWritten is true once the head of the response has been sent to the caller.
 	headWritten bool
 	record      CallRecord
@@ -100,6 +104,10 @@
 		h.record.Reason = "callerLeft"
 		return errRejected
 	}
+	if !h.bodyRead && h.request.ContentLength != 0 {
+		// The HTTP library reads a part of the rest, which may never arrive, before it sends the response.
+		_ = http.NewResponseController(h.writer).SetReadDeadline(time.Now().Add(h.receiver.options.UnreadBodyTimeout))
+	}
 	h.receiver.deps.Dialect.SetRejectionHeader(h.writer.Header(), h.call.ID, retryAfter)
 	http.Error(h.writer, reason, status)
 	return errRejected
@@ -132,6 +140,7 @@
 	if h.route.Timeout > 0 {
 		h.timeout = min(h.timeout, h.route.Timeout)
 	}
+	_ = http.NewResponseController(h.writer).SetWriteDeadline(time.Now().Add(h.remaining() + h.receiver.options.ResponseMargin))
 	if h.receiver.isTooLate(h.timeout) {
 		return h.reject(http.StatusServiceUnavailable, "stopping", h.receiver.options.PeerRetryAfter, nil)
 	}
@@ -224,8 +233,11 @@
 	if err != nil {
 		return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
 	}
-	h.callerBody, err = h.readBody(http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), limit)
+	wait := h.receiver.waits.add(true, func() { _ = controller.SetReadDeadline(pastDeadline) })
+	h.callerBody, err = h.readBody(pacedReader{http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), wait}, limit)
+	h.receiver.waits.remove(wait)
 	h.targetBody = h.callerBody
+	h.bodyRead = err == nil
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
 	}
@@ -241,6 +253,10 @@
 		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusRequestEntityTooLarge, "bodyTooLarge", 0, nil)
 	}
+	if wait.dropped.Load() {
+		h.record.Reason, h.record.Err = "bodyTooSlow", err
+		panic(http.ErrAbortHandler)
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusRequestTimeout, "bodyTooSlow", 0, err)
@@ -266,6 +282,12 @@
 	return h.reject(http.StatusServiceUnavailable, "memoryExhausted", wait+rand.N(wait), err)
 }
 
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
+// minBufferBytes is the first size of a buffer for a body or a response of unknown length.
+const minBufferBytes = 2 << 10
+
 // readBody reads a body of known length into one allocation. A body in chunks gets the memory of the
 // largest one once it is no longer small.
 func (h *callHandler) readBody(r io.Reader, limit int) ([]byte, error) {
@@ -274,15 +296,41 @@
 		_, err := io.ReadFull(r, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(r, smallBytes))
-	if err != nil || len(body) < smallBytes {
-		return body, err
+	var body []byte
+	// One byte more than the limit shows that a body exceeds it.
+	for size := min(minBufferBytes, limit+1); ; size = min(2*size, limit+1) {
+		reserved := size
+		if size > smallBytes {
+			reserved = limit
+		}
+		if err := h.awaitBodyMemory(reserved); err != nil {
+			return nil, err
+		}
+		var err error
+		body, err = fill(r, body, size)
+		if err == io.EOF {
+			h.bodyMemory.shrink(cap(body))
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	if err := h.awaitBodyMemory(limit); err != nil {
-		return nil, err
+}
+
+// fill returns the content in a buffer of a size, with as much of the reader as fits. The error is that of the
+// reader, io.EOF at its end.
+func fill(r io.Reader, content []byte, size int) ([]byte, error) {
+	buffer := make([]byte, size)
+	filled := copy(buffer, content)
+	for filled < size {
+		n, err := r.Read(buffer[filled:])
+		filled += n
+		if err != nil {
+			return buffer[:filled], err
+		}
 	}
-	rest, err := io.ReadAll(r)
-	return append(body, rest...), err
+	return buffer, nil
 }
 
 // loadHistory puts the history of the chain in front of the caller's body.
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -43,7 +43,16 @@
 	FirstEventTimeoutFactor float64
 	MinFirstEventTimeout    time.Duration
 	// MemoryBytes bounds the memory of all request bodies together, and that of all responses.
-	MemoryBytes int64
+	// SmallMemoryBytes bounds that of bodies of up to 32 KB, and that of such responses.
+	MemoryBytes      int64
+	SmallMemoryBytes int64
+	// Pace bounds how slowly callers may send bodies.
+	Pace PaceLimits
+	// UnreadBodyTimeout bounds the time for which the rest of the body of a rejected call is read.
+	UnreadBodyTimeout time.Duration
+	// ResponseMargin is the time after the deadline of a call in which its caller may read the rest of the
+	// response.
+	ResponseMargin time.Duration
 	// MemoryWait is how long a call may wait for memory before it is rejected.
 	MemoryWait time.Duration
 	// MemoryRetryAfter is the retry delay after such a rejection.
@@ -66,10 +75,17 @@
 		ChainTimeout: 900 * time.Millisecond, CommitTimeout: 2200 * time.Millisecond,
 		CommitMargin:    60 * time.Millisecond,
 		StoreRetryAfter: 300 * time.Millisecond, PeerRetryAfter: 60 * time.Millisecond,
-		TargetsRetryAfter:       75 * time.Millisecond,
-		ContendedRetryAfter:     250 * time.Millisecond,
-		StartRetryAfter:         400 * time.Millisecond,
-		MemoryBytes:             32 << 20,
+		TargetsRetryAfter:   75 * time.Millisecond,
+		ContendedRetryAfter: 250 * time.Millisecond,
+		StartRetryAfter:     400 * time.Millisecond,
+		MemoryBytes:         32 << 20,
+		SmallMemoryBytes:    10 << 20,
+		Pace: PaceLimits{
+			MaxBodyStall: 5 * time.Second, BodyGrace: 5 * time.Second, MinBodyRate: 2 << 10, MaxBodyTime: 30 * time.Second,
+			EvictableAfter: time.Second,
+		},
+		UnreadBodyTimeout:       300 * time.Millisecond,
+		ResponseMargin:          time.Second,
 		MemoryWait:              400 * time.Millisecond,
 		MemoryRetryAfter:        400 * time.Millisecond,
 		FirstEventTimeoutFactor: 6, MinFirstEventTimeout: 700 * time.Millisecond,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -106,6 +106,11 @@
 	// bodyMemory is the memory of request bodies, responseMemory that of responses.
 	bodyMemory     *memoryPool
 	responseMemory *memoryPool
+	// smallBodyMemory and smallResponseMemory hold those of up to smallBytes.
+	smallBodyMemory     *memoryPool
+	smallResponseMemory *memoryPool
+	// waits holds the calls that wait for their callers.
+	waits *callerWaits
 }
 
 // New returns a Receiver without a configuration.
@@ -114,6 +119,8 @@
 	return &Receiver{
 		deps: deps, options: options, dispatcher: state, callsEnded: callsEnded, endCalls: endCalls,
 		bodyMemory: newMemoryPool(options.MemoryBytes), responseMemory: newMemoryPool(options.MemoryBytes),
+		smallBodyMemory: newMemoryPool(options.SmallMemoryBytes), smallResponseMemory: newMemoryPool(options.SmallMemoryBytes),
+		waits: newCallerWaits(options.Pace),
 	}
 }
 
@@ -136,18 +143,47 @@
 	r.deps.TargetLeaving(t.ID, t.StartedAt)
 }
 
+// CloseSlow ends the calls whose bodies arrive too slowly. It is called at an interval.
+func (r *Receiver) CloseSlow(interval time.Duration) { r.waits.closeSlow(time.Now(), interval) }
+
+// DropSlowestBody ends the call whose caller sends its body the slowest, and closes its connection without a
+// response. It reports whether there was one that may be ended.
+func (r *Receiver) DropSlowestBody() bool {
+	return r.waits.evictSlowest(time.Now(), func(w *callerWait) bool {
+		return w.reading
+	}, func(w *callerWait) { w.dropped.Store(true) })
+}
+
+// evictSlowestBody rejects the call whose caller sends its body the slowest.
+func (r *Receiver) evictSlowestBody() {
+	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return w.reading }, nil)
+}
+
+// evictSlowestReader ends the call whose caller reads its response the slowest.
+func (r *Receiver) evictSlowestReader() {
+	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return !w.reading }, nil)
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	h := &callHandler{
 		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(),
-		bodyMemory: memoryShare{pool: r.bodyMemory}, responseMemory: memoryShare{pool: r.responseMemory},
+		bodyMemory:     memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory, reclaim: r.evictSlowestBody},
+		responseMemory: memoryShare{pool: r.responseMemory, small: r.smallResponseMemory, reclaim: r.evictSlowestReader},
 	}
+	// A caller that does not read its response must not hold its connection. Test doubles have no deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.options.DefaultTimeout))
 	h.call = r.deps.Dialect.ParseCall(request)
 	h.record.Call = &h.call
 	defer h.logCall()
 	defer h.bodyMemory.release()
 	defer h.responseMemory.release()
+	defer func() {
+		if h.writeWait != nil {
+			r.waits.remove(h.writeWait)
+		}
+	}()
 	h.serve()
 }
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -21,6 +21,12 @@
 	drainTimeout    = 100 * time.Millisecond
 )
 
+// streamMemoryStep is the step in which a stream takes memory, so that not each event takes some.
+const streamMemoryStep = 1 << 10
+
+// copyBufferBytes is the size of the buffer in which a plain response that is not kept passes through.
+const copyBufferBytes = 8 << 10
+
 // handleResponse processes a response whose head has arrived.
 func (h *callHandler) handleResponse(
 	a *attempts, send dispatcher.Send, e *forwarder.Exchange, firstEventTimer *time.Timer,
@@ -92,13 +98,19 @@
 	}
 	h.record.Status = status
 	h.writer.WriteHeader(status)
+	h.paceWrites()
 	if _, err := h.writer.Write(body); err != nil {
-		h.record.Reason, h.record.Err = "callerLeft", err
+		h.record.Reason, h.record.Err = h.writeErrorReason(), err
 		return stopAttempts, dispatcher.Cancelled
 	}
 	if !e.Complete() {
 		rest := h.receiver.options.MaxResponseBytes - int64(len(body))
-		if _, err := io.Copy(h.writer, io.LimitReader(e, rest)); err != nil {
+		body = nil
+		h.responseMemory.release()
+		if _, err := io.CopyBuffer(h.writer, io.LimitReader(e, rest), make([]byte, copyBufferBytes)); err != nil {
+			if h.writeWait.evicted.Load() {
+				h.abortResponse("readerTooSlow", err)
+			}
 			h.abortResponse("answerBroken", err)
 		}
 		if !e.Complete() {
@@ -115,14 +127,43 @@
 // readStart reads a plain response up to MaxBufferedResponseBytes, or as much of it as there is memory
 // for.
 func (h *callHandler) readStart(e *forwarder.Exchange) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(e, smallBytes))
-	limit := h.receiver.options.MaxBufferedResponseBytes
-	// Appending may double the buffer.
-	if err != nil || e.Complete() || !h.responseMemory.grow(2*int(limit)) {
-		return body, err
-	}
-	rest, err := io.ReadAll(io.LimitReader(e, limit-int64(len(body))))
-	return append(body, rest...), err
+	limit := int(h.receiver.options.MaxBufferedResponseBytes)
+	if length := e.Response().ContentLength; length >= 0 {
+		// Responses to HEAD state a length and have no body.
+		limit = min(limit, max(minBufferBytes, int(length)))
+	}
+	var body []byte
+	for size := min(minBufferBytes, limit); ; size = min(4*size, limit) {
+		if !h.responseMemory.grow(2 * size) {
+			return body, nil
+		}
+		var err error
+		body, err = fill(e, body, size)
+		if err == io.EOF || err == nil && size == limit {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+}
+
+// paceWrites records from now on how fast the caller reads the response.
+func (h *callHandler) paceWrites() {
+	if h.writeWait != nil {
+		return
+	}
+	controller := http.NewResponseController(h.writer)
+	h.writeWait = h.receiver.waits.add(false, func() { _ = controller.SetWriteDeadline(pastDeadline) })
+	h.writer = pacedWriter{h.writer, h.writeWait}
+}
+
+// writeErrorReason returns why a response could not be written.
+func (h *callHandler) writeErrorReason() string {
+	if h.writeWait != nil && h.writeWait.evicted.Load() {
+		return "readerTooSlow"
+	}
+	return "callerLeft"
 }
 
 // claimsNotRun reports whether a status tells the caller that the call has not run.
@@ -169,7 +210,7 @@
 			continue
 		}
 		if err := h.forwardEvent(e, &event); err != nil {
-			h.record.Reason, h.record.Err = "callerLeft", err
+			h.record.Reason, h.record.Err = h.writeErrorReason(), err
 			return stopAttempts, dispatcher.Cancelled
 		}
 	}
@@ -219,6 +260,7 @@
 	h.receiver.deps.Dialect.CopyResponseHeader(h.writer.Header(), e.Response().Header)
 	h.record.Status = e.Head().Status
 	h.record.TimeToFirstEvent = h.elapsed()
+	h.paceWrites()
 	h.writer.WriteHeader(e.Head().Status)
 }
 
@@ -268,13 +310,20 @@
 }
 
 // growStreamMemory enlarges the call's share of the memory for an event's buffers of a size and for the
-// data that is kept for the history. It reports whether there was room.
+// data that is kept for the history. It waits for room and reports whether there was.
 func (h *callHandler) growStreamMemory(eventBytes int) bool {
 	if h.route.KeepsHistory {
 		// Appending may double the buffer.
 		eventBytes += 2 * h.streamBytes
 	}
-	return h.responseMemory.grow(eventBytes)
+	eventBytes = (eventBytes + streamMemoryStep - 1) / streamMemoryStep * streamMemoryStep
+	// Most events need no more than the last one.
+	if _, missing := h.responseMemory.request(eventBytes); missing == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(h.request.Context(), h.receiver.options.MemoryWait)
+	defer cancel()
+	return h.responseMemory.await(ctx, eventBytes) == nil
 }
 
 // commitTurn stores the turn if the route keeps a history.
