--- a/assembler/bounds.go
+++ b/assembler/bounds.go
@@ -17,6 +17,9 @@
 	callMemoryFraction = 0.15
 	// smallCallMemoryFraction is the same for bodies, and for responses, of up to 32 KB.
 	smallCallMemoryFraction = 0.05
+	// queueMemoryFraction is the fraction of the memory limit for bytes that wait in the system's buffers of
+	// callers' connections.
+	queueMemoryFraction = 0.1
 	// minConnections is the least number of connections of callers.
 	minConnections = 16
 )
@@ -29,6 +32,8 @@
 	// CallBytes and SmallCallBytes bound the memory of bodies, and that of responses.
 	CallBytes      int64
 	SmallCallBytes int64
+	// QueuedBytes bounds the bytes in the system's buffers of callers' connections.
+	QueuedBytes int
 }
 
 // hostBounds returns the bounds on a host with the memory limit and the number of descriptors, 0 if that is
@@ -39,6 +44,7 @@
 		CallerConnections: max(minConnections, int(connectionMemoryFraction*float64(memoryBytes)/connectionBytes)),
 		CallBytes:         int64(callMemoryFraction * float64(memoryBytes)),
 		SmallCallBytes:    int64(smallCallMemoryFraction * float64(memoryBytes)),
+		QueuedBytes:       int(queueMemoryFraction * float64(memoryBytes)),
 	}
 	if descriptors == 0 {
 		return b
--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -36,14 +36,18 @@
 	readHeaderTimeout = 10 * time.Second
 	// readAheadBytes is what the HTTP library reads beyond a head at most, and some more.
 	readAheadBytes = 4<<10 + 512
+	// callerBufferBytes is the size of each of the two buffers of a caller's connection in the system, which
+	// doubles it for its own bookkeeping. It fills a link of 22 Mbit/s at a round-trip time of 20 ms.
+	callerBufferBytes = 64 << 10
 	// roomPollInterval is the interval at which a connection that exceeds the limit waits for another one to
 	// be closed.
 	roomPollInterval = 5 * time.Millisecond
 )
 
 // listen opens a TCP listener whose connections are closed when sent data is not
-// acknowledged within tcpUserTimeout.
-func listen(address string) (net.Listener, error) {
+// acknowledged within tcpUserTimeout. Their buffers in the system have the given size, 0 for the
+// system's own sizes, which grow to megabytes.
+func listen(address string, bufferBytes int) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -51,6 +55,12 @@
 			err := raw.Control(func(fd uintptr) {
 				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
 					int(tcpUserTimeout.Milliseconds()))
+				if bufferBytes == 0 {
+					return
+				}
+				for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+					failure = errors.Join(failure, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bufferBytes))
+				}
 			})
 			return errors.Join(err, failure)
 		},
@@ -75,6 +85,9 @@
 	connections map[*callerConnection]bool
 	// maxConnections bounds the connections, 0 for no bound.
 	maxConnections int
+	// maxQueuedBytes bounds the bytes that wait in the system's buffers of all connections together, 0 for no
+	// bound.
+	maxQueuedBytes int
 	// dropSlowestBody ends the call whose caller sends its body the slowest, with its connection, and reports
 	// whether there was one. It may be nil.
 	dropSlowestBody func() bool
@@ -188,11 +201,13 @@
 	closedAsIdle
 	// closedForBody means that the call with the slowest body made room for others.
 	closedForBody
+	// closedForQueue connections held bytes in the system that their callers do not read.
+	closedForQueue
 	closeReasons
 )
 
 // String returns the reason's name in logs and metrics.
-func (r closeReason) String() string { return [...]string{"head", "stalled", "idle", "body"}[r] }
+func (r closeReason) String() string { return [...]string{"head", "stalled", "idle", "body", "queue"}[r] }
 
 func (s *callerServer) countClosed(r closeReason) { s.closedFor[r].Add(1) }
 
@@ -275,6 +290,57 @@
 	return false
 }
 
+// limitQueued closes stalled connections while the bytes that wait in the system's buffers exceed their bound.
+func (s *callerServer) limitQueued(now time.Time) {
+	if s.maxQueuedBytes <= 0 {
+		return
+	}
+	s.mutex.Lock()
+	connections := slices.Collect(maps.Keys(s.connections))
+	s.mutex.Unlock()
+	total := 0
+	queued := map[*callerConnection]int{}
+	for _, c := range connections {
+		bytes := queuedBytes(c.Conn)
+		total += bytes
+		if rank, _ := c.state(now).rank(); rank == stalled && bytes > 0 {
+			queued[c] = bytes
+		}
+	}
+	stalledConnections := slices.SortedFunc(maps.Keys(queued), func(a, b *callerConnection) int { return queued[b] - queued[a] })
+	for _, c := range stalledConnections {
+		if total <= s.maxQueuedBytes {
+			return
+		}
+		if c.evict(c.state(now)) {
+			s.countClosed(closedForQueue)
+			total -= queued[c]
+		}
+	}
+}
+
+// queuedBytes returns the number of bytes that wait in the system's buffers of a connection.
+func queuedBytes(c net.Conn) int {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	total := 0
+	// On an error the connection is closed, and nothing waits.
+	_ = raw.Control(func(fd uintptr) {
+		for _, request := range []uint{unix.TIOCINQ, unix.TIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				total += n
+			}
+		}
+	})
+	return total
+}
+
 func (s *callerServer) serve(l net.Listener) {
 	s.mutex.Lock()
 	s.listener = l
--- a/assembler/calllog.go
+++ b/assembler/calllog.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -16,12 +17,24 @@
 
 func newCallLogger(log *zap.Logger, m *metrics) *callLogger { return &callLogger{log: log, metrics: m} }
 
+// maxLoggedText bounds the texts of a caller in a log line: a head may hold 16 KB, and up to logQueueLines lines
+// wait to be written.
+const maxLoggedText = 256
+
+// logged returns a field with the text of a caller, cut after maxLoggedText bytes.
+func logged(name, text string) zap.Field {
+	if len(text) > maxLoggedText {
+		text = strings.ToValidUTF8(text[:maxLoggedText], "") + "..."
+	}
+	return zap.String(name, text)
+}
+
 // LogCall implements receiver.CallLog.
 func (l *callLogger) LogCall(r *receiver.CallRecord) {
 	status := strconv.Itoa(r.Status)
 	l.metrics.recordCall(r.Route, status, r.Reason, r.Duration, r.TimeToFirstEvent)
-	l.log.Info("call", zap.String("id", r.Call.ID), zap.String("program", r.Call.Program),
-		zap.String("previous", r.Call.Previous), zap.String("lastEvent", r.Call.LastEventID), zap.String("route", r.Route), zap.String("workspace", r.Workspace),
+	l.log.Info("call", logged("id", r.Call.ID), logged("program", r.Call.Program),
+		logged("previous", r.Call.Previous), logged("lastEvent", r.Call.LastEventID), zap.String("route", r.Route), zap.String("workspace", r.Workspace),
 		zap.Int64("configuration", r.ConfigurationVersion), zap.Duration("feedAge", r.FeedAge), zap.Int("status", r.Status), zap.String("reason", r.Reason),
 		zap.String("target", r.Target), zap.Int("attempts", r.Attempts), zap.Int("cached", r.CachedTokens),
 		zap.Duration("expected", r.ExpectedFirstEvent), zap.Int("inFlight", r.InFlight), zap.Int("chain", r.ChainTurns),
--- a/assembler/connection.go
+++ b/assembler/connection.go
@@ -91,9 +91,14 @@
 	if c.phase != readingHead || limits == nil || limits.HeaderBytes <= 0 {
 		return n, err
 	}
-	if c.headBytes += n; c.headBytes <= limits.HeaderBytes+readAheadBytes {
+	limit := limits.HeaderBytes + readAheadBytes
+	wasWithin := c.headBytes <= limit
+	if c.headBytes += n; c.headBytes <= limit {
 		return n, err
 	}
+	if !wasWithin {
+		return 0, io.EOF
+	}
 	c.server.countClosed(closedForHead)
 	// The caller may not read the response, or have left.
 	_ = c.SetWriteDeadline(time.Now().Add(headRejectionTimeout))
@@ -118,8 +123,10 @@
 func (c *callerConnection) state(now time.Time) connectionState {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	s := connectionState{phase: c.phase, served: !c.firstCall}
-	if c.phase != inCall && !c.waitingSince.IsZero() {
+	// The HTTP library has not begun to serve a connection that does not wait yet.
+	began := !c.waitingSince.IsZero()
+	s := connectionState{phase: c.phase, served: began && !c.firstCall}
+	if c.phase != inCall && began {
 		s.waited = now.Sub(c.waitingSince)
 	}
 	if !c.writingSince.IsZero() {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -168,6 +168,7 @@
 	}, dispatcher.New(dispatcher.DefaultOptions(), location, seed), receiverOptions)
 	d.callers = newCallerServer(d.receiver, log)
 	d.callers.maxConnections, d.callers.dropSlowestBody = limits.CallerConnections, d.receiver.DropSlowestBody
+	d.callers.maxQueuedBytes = limits.QueuedBytes
 	d.pauses = newPauseGuard(bootClock{}, func() []*feed { return []*feed{d.configurationFeed, d.targetFeed} }, log)
 	d.follower = &followerRunner{
 		state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: dependencies.Catalog,
@@ -197,15 +198,15 @@
 // Run serves until the context ends, then shuts down gracefully. It returns an error only if
 // a listener cannot be opened.
 func (d *Daemon) Run(ctx context.Context) error {
-	callListener, err := listen(d.settings.CallerAddress)
+	callListener, err := listen(d.settings.CallerAddress, callerBufferBytes)
 	if err != nil {
 		return err
 	}
-	readinessListener, err := listen(d.settings.ReadinessAddress)
+	readinessListener, err := listen(d.settings.ReadinessAddress, 0)
 	if err != nil {
 		return errors.Join(err, callListener.Close())
 	}
-	peerListener, err := listen(d.settings.PeerAddress)
+	peerListener, err := listen(d.settings.PeerAddress, 0)
 	if err != nil {
 		return errors.Join(err, callListener.Close(), readinessListener.Close())
 	}
@@ -311,7 +312,7 @@
 		d.log.Error("metrics not served", zap.Error(err))
 		return nil
 	}
-	l, err := listen(net.JoinHostPort(host, strconv.Itoa(d.settings.MetricsPort)))
+	l, err := listen(net.JoinHostPort(host, strconv.Itoa(d.settings.MetricsPort)), 0)
 	if err != nil {
 		d.log.Error("metrics not served", zap.Error(err))
 		return nil
@@ -357,6 +358,7 @@
 			return ok
 		})
 		d.callers.closeTimedOut(time.Now())
+		d.callers.limitQueued(time.Now())
 		d.receiver.CloseSlow(maintenanceInterval)
 		d.reportClosed()
 		for _, f := range []*feed{d.configurationFeed, d.targetFeed} {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -269,6 +269,58 @@
 	}
 }
 
+// TestConnectionsAreBounded guards against a process that runs out of descriptors because it keeps idle
+// connections to many targets, and against calls that fail although an idle connection could be closed.
+func TestConnectionsAreBounded(t *testing.T) {
+	first, second := startTarget(t, response("1", "a")), startTarget(t, response("1", "b"))
+	options := forwarder.DefaultOptions()
+	options.MaxConnections = 2
+	f := forwarder.New(dialect{}, options)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	open := func(id string, target *fakeTarget) (*forwarder.Exchange, error) {
+		return f.Send(ctx, forwarder.Request{
+			Method: http.MethodGet, URL: &url.URL{Path: "/x"}, URI: "/x", Host: "h", CallID: "1", MaxIdleConnections: 4,
+			Attempt: forwarder.Attempt{Target: id, Address: target.listener.Addr().String(), QueuePriority: -1},
+		})
+	}
+	for range 3 {
+		e, err := open("i-1", first)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// The connection becomes idle once its response is read.
+		if _, err := io.ReadAll(e); err != nil {
+			t.Fatal(err)
+		}
+		e.Close()
+		f.CloseIdle("i-1")
+		if e, err = open("i-1", first); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(e); err != nil {
+			t.Fatal(err)
+		}
+		e.Close()
+		var used []*forwarder.Exchange
+		for range 2 {
+			if e, err = open("i-2", second); err != nil {
+				t.Fatalf("no connection beside an idle one: %v", err)
+			}
+			used = append(used, e)
+		}
+		if _, err := open("i-1", first); forwarder.KindOf(err) != forwarder.KindNotSent {
+			t.Errorf("error %v while all connections are in use, want one of a call that was not sent", err)
+		}
+		for _, e := range used {
+			e.Close()
+		}
+		if n := f.OpenConnections(); n != 0 {
+			t.Errorf("%d connections are open, want none", n)
+		}
+	}
+}
+
 // TestCancelClosesTheConnection guards against targets that continue to work for callers
 // that have disconnected.
 func TestCancelClosesTheConnection(t *testing.T) {
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -81,7 +81,8 @@
 		MemoryBytes:         32 << 20,
 		SmallMemoryBytes:    10 << 20,
 		Pace: PaceLimits{
-			MaxBodyStall: 5 * time.Second, BodyGrace: 5 * time.Second, MinBodyRate: 2 << 10, MaxBodyTime: 30 * time.Second,
+			// The platform closes connections that are idle for 15 s.
+			MaxBodyStall: 15 * time.Second, BodyGrace: 15 * time.Second, MinBodyRate: 2 << 10, MaxBodyTime: time.Minute,
 			EvictableAfter: time.Second,
 		},
 		UnreadBodyTimeout:       300 * time.Millisecond,
