--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -20,8 +20,9 @@
 
 const (
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the connection
-	// is closed. It ends connections of callers that have disappeared.
-	tcpUserTimeout = 4 * time.Second
+	// is closed. It ends connections of callers that have disappeared. The system also counts the time for
+	// which a slow reader leaves no room for more: 4 s cut the streams of callers that read 90 KB/s.
+	tcpUserTimeout = 15 * time.Second
 	// maxHeaderBytes limits a request head before a configuration is known.
 	maxHeaderBytes = 64 << 10
 	// shutdownHeadTimeout is how long a shutdown waits for request heads that have been
@@ -207,7 +208,9 @@
 )
 
 // String returns the reason's name in logs and metrics.
-func (r closeReason) String() string { return [...]string{"head", "stalled", "idle", "body", "queue"}[r] }
+func (r closeReason) String() string {
+	return [...]string{"head", "stalled", "idle", "body", "queue"}[r]
+}
 
 func (s *callerServer) countClosed(r closeReason) { s.closedFor[r].Add(1) }
 
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -233,7 +233,7 @@
 	if err != nil {
 		return h.reject(http.StatusBadRequest, "bodyBroken", 0, err)
 	}
-	wait := h.receiver.waits.add(true, func() { _ = controller.SetReadDeadline(pastDeadline) })
+	wait := h.receiver.waits.add(true, &h.bodyMemory, &h.responseMemory, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	h.callerBody, err = h.readBody(pacedReader{http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), wait}, limit)
 	h.receiver.waits.remove(wait)
 	h.targetBody = h.callerBody
--- a/receiver/memory.go
+++ b/receiver/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -27,8 +28,28 @@
 	pool, small *memoryPool
 	held        int64
 	heldSmall   int64
-	// reclaim makes calls whose callers are too slow return their shares. It may be nil.
-	reclaim func()
+	// reclaim makes the call whose caller is the slowest of those with a share of the pool return it. It may be
+	// nil.
+	reclaim func(poolKind)
+	// kind is the pool in which the share is, for other goroutines.
+	kind atomic.Int32
+}
+
+// poolKind names the pool in which a share is.
+type poolKind int32
+
+const (
+	noPool poolKind = iota
+	smallPool
+	largePool
+)
+
+// kindOf returns the kind of one of the share's pools.
+func (m *memoryShare) kindOf(pool *memoryPool) poolKind {
+	if pool == m.small {
+		return smallPool
+	}
+	return largePool
 }
 
 // request returns the pool that holds the size and the number of bytes that the share lacks there. A size
@@ -46,6 +67,7 @@
 
 // add records memory of a pool. Memory of the large pool replaces that of the small one.
 func (m *memoryShare) add(pool *memoryPool, bytes int64) {
+	m.kind.Store(int32(m.kindOf(pool)))
 	if pool == m.small {
 		m.heldSmall += bytes
 		return
@@ -63,7 +85,7 @@
 	}
 	if !pool.semaphore.TryAcquire(missing) {
 		if m.reclaim != nil {
-			m.reclaim()
+			m.reclaim(m.kindOf(pool))
 		}
 		if err := pool.semaphore.Acquire(ctx, missing); err != nil {
 			return err
@@ -81,7 +103,7 @@
 	}
 	if !pool.semaphore.TryAcquire(missing) {
 		if m.reclaim != nil {
-			m.reclaim()
+			m.reclaim(m.kindOf(pool))
 		}
 		return false
 	}
@@ -106,6 +128,7 @@
 
 // release returns the share to the pools.
 func (m *memoryShare) release() {
+	m.kind.Store(int32(noPool))
 	m.releaseSmall()
 	m.shrink(0)
 }
--- a/receiver/pace.go
+++ b/receiver/pace.go
@@ -17,6 +17,8 @@
 	bytes        atomic.Int64
 	// reading is set while the body is read, and not set for a response.
 	reading bool
+	// bodyMemory and responseMemory are the shares that the call returns when it ends. They may be nil.
+	bodyMemory, responseMemory *memoryShare
 	// evicted is set once the call was ended because of its caller.
 	evicted atomic.Bool
 	// dropped is set if its connection is closed without a response.
@@ -102,8 +104,8 @@
 	return &callerWaits{limits: limits, waits: map[*callerWait]bool{}}
 }
 
-func (c *callerWaits) add(reading bool, abort func()) *callerWait {
-	w := &callerWait{began: time.Now(), reading: reading, abort: abort}
+func (c *callerWaits) add(reading bool, body, response *memoryShare, abort func()) *callerWait {
+	w := &callerWait{began: time.Now(), reading: reading, bodyMemory: body, responseMemory: response, abort: abort}
 	w.waitingSince.Store(notWaiting)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/receiver/pace_test.go
+++ b/receiver/pace_test.go
@@ -60,7 +60,7 @@
 	var ended []string
 	waits := newCallerWaits(DefaultOptions().Pace)
 	add := func(name string, reading bool, age time.Duration) *callerWait {
-		w := waits.add(reading, func() { ended = append(ended, name) })
+		w := waits.add(reading, nil, nil, func() { ended = append(ended, name) })
 		w.began = time.Now().Add(-age)
 		w.waitingSince.Store(0)
 		return w
@@ -93,17 +93,20 @@
 // call keeps after it took large memory.
 func TestSmallMemory(t *testing.T) {
 	pool, small := newMemoryPool(100<<10), newMemoryPool(40<<10)
-	reclaimed := 0
+	var reclaimed []poolKind
 	first := memoryShare{pool: pool, small: small}
-	second := memoryShare{pool: pool, small: small, reclaim: func() { reclaimed++ }}
+	second := memoryShare{pool: pool, small: small, reclaim: func(kind poolKind) { reclaimed = append(reclaimed, kind) }}
 	got := []bool{
 		first.grow(4 << 10), first.grow(smallBytes), second.grow(smallBytes), first.grow(64 << 10), second.grow(smallBytes),
 	}
 	if diff := cmp.Diff([]bool{true, true, false, true, true}, got); diff != "" {
 		t.Errorf("grow (-want +got):\n%s", diff)
 	}
-	if reclaimed != 1 {
-		t.Errorf("memory was reclaimed %d times, want once", reclaimed)
+	if diff := cmp.Diff([]poolKind{smallPool}, reclaimed); diff != "" {
+		t.Errorf("reclaimed pools (-want +got):\n%s", diff)
+	}
+	if kinds := []int32{first.kind.Load(), second.kind.Load()}; !cmp.Equal(kinds, []int32{int32(largePool), int32(smallPool)}) {
+		t.Errorf("the shares are in pools of the kinds %v", kinds)
 	}
 	first.shrink(40 << 10)
 	if !second.grow(60 << 10) {
@@ -118,3 +121,29 @@
 		t.Error("small memory is still taken after the release of all shares")
 	}
 }
+
+// Guards against memory for large bodies that stays taken because only calls that hold none of it are ended: with
+// many stalled small bodies, calls with larger ones were rejected until the large ones ended by themselves.
+func TestMemoryIsReclaimedFromItsPool(t *testing.T) {
+	r := New(Dependencies{}, nil, DefaultOptions())
+	var ended []string
+	add := func(name string, size int, reading bool, age time.Duration) {
+		share := &memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory}
+		if !share.grow(size) {
+			t.Fatalf("no memory for %s", name)
+		}
+		w := r.waits.add(reading, share, &memoryShare{}, func() { ended = append(ended, name) })
+		w.began = time.Now().Add(-age)
+		w.waitingSince.Store(0)
+	}
+	add("small", 1000, true, 9*time.Second)
+	add("large", 1<<20, true, 3*time.Second)
+	add("large whose response is not read", 1<<20, false, 4*time.Second)
+	r.reclaimBodyMemory(largePool)
+	r.reclaimBodyMemory(largePool)
+	r.reclaimBodyMemory(largePool)
+	r.reclaimBodyMemory(smallPool)
+	if diff := cmp.Diff([]string{"large whose response is not read", "large", "small"}, ended); diff != "" {
+		t.Errorf("ended (-want +got):\n%s", diff)
+	}
+}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -154,14 +154,14 @@
 	}, func(w *callerWait) { w.dropped.Store(true) })
 }
 
-// evictSlowestBody rejects the call whose caller sends its body the slowest.
-func (r *Receiver) evictSlowestBody() {
-	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return w.reading }, nil)
+// reclaimBodyMemory ends the call with the slowest caller of those whose bodies are in the pool.
+func (r *Receiver) reclaimBodyMemory(kind poolKind) {
+	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return poolKind(w.bodyMemory.kind.Load()) == kind }, nil)
 }
 
-// evictSlowestReader ends the call whose caller reads its response the slowest.
-func (r *Receiver) evictSlowestReader() {
-	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return !w.reading }, nil)
+// reclaimResponseMemory ends the call with the slowest caller of those whose responses are in the pool.
+func (r *Receiver) reclaimResponseMemory(kind poolKind) {
+	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return poolKind(w.responseMemory.kind.Load()) == kind }, nil)
 }
 
 // ServeHTTP implements http.Handler.
@@ -170,8 +170,8 @@
 	defer r.inFlight.Add(-1)
 	h := &callHandler{
 		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(),
-		bodyMemory:     memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory, reclaim: r.evictSlowestBody},
-		responseMemory: memoryShare{pool: r.responseMemory, small: r.smallResponseMemory, reclaim: r.evictSlowestReader},
+		bodyMemory:     memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory, reclaim: r.reclaimBodyMemory},
+		responseMemory: memoryShare{pool: r.responseMemory, small: r.smallResponseMemory, reclaim: r.reclaimResponseMemory},
 	}
 	// A caller that does not read its response must not hold its connection. Test doubles have no deadline.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.options.DefaultTimeout))
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -154,7 +154,7 @@
 		return
 	}
 	controller := http.NewResponseController(h.writer)
-	h.writeWait = h.receiver.waits.add(false, func() { _ = controller.SetWriteDeadline(pastDeadline) })
+	h.writeWait = h.receiver.waits.add(false, &h.bodyMemory, &h.responseMemory, func() { _ = controller.SetWriteDeadline(pastDeadline) })
 	h.writer = pacedWriter{h.writer, h.writeWait}
 }
 
