Reject calls whose bodies stop with 408, not with an empty 200

Cause: the HTTP library ends the context of a request when a read of its body fails, also at a deadline. The receiver took that for a caller that had left and wrote nothing, and the library then sent an empty response with status 200 for a call that had not run: to callers whose bodies were too slow, and to those that had closed their sending side.

Change: a body that does not arrive in time is rejected with 408; the connection of a caller that has left is closed without a response.

--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -230,7 +230,7 @@
 	kind := forwarder.KindOf(err)
 	switch {
 	case h.request.Context().Err() != nil:
-		h.record.Reason, h.record.Err = "callerLeft", err
+		h.record.Reason, h.record.Err = reasonCallerLeft, err
 		return stopAttempts, dispatcher.Cancelled
 	case kind == forwarder.KindGone:
 		return targetGone, dispatcher.Failed
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -35,6 +35,8 @@
 	responseMemory memoryShare
 	// bodyRead is true once the request body was read to its end.
 	bodyRead bool
+	// bodyTimedOut is true if the body did not arrive in time.
+	bodyTimedOut bool
 	// callerBody is the caller's request body, targetBody the one sent to the target.
 	callerBody []byte
 	targetBody []byte
@@ -60,6 +62,9 @@
 	record      CallRecord
 }
 
+// reasonCallerLeft is the reason of a call whose caller has closed its connection.
+const reasonCallerLeft = "callerLeft"
+
 // errRejected ends the handling of a call whose rejection has been written.
 var errRejected = errors.New("call rejected")
 
@@ -100,8 +105,9 @@
 // reject writes an error response of the scheduler's own and returns errRejected.
 func (h *callHandler) reject(status int, reason string, retryAfter time.Duration, err error) error {
 	h.record.Status, h.record.Reason, h.record.RetryAfter, h.record.Err = status, reason, retryAfter, err
-	if h.request.Context().Err() != nil {
-		h.record.Reason = "callerLeft"
+	// The HTTP library also ends the context when the deadline for reading the body has passed.
+	if h.request.Context().Err() != nil && !h.bodyTimedOut {
+		h.record.Reason = reasonCallerLeft
 		return errRejected
 	}
 	if !h.bodyRead && h.request.ContentLength != 0 {
@@ -258,6 +264,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		h.bodyTimedOut = true
 		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusRequestTimeout, "bodyTooSlow", 0, err)
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -186,4 +186,8 @@
 		}
 	}()
 	h.serve()
+	if h.record.Reason == reasonCallerLeft {
+		// The HTTP library would send an empty response with status 200 to a caller that still reads.
+		panic(http.ErrAbortHandler)
+	}
 }
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -56,7 +56,7 @@
 	a.lastErr = err
 	switch {
 	case h.request.Context().Err() != nil:
-		h.record.Reason, h.record.Err = "callerLeft", err
+		h.record.Reason, h.record.Err = reasonCallerLeft, err
 		return stopAttempts, dispatcher.Cancelled
 	case h.route.MayRepeat() && h.remaining() > 0:
 		return repeatCall, dispatcher.Failed
@@ -163,7 +163,7 @@
 	if h.writeWait != nil && h.writeWait.evicted.Load() {
 		return "readerTooSlow"
 	}
-	return "callerLeft"
+	return reasonCallerLeft
 }
 
 // claimsNotRun reports whether a status tells the caller that the call has not run.
