--- a/assembler/bounds.go
+++ b/assembler/bounds.go
@@ -15,8 +15,10 @@
 	// callMemoryFraction is the fraction of the memory limit that request bodies may use, and also
 	// that of responses. The rest is for the process itself and for memory that is not collected yet.
 	callMemoryFraction = 0.15
-	// smallCallMemoryFraction is the same for bodies, and for responses, of up to 32 KB.
-	smallCallMemoryFraction = 0.05
+	// smallBodyMemoryFraction and smallResponseMemoryFraction are the same for bodies and for responses of up to
+	// 32 KB. Bodies are kept until their calls end, while most responses pass through.
+	smallBodyMemoryFraction     = 0.1
+	smallResponseMemoryFraction = 0.05
 	// queueMemoryFraction is the fraction of the memory limit for bytes that wait in the system's buffers of
 	// callers' connections.
 	queueMemoryFraction = 0.1
@@ -29,9 +31,11 @@
 	// CallerConnections and TargetConnections bound the open connections; 0 means no bound.
 	CallerConnections int
 	TargetConnections int
-	// CallBytes and SmallCallBytes bound the memory of bodies, and that of responses.
-	CallBytes      int64
-	SmallCallBytes int64
+	// CallBytes bounds the memory of bodies, and that of responses, SmallBodyBytes and SmallResponseBytes that of
+	// those of up to 32 KB.
+	CallBytes          int64
+	SmallBodyBytes     int64
+	SmallResponseBytes int64
 	// QueuedBytes bounds the bytes in the system's buffers of callers' connections.
 	QueuedBytes int
 }
@@ -41,10 +45,11 @@
 // same number of descriptors.
 func hostBounds(memoryBytes int64, descriptors int) bounds {
 	b := bounds{
-		CallerConnections: max(minConnections, int(connectionMemoryFraction*float64(memoryBytes)/connectionBytes)),
-		CallBytes:         int64(callMemoryFraction * float64(memoryBytes)),
-		SmallCallBytes:    int64(smallCallMemoryFraction * float64(memoryBytes)),
-		QueuedBytes:       int(queueMemoryFraction * float64(memoryBytes)),
+		CallerConnections:  max(minConnections, int(connectionMemoryFraction*float64(memoryBytes)/connectionBytes)),
+		CallBytes:          int64(callMemoryFraction * float64(memoryBytes)),
+		SmallBodyBytes:     int64(smallBodyMemoryFraction * float64(memoryBytes)),
+		SmallResponseBytes: int64(smallResponseMemoryFraction * float64(memoryBytes)),
+		QueuedBytes:        int(queueMemoryFraction * float64(memoryBytes)),
 	}
 	if descriptors == 0 {
 		return b
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -146,7 +146,8 @@
 	d.forwarder = forwarder.New(dependencies.Dialect, forwarderOptions)
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
-	receiverOptions.MemoryBytes, receiverOptions.SmallMemoryBytes = limits.CallBytes, limits.SmallCallBytes
+	receiverOptions.MemoryBytes = limits.CallBytes
+	receiverOptions.SmallBodyBytes, receiverOptions.SmallResponseBytes = limits.SmallBodyBytes, limits.SmallResponseBytes
 	receiverOptions.MaxKeyAge = settings.RevocationBound
 	if settings.ConfigurationBound > 0 {
 		// A change arrives before the end of a feed request's wait, so that the age between two
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -364,8 +364,10 @@
 	}
 	h.chain = chain
 	h.record.ChainTurns = len(chain)
-	if !h.bodyMemory.grow(len(h.callerBody) + historian.JoinedSize(chain, h.callerBody)) {
-		return h.rejectForMemory(nil)
+	memoryCtx, cancelMemory := context.WithTimeout(h.request.Context(), min(options.MemoryWait, h.remaining()/3))
+	defer cancelMemory()
+	if err := h.bodyMemory.await(memoryCtx, len(h.callerBody)+historian.JoinedSize(chain, h.callerBody)); err != nil {
+		return h.rejectForMemory(err)
 	}
 	h.targetBody = historian.Join(chain, h.callerBody)
 	return nil
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -43,9 +43,10 @@
 	FirstEventTimeoutFactor float64
 	MinFirstEventTimeout    time.Duration
 	// MemoryBytes bounds the memory of all request bodies together, and that of all responses.
-	// SmallMemoryBytes bounds that of bodies of up to 32 KB, and that of such responses.
-	MemoryBytes      int64
-	SmallMemoryBytes int64
+	// SmallBodyBytes bounds that of bodies of up to 32 KB, and SmallResponseBytes that of such responses.
+	MemoryBytes        int64
+	SmallBodyBytes     int64
+	SmallResponseBytes int64
 	// Pace bounds how slowly callers may send bodies.
 	Pace PaceLimits
 	// UnreadBodyTimeout bounds the time for which the rest of the body of a rejected call is read.
@@ -79,7 +80,8 @@
 		ContendedRetryAfter: 250 * time.Millisecond,
 		StartRetryAfter:     400 * time.Millisecond,
 		MemoryBytes:         32 << 20,
-		SmallMemoryBytes:    10 << 20,
+		SmallBodyBytes:      20 << 20,
+		SmallResponseBytes:  10 << 20,
 		Pace: PaceLimits{
 			// The platform closes connections that are idle for 15 s.
 			MaxBodyStall: 15 * time.Second, BodyGrace: 15 * time.Second, MinBodyRate: 2 << 10, MaxBodyTime: time.Minute,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -119,7 +119,7 @@
 	return &Receiver{
 		deps: deps, options: options, dispatcher: state, callsEnded: callsEnded, endCalls: endCalls,
 		bodyMemory: newMemoryPool(options.MemoryBytes), responseMemory: newMemoryPool(options.MemoryBytes),
-		smallBodyMemory: newMemoryPool(options.SmallMemoryBytes), smallResponseMemory: newMemoryPool(options.SmallMemoryBytes),
+		smallBodyMemory: newMemoryPool(options.SmallBodyBytes), smallResponseMemory: newMemoryPool(options.SmallResponseBytes),
 		waits: newCallerWaits(options.Pace),
 	}
 }
