Reclaim as much memory as a call lacks

Cause: a call that found no memory ended one slow call, whose share may be smaller than what was missing, so that a body of 32 KB could be rejected again and again beside many stalled small ones.

Change: calls are ended, the slowest first, until their shares cover what is missing.

--- a/receiver/memory.go
+++ b/receiver/memory.go
@@ -28,11 +28,12 @@
 	pool, small *memoryPool
 	held        int64
 	heldSmall   int64
-	// reclaim makes the call whose caller is the slowest of those with a share of the pool return it. It may be
-	// nil.
-	reclaim func(poolKind)
-	// kind is the pool in which the share is, for other goroutines.
-	kind atomic.Int32
+	// reclaim makes the calls whose callers are the slowest of those with a share of the pool return at least the
+	// bytes. It may be nil.
+	reclaim func(kind poolKind, bytes int64)
+	// kind and taken are the pool in which the share is and its size there, for other goroutines.
+	kind  atomic.Int32
+	taken atomic.Int64
 }
 
 // poolKind names the pool in which a share is.
@@ -70,9 +71,11 @@
 	m.kind.Store(int32(m.kindOf(pool)))
 	if pool == m.small {
 		m.heldSmall += bytes
+		m.taken.Store(m.heldSmall)
 		return
 	}
 	m.held += bytes
+	m.taken.Store(m.held)
 	m.releaseSmall()
 }
 
@@ -85,7 +88,7 @@
 	}
 	if !pool.semaphore.TryAcquire(missing) {
 		if m.reclaim != nil {
-			m.reclaim(m.kindOf(pool))
+			m.reclaim(m.kindOf(pool), missing)
 		}
 		if err := pool.semaphore.Acquire(ctx, missing); err != nil {
 			return err
@@ -103,7 +106,7 @@
 	}
 	if !pool.semaphore.TryAcquire(missing) {
 		if m.reclaim != nil {
-			m.reclaim(m.kindOf(pool))
+			m.reclaim(m.kindOf(pool), missing)
 		}
 		return false
 	}
@@ -116,6 +119,7 @@
 	if excess := m.held - int64(size); excess > 0 {
 		m.pool.semaphore.Release(excess)
 		m.held -= excess
+		m.taken.Store(m.held)
 	}
 }
 
--- a/receiver/pace.go
+++ b/receiver/pace.go
@@ -128,8 +128,8 @@
 }
 
 // evictSlowest ends the call with the slowest caller of those that accept selects, after prepare, which may be
-// nil. It reports whether there was one.
-func (c *callerWaits) evictSlowest(now time.Time, accept func(w *callerWait) bool, prepare func(w *callerWait)) bool {
+// nil. It returns the call, or nil if there was none.
+func (c *callerWaits) evictSlowest(now time.Time, accept func(w *callerWait) bool, prepare func(w *callerWait)) *callerWait {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var slowest *callerWait
@@ -144,13 +144,13 @@
 		}
 	}
 	if slowest == nil {
-		return false
+		return nil
 	}
 	if prepare != nil {
 		prepare(slowest)
 	}
 	c.evict(slowest)
-	return true
+	return slowest
 }
 
 // closeSlow ends the calls whose bodies are too slow. It does nothing if its last call is more than twice the
--- a/receiver/pace_test.go
+++ b/receiver/pace_test.go
@@ -73,7 +73,10 @@
 	served := add("served", true, 30*time.Second)
 	served.waitingSince.Store(notWaiting)
 	now := time.Now()
-	got := []bool{waits.evictSlowest(now, isBody, nil), waits.evictSlowest(now, isBody, nil), waits.evictSlowest(now, isBody, nil)}
+	var got []bool
+	for range 3 {
+		got = append(got, waits.evictSlowest(now, isBody, nil) != nil)
+	}
 	if diff := cmp.Diff([]bool{true, true, false}, got); diff != "" {
 		t.Errorf("evictSlowest (-want +got):\n%s", diff)
 	}
@@ -95,7 +98,7 @@
 	pool, small := newMemoryPool(100<<10), newMemoryPool(40<<10)
 	var reclaimed []poolKind
 	first := memoryShare{pool: pool, small: small}
-	second := memoryShare{pool: pool, small: small, reclaim: func(kind poolKind) { reclaimed = append(reclaimed, kind) }}
+	second := memoryShare{pool: pool, small: small, reclaim: func(kind poolKind, _ int64) { reclaimed = append(reclaimed, kind) }}
 	got := []bool{
 		first.grow(4 << 10), first.grow(smallBytes), second.grow(smallBytes), first.grow(64 << 10), second.grow(smallBytes),
 	}
@@ -139,10 +142,10 @@
 	add("small", 1000, true, 9*time.Second)
 	add("large", 1<<20, true, 3*time.Second)
 	add("large whose response is not read", 1<<20, false, 4*time.Second)
-	r.reclaimBodyMemory(largePool)
-	r.reclaimBodyMemory(largePool)
-	r.reclaimBodyMemory(largePool)
-	r.reclaimBodyMemory(smallPool)
+	add("large that stalls for a shorter time", 1<<20, true, 2*time.Second)
+	// One large body is not enough, two are.
+	r.reclaimBodyMemory(largePool, 1<<20+1)
+	r.reclaimBodyMemory(smallPool, 1)
 	if diff := cmp.Diff([]string{"large whose response is not read", "large", "small"}, ended); diff != "" {
 		t.Errorf("ended (-want +got):\n%s", diff)
 	}
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -151,17 +151,27 @@
 func (r *Receiver) DropSlowestBody() bool {
 	return r.waits.evictSlowest(time.Now(), func(w *callerWait) bool {
 		return w.reading
-	}, func(w *callerWait) { w.dropped.Store(true) })
+	}, func(w *callerWait) { w.dropped.Store(true) }) != nil
 }
 
-// reclaimBodyMemory ends the call with the slowest caller of those whose bodies are in the pool.
-func (r *Receiver) reclaimBodyMemory(kind poolKind) {
-	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return poolKind(w.bodyMemory.kind.Load()) == kind }, nil)
+// reclaimMemory ends the calls with the slowest callers whose shares are in the pool, until they return the bytes.
+func (r *Receiver) reclaimMemory(share func(w *callerWait) *memoryShare, kind poolKind, bytes int64) {
+	isIn := func(w *callerWait) bool { return poolKind(share(w).kind.Load()) == kind }
+	for bytes > 0 {
+		w := r.waits.evictSlowest(time.Now(), isIn, nil)
+		if w == nil {
+			return
+		}
+		bytes -= max(1, share(w).taken.Load())
+	}
+}
+
+func (r *Receiver) reclaimBodyMemory(kind poolKind, bytes int64) {
+	r.reclaimMemory(func(w *callerWait) *memoryShare { return w.bodyMemory }, kind, bytes)
 }
 
-// reclaimResponseMemory ends the call with the slowest caller of those whose responses are in the pool.
-func (r *Receiver) reclaimResponseMemory(kind poolKind) {
-	r.waits.evictSlowest(time.Now(), func(w *callerWait) bool { return poolKind(w.responseMemory.kind.Load()) == kind }, nil)
+func (r *Receiver) reclaimResponseMemory(kind poolKind, bytes int64) {
+	r.reclaimMemory(func(w *callerWait) *memoryShare { return w.responseMemory }, kind, bytes)
 }
 
 // ServeHTTP implements http.Handler.
