--- a/assembler/callers.go
+++ b/assembler/callers.go
@@ -20,8 +20,9 @@
 
 const (
 	// tcpUserTimeout is how long sent data may stay unacknowledged before the connection
-	// is closed. It ends connections of callers that have disappeared.
-	tcpUserTimeout = 4 * time.Second
+	// is closed. It ends connections of callers that have disappeared. The system also counts the time for
+	// which a slow reader leaves no room for more: 4 s cut the streams of callers that read 90 KB/s.
+	tcpUserTimeout = 15 * time.Second
 	// maxHeaderBytes limits a request head before a configuration is known.
 	maxHeaderBytes = 64 << 10
 	// shutdownHeadTimeout is how long a shutdown waits for request heads that have been
@@ -35,11 +36,20 @@
 	// readHeaderTimeout limits the reading of a request head on a connection that has
 	// served a request. The configuration's HeaderTimeout applies to the first one.
 	readHeaderTimeout = 10 * time.Second
+	// readAheadBytes is what the HTTP library reads beyond a head at most, and some more.
+	readAheadBytes = 4<<10 + 512
+	// callerBufferBytes is the size of each of the two buffers of a caller's connection in the system, which
+	// doubles it for its own bookkeeping. It fills a link of 22 Mbit/s at a round-trip time of 20 ms.
+	callerBufferBytes = 64 << 10
+	// roomPollInterval is the interval at which a connection that exceeds the limit waits for another one to
+	// be closed.
+	roomPollInterval = 5 * time.Millisecond
 )
 
 // listen opens a TCP listener whose connections are closed when sent data is not
-// acknowledged within tcpUserTimeout.
-func listen(address string) (net.Listener, error) {
+// acknowledged within tcpUserTimeout. Their buffers in the system have the given size, 0 for the
+// system's own sizes, which grow to megabytes.
+func listen(address string, bufferBytes int) (net.Listener, error) {
 	config := net.ListenConfig{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 		Control: func(_, _ string, raw syscall.RawConn) error {
@@ -47,6 +57,12 @@
 			err := raw.Control(func(fd uintptr) {
 				failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
 					int(tcpUserTimeout.Milliseconds()))
+				if bufferBytes == 0 {
+					return
+				}
+				for _, option := range []int{unix.SO_RCVBUF, unix.SO_SNDBUF} {
+					failure = errors.Join(failure, unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, option, bufferBytes))
+				}
 			})
 			return errors.Join(err, failure)
 		},
@@ -71,6 +87,16 @@
 	mutex       sync.Mutex
 	listener    net.Listener
 	connections map[*callerConnection]bool
+	// maxConnections bounds the connections, 0 for no bound.
+	maxConnections int
+	// maxQueuedBytes bounds the bytes that wait in the system's buffers of all connections together, 0 for no
+	// bound.
+	maxQueuedBytes int
+	// dropSlowestBody ends the call whose caller sends its body the slowest, with its connection, and reports
+	// whether there was one. It may be nil.
+	dropSlowestBody func() bool
+	// closedFor counts the connections that were closed because of their callers, by reason.
+	closedFor [closeReasons]atomic.Int64
 }
 
 func newCallerServer(handler http.Handler, log *zap.Logger) *callerServer {
@@ -168,6 +194,159 @@
 	}
 }
 
+// closeReason says why the connection of a caller was closed.
+type closeReason int
+
+const (
+	// closedForHead means that a request head was far over the limit.
+	closedForHead closeReason = iota
+	// closedAsStalled and closedAsIdle connections made room for others.
+	closedAsStalled
+	closedAsIdle
+	// closedForBody means that the call with the slowest body made room for others.
+	closedForBody
+	// closedForQueue connections held bytes in the system that their callers do not read.
+	closedForQueue
+	closeReasons
+)
+
+// String returns the reason's name in logs and metrics.
+func (r closeReason) String() string {
+	return [...]string{"head", "stalled", "idle", "body", "queue"}[r]
+}
+
+func (s *callerServer) countClosed(r closeReason) { s.closedFor[r].Add(1) }
+
+// takeClosed returns how many connections were closed for each reason since the last call.
+func (s *callerServer) takeClosed() map[string]int64 {
+	closed := map[string]int64{}
+	for r := range closeReasons {
+		if n := s.closedFor[r].Swap(0); n > 0 {
+			closed[r.String()] = n
+		}
+	}
+	return closed
+}
+
+// connectionCount returns the number of open connections.
+func (s *callerServer) connectionCount() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.connections)
+}
+
+// awaitRoom waits until the connections are within their limit. It closes stalled ones first, then the longest
+// idle ones, and does not wait while the server stops.
+func (s *callerServer) awaitRoom() {
+	for s.maxConnections > 0 && s.connectionCount() > s.maxConnections && !s.stopping.Load() {
+		if !s.closeOne(time.Now()) {
+			time.Sleep(roomPollInterval)
+		}
+	}
+}
+
+// closeOne closes the connection that is the first in the order of eviction, or ends the call with the slowest
+// body if no connection has stalled. It reports whether a connection was closed.
+func (s *callerServer) closeOne(now time.Time) bool {
+	if s.closeRanked(now, stalled) {
+		s.countClosed(closedAsStalled)
+		return true
+	}
+	if s.dropSlowestBody != nil && s.dropSlowestBody() {
+		s.countClosed(closedForBody)
+		return false // its connection is closed in a moment
+	}
+	if s.closeRanked(now, idleBetweenCalls) {
+		s.countClosed(closedAsIdle)
+		return true
+	}
+	return false
+}
+
+// closeRanked closes the first connection of a rank for which no bytes have arrived that are not read yet, and
+// reports whether there was one.
+func (s *callerServer) closeRanked(now time.Time, wanted evictionRank) bool {
+	type candidate struct {
+		connection *callerConnection
+		state      connectionState
+	}
+	var candidates []candidate
+	s.mutex.Lock()
+	for c := range s.connections {
+		state := c.state(now)
+		if rank, _ := state.rank(); rank == wanted {
+			candidates = append(candidates, candidate{c, state})
+		}
+	}
+	s.mutex.Unlock()
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		switch {
+		case a.state.closedBefore(b.state):
+			return -1
+		case b.state.closedBefore(a.state):
+			return 1
+		}
+		return 0
+	})
+	for _, c := range candidates {
+		if c.connection.evict(c.state) {
+			return true
+		}
+	}
+	return false
+}
+
+// limitQueued closes stalled connections while the bytes that wait in the system's buffers exceed their bound.
+func (s *callerServer) limitQueued(now time.Time) {
+	if s.maxQueuedBytes <= 0 {
+		return
+	}
+	s.mutex.Lock()
+	connections := slices.Collect(maps.Keys(s.connections))
+	s.mutex.Unlock()
+	total := 0
+	queued := map[*callerConnection]int{}
+	for _, c := range connections {
+		bytes := queuedBytes(c.Conn)
+		total += bytes
+		if rank, _ := c.state(now).rank(); rank == stalled && bytes > 0 {
+			queued[c] = bytes
+		}
+	}
+	stalledConnections := slices.SortedFunc(maps.Keys(queued), func(a, b *callerConnection) int { return queued[b] - queued[a] })
+	for _, c := range stalledConnections {
+		if total <= s.maxQueuedBytes {
+			return
+		}
+		if c.evict(c.state(now)) {
+			s.countClosed(closedForQueue)
+			total -= queued[c]
+		}
+	}
+}
+
+// queuedBytes returns the number of bytes that wait in the system's buffers of a connection.
+func queuedBytes(c net.Conn) int {
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	total := 0
+	// On an error the connection is closed, and nothing waits.
+	_ = raw.Control(func(fd uintptr) {
+		for _, request := range []uint{unix.TIOCINQ, unix.TIOCOUTQ} {
+			if n, err := unix.IoctlGetInt(int(fd), request); err == nil {
+				total += n
+			}
+		}
+	})
+	return total
+}
+
 // setListener sets the listener whose connections serve will accept. From then on, a shutdown waits
 // for them, even if serve has not begun.
 func (s *callerServer) setListener(l net.Listener) {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -38,9 +38,6 @@
 	targetGracePeriod = 2200 * time.Millisecond
 	// turnCacheFraction is the fraction of the memory limit that texts of turns may use.
 	turnCacheFraction = 0.06
-	// callMemoryFraction is the fraction of the memory limit that request bodies may use, and also
-	// that of responses. The rest is for the process itself and for memory that is not collected yet.
-	callMemoryFraction = 0.15
 	// tokenReturnMargin is the part of the grace period that is reserved for returning
 	// unused tokens after the last responses.
 	tokenReturnMargin = 900 * time.Millisecond
@@ -170,10 +167,14 @@
 	}, limiter.Settings{
 		Own: entry, Incarnation: uuid.NewString(), Domains: max(1, len(settings.RegionByDomain)), Regions: countRegions(settings), Seed: seed,
 	})
-	d.forwarder = forwarder.New(dependencies.Dialect, forwarder.DefaultOptions())
+	limits := hostBounds(settings.MemoryLimitBytes, settings.MaxDescriptors)
+	forwarderOptions := forwarder.DefaultOptions()
+	forwarderOptions.MaxConnections = limits.TargetConnections
+	d.forwarder = forwarder.New(dependencies.Dialect, forwarderOptions)
 	location := dispatcher.Location{Domain: settings.FailureDomain, Region: settings.Region}
 	receiverOptions := receiver.DefaultOptions()
-	receiverOptions.MemoryBytes = int64(callMemoryFraction * float64(settings.MemoryLimitBytes))
+	receiverOptions.MemoryBytes = limits.CallBytes
+	receiverOptions.SmallBodyBytes, receiverOptions.SmallResponseBytes = limits.SmallBodyBytes, limits.SmallResponseBytes
 	receiverOptions.MaxKeyAge = settings.RevocationBound
 	if settings.ConfigurationBound > 0 {
 		// A change arrives before the end of a feed request's wait, so that the age between two
@@ -200,6 +201,8 @@
 		},
 	}, surveyor.DefaultOptions())
 	d.callers = newCallerServer(d.receiver, log)
+	d.callers.maxConnections, d.callers.dropSlowestBody = limits.CallerConnections, d.receiver.DropSlowestBody
+	d.callers.maxQueuedBytes = limits.QueuedBytes
 	d.pauses = newPauseGuard(bootClock{}, func() []*feed { return []*feed{d.configurationFeed, d.targetFeed} }, log)
 	d.follower = &followerRunner{
 		state: follower.New(follower.Options{GracePeriod: targetGracePeriod}), catalog: dependencies.Catalog,
@@ -235,15 +238,15 @@
 // Run serves until the context ends, then shuts down gracefully. It returns an error only if
 // a listener cannot be opened.
 func (d *Daemon) Run(ctx context.Context) error {
-	callListener, err := listen(d.settings.CallerAddress)
+	callListener, err := listen(d.settings.CallerAddress, callerBufferBytes)
 	if err != nil {
 		return err
 	}
-	readinessListener, err := listen(d.settings.ReadinessAddress)
+	readinessListener, err := listen(d.settings.ReadinessAddress, 0)
 	if err != nil {
 		return errors.Join(err, callListener.Close())
 	}
-	peerListener, err := listen(d.settings.PeerAddress)
+	peerListener, err := listen(d.settings.PeerAddress, 0)
 	if err != nil {
 		return errors.Join(err, callListener.Close(), readinessListener.Close())
 	}
@@ -371,7 +374,7 @@
 		d.log.Error("metrics not served", zap.Error(err))
 		return nil
 	}
-	l, err := listen(net.JoinHostPort(host, strconv.Itoa(d.settings.MetricsPort)))
+	l, err := listen(net.JoinHostPort(host, strconv.Itoa(d.settings.MetricsPort)), 0)
 	if err != nil {
 		d.log.Error("metrics not served", zap.Error(err))
 		return nil
@@ -384,6 +387,20 @@
 // InFlightCalls returns the number of calls that are being served.
 func (d *Daemon) InFlightCalls() int64 { return d.receiver.InFlightCalls() }
 
+// reportClosed counts the connections of callers that were closed to stay within the limits, and logs them in
+// one line.
+func (d *Daemon) reportClosed() {
+	closed := d.callers.takeClosed()
+	if len(closed) == 0 {
+		return
+	}
+	for reason, n := range closed {
+		d.metrics.countClosedConnections(reason, n)
+	}
+	d.log.Warn("closed connections of callers to stay within the limits", zap.Any("closed", closed),
+		zap.Int("open", d.callers.connectionCount()), zap.Int("limit", d.callers.maxConnections))
+}
+
 // runMaintenance closes idle connections and updates gauges at an interval.
 func (d *Daemon) runMaintenance(ctx context.Context) {
 	tick := time.NewTicker(maintenanceInterval)
@@ -403,6 +420,9 @@
 			return ok
 		})
 		d.callers.closeTimedOut(time.Now())
+		d.callers.limitQueued(time.Now())
+		d.receiver.CloseSlow(maintenanceInterval)
+		d.reportClosed()
 		for _, f := range []*feed{d.configurationFeed, d.targetFeed} {
 			d.metrics.setFeedAge(f.table, f.age(time.Now()))
 		}
@@ -410,6 +430,8 @@
 			d.metrics.setGauge("target_load_age_seconds", age.Seconds())
 		}
 		d.metrics.setGauge("connections_opened", float64(d.forwarder.ConnectionsOpened()))
+		d.metrics.setGauge("connections_to_targets", float64(d.forwarder.OpenConnections()))
+		d.metrics.setGauge("connections_of_callers", float64(d.callers.connectionCount()))
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setFractions(d.limiter.Fractions())
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
--- a/assembler/metrics.go
+++ b/assembler/metrics.go
@@ -123,4 +123,9 @@
 	m.setGauge("budget_owner_requests_unanswered", float64(s.Unanswered))
 }
 
+// countClosedConnections records connections of callers that were closed to stay within the limits.
+func (m *metrics) countClosedConnections(reason string, n int64) {
+	m.scope.Tagged(map[string]string{"reason": reason}).Counter("caller_connections_closed").Inc(n)
+}
+
 func (m *metrics) setGauge(name string, value float64) { m.scope.Gauge(name).Update(value) }
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -43,7 +43,17 @@
 	FirstEventTimeoutFactor float64
 	MinFirstEventTimeout    time.Duration
 	// MemoryBytes bounds the memory of all request bodies together, and that of all responses.
-	MemoryBytes int64
+	// SmallBodyBytes bounds that of bodies of up to 32 KB, and SmallResponseBytes that of such responses.
+	MemoryBytes        int64
+	SmallBodyBytes     int64
+	SmallResponseBytes int64
+	// Pace bounds how slowly callers may send bodies.
+	Pace PaceLimits
+	// UnreadBodyTimeout bounds the time for which the rest of the body of a rejected call is read.
+	UnreadBodyTimeout time.Duration
+	// ResponseMargin is the time after the deadline of a call in which its caller may read the rest of the
+	// response.
+	ResponseMargin time.Duration
 	// MemoryWait is how long a call may wait for memory before it is rejected.
 	MemoryWait time.Duration
 	// MemoryRetryAfter is the retry delay after such a rejection.
@@ -66,10 +76,19 @@
 		ChainTimeout: 900 * time.Millisecond, CommitTimeout: 2200 * time.Millisecond,
 		CommitMargin:    60 * time.Millisecond,
 		StoreRetryAfter: 300 * time.Millisecond, PeerRetryAfter: 60 * time.Millisecond,
-		TargetsRetryAfter:       75 * time.Millisecond,
-		ContendedRetryAfter:     250 * time.Millisecond,
-		StartRetryAfter:         400 * time.Millisecond,
-		MemoryBytes:             32 << 20,
+		TargetsRetryAfter:   75 * time.Millisecond,
+		ContendedRetryAfter: 250 * time.Millisecond,
+		StartRetryAfter:     400 * time.Millisecond,
+		MemoryBytes:         32 << 20,
+		SmallBodyBytes:      20 << 20,
+		SmallResponseBytes:  10 << 20,
+		Pace: PaceLimits{
+			// The platform closes connections that are idle for 15 s.
+			MaxBodyStall: 15 * time.Second, BodyGrace: 15 * time.Second, MinBodyRate: 2 << 10, MaxBodyTime: time.Minute,
+			EvictableAfter: time.Second,
+		},
+		UnreadBodyTimeout:       300 * time.Millisecond,
+		ResponseMargin:          time.Second,
 		MemoryWait:              400 * time.Millisecond,
 		MemoryRetryAfter:        400 * time.Millisecond,
 		FirstEventTimeoutFactor: 6, MinFirstEventTimeout: 700 * time.Millisecond,
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -119,6 +119,11 @@
 	// bodyMemory is the memory of request bodies, responseMemory that of responses.
 	bodyMemory     *memoryPool
 	responseMemory *memoryPool
+	// smallBodyMemory and smallResponseMemory hold those of up to smallBytes.
+	smallBodyMemory     *memoryPool
+	smallResponseMemory *memoryPool
+	// waits holds the calls that wait for their callers.
+	waits *callerWaits
 }
 
 // New returns a Receiver without a configuration.
@@ -127,6 +132,8 @@
 	return &Receiver{
 		deps: deps, options: options, dispatcher: state, callsEnded: callsEnded, endCalls: endCalls,
 		bodyMemory: newMemoryPool(options.MemoryBytes), responseMemory: newMemoryPool(options.MemoryBytes),
+		smallBodyMemory: newMemoryPool(options.SmallBodyBytes), smallResponseMemory: newMemoryPool(options.SmallResponseBytes),
+		waits: newCallerWaits(options.Pace),
 	}
 }
 
@@ -156,18 +163,61 @@
 	r.deps.TargetLeaving(t.ID, t.StartedAt)
 }
 
+// CloseSlow ends the calls whose bodies arrive too slowly. It is called at an interval.
+func (r *Receiver) CloseSlow(interval time.Duration) { r.waits.closeSlow(time.Now(), interval) }
+
+// DropSlowestBody ends the call whose caller sends its body the slowest, and closes its connection without a
+// response. It reports whether there was one that may be ended.
+func (r *Receiver) DropSlowestBody() bool {
+	return r.waits.evictSlowest(time.Now(), func(w *callerWait) bool {
+		return w.reading
+	}, func(w *callerWait) { w.dropped.Store(true) }) != nil
+}
+
+// reclaimMemory ends the calls with the slowest callers whose shares are in the pool, until they return the bytes.
+func (r *Receiver) reclaimMemory(share func(w *callerWait) *memoryShare, kind poolKind, bytes int64) {
+	isIn := func(w *callerWait) bool { return poolKind(share(w).kind.Load()) == kind }
+	for bytes > 0 {
+		w := r.waits.evictSlowest(time.Now(), isIn, nil)
+		if w == nil {
+			return
+		}
+		bytes -= max(1, share(w).taken.Load())
+	}
+}
+
+func (r *Receiver) reclaimBodyMemory(kind poolKind, bytes int64) {
+	r.reclaimMemory(func(w *callerWait) *memoryShare { return w.bodyMemory }, kind, bytes)
+}
+
+func (r *Receiver) reclaimResponseMemory(kind poolKind, bytes int64) {
+	r.reclaimMemory(func(w *callerWait) *memoryShare { return w.responseMemory }, kind, bytes)
+}
+
 // ServeHTTP implements http.Handler.
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	h := &callHandler{
 		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(),
-		bodyMemory: memoryShare{pool: r.bodyMemory}, responseMemory: memoryShare{pool: r.responseMemory},
+		bodyMemory:     memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory, reclaim: r.reclaimBodyMemory},
+		responseMemory: memoryShare{pool: r.responseMemory, small: r.smallResponseMemory, reclaim: r.reclaimResponseMemory},
 	}
+	// A caller that does not read its response must not hold its connection. Test doubles have no deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.options.DefaultTimeout))
 	h.call = r.deps.Dialect.ParseCall(request)
 	h.record.Call = &h.call
 	defer h.logCall()
 	defer h.bodyMemory.release()
 	defer h.responseMemory.release()
+	defer func() {
+		if h.writeWait != nil {
+			r.waits.remove(h.writeWait)
+		}
+	}()
 	h.serve()
+	if h.record.Reason == reasonCallerLeft {
+		// The HTTP library would send an empty response with status 200 to a caller that still reads.
+		panic(http.ErrAbortHandler)
+	}
 }
