Own second budget rows and reserve for programs from the start

Change: daemons take part in the ownership once the configuration has engines. Until enough programs have ended, a program is expected to make as many further calls as it has made.

Result: TestReservedBeforeProgramsEnd fails before.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -210,6 +210,10 @@
 		applyConfiguration: func(c *follower.Configuration) {
 			d.receiver.SetConfiguration(c)
 			d.callers.setLimits(c.Limits)
+			if c.HasEngines() {
+				// A program that is the first to need the second half of its budget would wait for an owner.
+				d.owners.Activate()
+			}
 			d.limiter.SetQuotas(quotas(c))
 		},
 		dispatch:       func(m dispatcher.Message) { d.receiver.UpdateDispatcher(m) },
--- a/follower/configuration.go
+++ b/follower/configuration.go
@@ -156,6 +156,16 @@
 	return all
 }
 
+// HasEngines reports whether a service has model engines, whose turns have budgets.
+func (c *Configuration) HasEngines() bool {
+	for _, s := range c.Services {
+		if s.Engine != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // Match returns the route with the longest prefix of the path, or nil if there is none. The
 // host may include a port.
 func (c *Configuration) Match(host, path string) *Route {
--- a/limiter/programs.go
+++ b/limiter/programs.go
@@ -102,8 +102,12 @@
 }
 
 // remaining returns the expected number of further calls of a program that has made some: the mean over
-// the earlier programs that made more.
+// the earlier programs that made more. Until enough programs have ended, as many are expected as were made: a
+// daemon that has just started would reserve nothing otherwise.
 func (p *programs) remaining(calls int) float64 {
+	if len(p.lengths) < minLengths {
+		return float64(calls)
+	}
 	sum, longer := 0, 0
 	for _, length := range p.lengths {
 		if length > calls {
@@ -127,7 +131,7 @@
 // reserved returns the number of calls that the programs in progress are expected to make within
 // reservedTime.
 func (p *programs) reserved(now time.Time) float64 {
-	if len(p.lengths) < minLengths || p.interval <= 0 {
+	if p.interval <= 0 {
 		return 0
 	}
 	perProgram := float64(reservedTime) / float64(p.interval)
--- a/limiter/programs_test.go
+++ b/limiter/programs_test.go
@@ -84,3 +84,19 @@
 		})
 	}
 }
+
+// Guards against a daemon that reserves nothing until programs have ended: after a start, or for a workspace
+// that begins to exceed its quota, most rejections met programs in their middle.
+func TestReservedBeforeProgramsEnd(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var p programs
+	for call := range 4 {
+		for i := range 10 {
+			p.record(now.Add(time.Duration(call)*250*time.Millisecond), fmt.Sprint("p-", i))
+		}
+	}
+	// Four calls a second are expected of each.
+	if got := p.reserved(now.Add(750 * time.Millisecond)); got < 35 || got > 45 {
+		t.Errorf("%v calls reserved for ten programs in progress, want 40", got)
+	}
+}
