--- a/allocator/order.go
+++ b/allocator/order.go
@@ -1,11 +1,8 @@
 package allocator
 
 import (
-	"cmp"
-	"hash/fnv"
-	"slices"
-
 	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/ranker"
 )
 
 // maxClaimants is the number of daemons that watch a partition. They are in different failure domains as
@@ -18,24 +15,15 @@
 	Domain string
 }
 
+// Name implements ranker.Ranked.
+func (m Member) Name() string { return m.Host }
+
+// Weight implements ranker.Ranked. A partition takes little work, so that all daemons count alike.
+func (Member) Weight() float64 { return 1 }
+
 // rendezvousOrder returns the members in the order in which they are to own a partition.
 func rendezvousOrder(partition string, members []Member) []Member {
-	scores := make(map[string]uint64, len(members))
-	for _, m := range members {
-		h := fnv.New64a()
-		_, _ = h.Write([]byte(partition + "\x00" + m.Host))
-		scores[m.Host] = mix(h.Sum64())
-	}
-	return slices.SortedFunc(slices.Values(members), func(a, b Member) int {
-		return cmp.Or(cmp.Compare(scores[b.Host], scores[a.Host]), cmp.Compare(a.Host, b.Host))
-	})
-}
-
-// mix spreads the bits of a hash, since names that differ in their last character only have similar ones.
-func mix(x uint64) uint64 {
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return ranker.Order(partition, members)
 }
 
 // claimants returns the members that may claim a partition, in their order.
--- a/borrower/holders.go
+++ b/borrower/holders.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/messenger"
+	"github.com/dogwoodweir/dogwoodweir/ranker"
 )
 
 const (
@@ -97,24 +97,22 @@
 
 // indexKeeper returns the daemon that keeps the index of a program, which may be this one.
 func (b *Borrower) indexKeeper(now time.Time, program string, peers []messenger.Peer) messenger.Peer {
-	keeper := messenger.Peer{Host: b.host}
-	highest := hashOf(program, b.host)
+	candidates := []indexCandidate{{messenger.Peer{Host: b.host}}}
 	for _, p := range peers {
-		if score := hashOf(program, p.Host); score > highest && !b.holders.isSilent(now, p.Host) {
-			keeper, highest = p, score
+		if p.Host != b.host && !b.holders.isSilent(now, p.Host) {
+			candidates = append(candidates, indexCandidate{p})
 		}
 	}
-	return keeper
+	// There is a candidate with a weight, this daemon.
+	keeper, _ := ranker.First(program, candidates)
+	return keeper.Peer
 }
 
-func hashOf(program, host string) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(program))
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write([]byte(host))
-	x := h.Sum64()
-	// The last bytes of the input hardly change the high bits of the hash.
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	return x ^ x>>33
-}
+// indexCandidate is a daemon that may keep the index of a program.
+type indexCandidate struct{ messenger.Peer }
+
+// Name implements ranker.Ranked.
+func (c indexCandidate) Name() string { return c.Host }
+
+// Weight implements ranker.Ranked. An index takes little work, so that all daemons count alike.
+func (indexCandidate) Weight() float64 { return 1 }
