--- a/borrower/holders.go
+++ b/borrower/holders.go
@@ -77,26 +77,26 @@
 		return nil
 	}
 	now := time.Now()
-	keeper := b.indexKeeper(now, program, peers)
+	chosen := b.indexDaemon(now, program, peers)
 	var hosts []string
-	if keeper.Host == b.host {
+	if chosen.Host == b.host {
 		hosts = b.holders.register(program, b.host)
 	} else {
 		replied := false
-		queryPeers(ctx, b, []messenger.Peer{keeper}, messenger.MethodFindHolders, encoder.HolderQuestion{Program: program, Host: b.host},
+		queryPeers(ctx, b, []messenger.Peer{chosen}, messenger.MethodFindHolders, encoder.HolderQuestion{Program: program, Host: b.host},
 			func(_ string, reply *encoder.HolderAnswer) bool {
 				hosts, replied = reply.Hosts, true
 				return true
 			}, func(*encoder.HolderAnswer) {})
 		if !replied && ctx.Err() == nil {
-			b.holders.recordSilent(now, keeper.Host)
+			b.holders.recordSilent(now, chosen.Host)
 		}
 	}
 	return slices.DeleteFunc(slices.Clone(peers), func(p messenger.Peer) bool { return !slices.Contains(hosts, p.Host) })
 }
 
-// indexKeeper returns the daemon that keeps the index of a program, which may be this one.
-func (b *Borrower) indexKeeper(now time.Time, program string, peers []messenger.Peer) messenger.Peer {
+// indexDaemon returns the daemon that keeps the index of a program, which may be this one.
+func (b *Borrower) indexDaemon(now time.Time, program string, peers []messenger.Peer) messenger.Peer {
 	candidates := []indexCandidate{{messenger.Peer{Host: b.host}}}
 	for _, p := range peers {
 		if p.Host != b.host && !b.holders.isSilent(now, p.Host) {
@@ -104,8 +104,8 @@
 		}
 	}
 	// There is a candidate with a weight, this daemon.
-	keeper, _ := ranker.First(program, candidates)
-	return keeper.Peer
+	chosen, _ := ranker.First(program, candidates)
+	return chosen.Peer
 }
 
 // indexCandidate is a daemon that may keep the index of a program.
--- a/borrower/holders_test.go
+++ b/borrower/holders_test.go
@@ -42,7 +42,7 @@
 
 // Guards against daemons that look for a program's holders at different places, and against one daemon
 // that keeps the index of most programs.
-func TestIndexKeeper(t *testing.T) {
+func TestIndexDaemon(t *testing.T) {
 	const daemons, programs = 20, 4000
 	all := make([]messenger.Peer, daemons)
 	for i := range all {
@@ -56,11 +56,11 @@
 	kept := map[string]int{}
 	for i := range programs {
 		program := fmt.Sprintf("program-%04x", i*7919)
-		keeper := borrowers[0].indexKeeper(now, program, all)
-		kept[keeper.Host]++
+		chosen := borrowers[0].indexDaemon(now, program, all)
+		kept[chosen.Host]++
 		for _, b := range borrowers[1:] {
-			if got := b.indexKeeper(now, program, all); got.Host != keeper.Host {
-				t.Fatalf("program %s: index at %s and %s", program, keeper.Host, got.Host)
+			if got := b.indexDaemon(now, program, all); got.Host != chosen.Host {
+				t.Fatalf("program %s: index at %s and %s", program, chosen.Host, got.Host)
 			}
 		}
 	}
@@ -69,12 +69,12 @@
 			t.Errorf("%s keeps the index of %d of %d programs", host, n, programs)
 		}
 	}
-	silent := borrowers[0].indexKeeper(now, "p", all[1:])
+	silent := borrowers[0].indexDaemon(now, "p", all[1:])
 	borrowers[0].holders.recordSilent(now, silent.Host)
-	if got := borrowers[0].indexKeeper(now, "p", all[1:]); got.Host == silent.Host {
+	if got := borrowers[0].indexDaemon(now, "p", all[1:]); got.Host == silent.Host {
 		t.Errorf("%s is asked again although it did not reply", got.Host)
 	}
-	if got := borrowers[0].indexKeeper(now.Add(indexRetryDelay), "p", all[1:]); got.Host != silent.Host {
+	if got := borrowers[0].indexDaemon(now.Add(indexRetryDelay), "p", all[1:]); got.Host != silent.Host {
 		t.Errorf("%s is not asked again later", silent.Host)
 	}
 }
--- a/limiter/holder_test.go
+++ b/limiter/holder_test.go
@@ -9,7 +9,7 @@
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
-// bench drives one holder by hand.
+// bench drives one holder with messages and a clock of its own.
 type bench struct {
 	t       *testing.T
 	now     time.Time
