Let owners write second budget rows only where it is switched on

Change: -own-second-rows of dogwoodweir-entry, off by default. Without it, second rows are written as before. Result: recorder and the platform tests of budgets pass.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -158,7 +158,11 @@
 		Domain:   settings.FailureDomain, Others: d.ownerCandidates, Listed: d.registrar.Listed(),
 		RowTable: recorder.ProgramTable, Partitions: recorder.ProgramPartitions(), IsSecondRow: recorder.IsSecondRow,
 	}, allocator.DefaultOptions(), log)
-	d.recorder = recorder.New(d.store, d.owners, d.borrower, recorder.Options{
+	var secondRows recorder.SecondRows
+	if settings.OwnSecondRows {
+		secondRows = d.owners
+	}
+	d.recorder = recorder.New(d.store, secondRows, d.borrower, recorder.Options{
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
 	}, log)
@@ -210,7 +214,7 @@
 		applyConfiguration: func(c *follower.Configuration) {
 			d.receiver.SetConfiguration(c)
 			d.callers.setLimits(c.Limits)
-			if c.HasEngines() {
+			if settings.OwnSecondRows && c.HasEngines() {
 				// A program that is the first to need the second half of its budget would wait for an owner.
 				d.owners.Activate()
 			}
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -33,6 +33,9 @@
 	// RevocationBound is the time without a confirmed configuration after which no key is accepted, 0
 	// for no bound.
 	RevocationBound time.Duration
+	// OwnSecondRows lets owners grant the second half of a budget while the store is unavailable. All
+	// daemons must use the same value.
+	OwnSecondRows bool
 	// ShutdownDelay is how long a stopping daemon still accepts new connections.
 	ShutdownDelay time.Duration
 	Store         StoreSettings
--- a/cmd/dogwoodweir-entry/main.go
+++ b/cmd/dogwoodweir-entry/main.go
@@ -49,14 +49,15 @@
 	path := flag.String("settings", platform.SettingsPath(), "settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
 	metrics := flag.Int("metrics", 0, "port of the metrics, 0 for none")
+	ownSecondRows := flag.Bool("own-second-rows", false, "grant second halves of budgets through owners, also while the store is unavailable; the same on all hosts")
 	flag.Parse()
-	if err := run(*path, *metrics, *check); err != nil {
+	if err := run(*path, *metrics, *check, *ownSecondRows); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodweir-entry:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, metrics int, check bool) error {
+func run(path string, metrics int, check, ownSecondRows bool) error {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -65,7 +66,7 @@
 		fmt.Printf("%s: settings of host %s are valid\n", path, settings.Host)
 		return nil
 	}
-	settings.MetricsPort = metrics
+	settings.MetricsPort, settings.OwnSecondRows = metrics, ownSecondRows
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.MemoryLimitBytes)))
 	log, flush := assembler.NewLogger(os.Stdout)
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -56,11 +56,13 @@
 // IsSecondRow reports whether a key of ProgramTable may be that of a second row. The keys of long names are
 // hashes, which do not show it.
 func IsSecondRow(key string) bool {
-	return isSecond(key) || len(key) == hashedKeyBytes
+	return strings.HasSuffix(key, secondRowSuffix) || len(key) == hashedKeyBytes
 }
 
-// isSecond reports whether a budget row is a second one.
-func isSecond(name string) bool { return strings.HasSuffix(name, secondRowSuffix) }
+// isOwned reports whether a budget row is a second one that only its owner writes.
+func (r *Recorder) isOwned(name string) bool {
+	return r.secondRows != nil && strings.HasSuffix(name, secondRowSuffix)
+}
 
 // budgetRow is one of the rows that hold a program's budget.
 type budgetRow struct {
@@ -123,7 +125,7 @@
 	rows := splitBudget(request.Program, request.Budget)
 	// Only one row grants tokens beyond its share, so that all daemons together keep to the bound.
 	overdraftRow := rows[0]
-	if len(rows) == 2 {
+	if len(rows) == 2 && r.secondRows != nil {
 		r.secondRows.Activate()
 	}
 	if len(rows) == 2 && !r.partitionUp(programKey(rows[0].name).Partition) {
@@ -278,7 +280,7 @@
 // written: tokens are borrowed from peers, and turns without tokens are rejected.
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
 	key := programKey(c.Program)
-	if isSecond(c.Program) {
+	if r.isOwned(c.Program) {
 		r.secondWrites++
 		r.spawn(ctx, func() {
 			row, kind := r.secondRows.Write(ctx, key, c.Version, c.Value)
@@ -306,7 +308,7 @@
 func (r *Recorder) readBudget(ctx context.Context, c accountant.Read) {
 	key := programKey(c.Program)
 	unavailable := accountant.ReadCompleted{Program: c.Program, Kind: provider.KindUnavailable}
-	if isSecond(c.Program) {
+	if r.isOwned(c.Program) {
 		r.spawn(ctx, func() {
 			row, kind := r.secondRows.Read(ctx, key)
 			if kind == provider.KindNone {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -137,7 +137,7 @@
 	secondWrites int
 }
 
-// New returns a Recorder. Run must be running while turns and tokens are written or requested.
+// New returns a Recorder. Without secondRows, it writes the second rows of budgets itself, like the first. Run must be running while turns and tokens are written or requested.
 func New(store provider.RowStore, secondRows SecondRows, peers Peers, options Options, log *zap.Logger) *Recorder {
 	r := &Recorder{
 		store: store, secondRows: secondRows, peers: peers, options: options, log: log, inbox: make(chan message, inboxSize),
