Exchange the load of targets only where it is switched on

Change: -share-load of dogwoodweir-entry, off by default. Without it, calls are placed by the daemon's own knowledge, as before. Result: TestDaemonsReportTheirCalls and the tests of budgets and keys pass.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -276,7 +276,7 @@
 		{"registrar", d.registrar.Run, nil},
 		{"owners", d.owners.Run, nil},
 		{"limiter", d.limiter.Run, nil},
-		{"surveyor", d.surveyor.Run, nil},
+		{"surveyor", d.shareLoad, nil},
 	} {
 		tasks.Go(func() { d.supervisor.run(background, task.name, task.run, task.rebuild) })
 	}
@@ -306,6 +306,13 @@
 	return nil
 }
 
+// shareLoad exchanges the calls at engines with the daemons of the failure domain, if that is switched on.
+func (d *Daemon) shareLoad(ctx context.Context) {
+	if d.settings.ShareLoad {
+		d.surveyor.Run(ctx)
+	}
+}
+
 // runFeeds follows the tables. It begins when the other daemons are known, from whose copies a daemon
 // of a large region reads the tables.
 func (d *Daemon) runFeeds(ctx context.Context) {
--- a/assembler/settings.go
+++ b/assembler/settings.go
@@ -33,6 +33,9 @@
 	// RevocationBound is the time without a confirmed configuration after which no key is accepted, 0
 	// for no bound.
 	RevocationBound time.Duration
+	// ShareLoad makes the daemon place calls by the load that the daemons of its failure domain report to
+	// each other. All of them should use the same value.
+	ShareLoad bool
 	// OwnSecondRows lets owners grant the second half of a budget while the store is unavailable. All
 	// daemons must use the same value.
 	OwnSecondRows bool
--- a/cmd/dogwoodweir-entry/main.go
+++ b/cmd/dogwoodweir-entry/main.go
@@ -49,15 +49,20 @@
 	path := flag.String("settings", platform.SettingsPath(), "settings file")
 	check := flag.Bool("check", false, "check the settings and exit")
 	metrics := flag.Int("metrics", 0, "port of the metrics, 0 for none")
+	shareLoad := flag.Bool("share-load", false, "place calls by the load that the daemons of a failure domain report to each other; the same on all hosts")
 	ownSecondRows := flag.Bool("own-second-rows", false, "grant second halves of budgets through owners, also while the store is unavailable; the same on all hosts")
 	flag.Parse()
-	if err := run(*path, *metrics, *check, *ownSecondRows); err != nil {
+	setFlags := func(s *assembler.Settings) {
+		s.MetricsPort, s.ShareLoad, s.OwnSecondRows = *metrics, *shareLoad, *ownSecondRows
+	}
+	if err := run(*path, *check, setFlags); err != nil {
 		fmt.Fprintln(os.Stderr, "dogwoodweir-entry:", err)
 		os.Exit(1)
 	}
 }
 
-func run(path string, metrics int, check, ownSecondRows bool) error {
+// run runs a daemon with the settings of a file and those that the flags set.
+func run(path string, check bool, setFlags func(*assembler.Settings)) error {
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
@@ -66,7 +71,7 @@
 		fmt.Printf("%s: settings of host %s are valid\n", path, settings.Host)
 		return nil
 	}
-	settings.MetricsPort, settings.OwnSecondRows = metrics, ownSecondRows
+	setFlags(&settings)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.MemoryLimitBytes)))
 	log, flush := assembler.NewLogger(os.Stdout)
