--- a/review/standins-2/cases2.go
+++ b/review/standins-2/cases2.go
@@ -17,7 +17,7 @@
 func playMemory(c *cluster, trouble bool) (bool, string) {
 	c.watchMemory = true
 	c.begin(3, 112)
-	const programs = 48
+	const programs = 60
 	size := 17_000
 	if trouble {
 		size = 4_000_000
@@ -43,7 +43,7 @@
 	}
 	group.Wait()
 	c.record.line("%d programs have begun; peaks %s", len(began), c.peaks())
-	for round := range 6 {
+	for round := range 10 {
 		served := 0
 		for _, id := range began {
 			group.Go(func() {
