--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")"
 root=$(cd ../.. && pwd)
 [ -x "$root/target/review-2" ] && [ -x "$root/target/dogwoodweir-entry" ] || { echo "build the deploy file and run review/build-2.sh first" >&2; exit 2; }
-exec "$root/target/review-2" prefix "$root" "$PWD"
+exec "$root/target/review-2" chain "$root" "$PWD"
