--- a/review/standins-2/cases.go
+++ b/review/standins-2/cases.go
@@ -291,7 +291,7 @@
 		}
 	}
 	faultAt := time.Now()
-	const recover = 12 * time.Second
+	const recoverTime = 12 * time.Second
 	type outcome struct {
 		reached bool
 		tries   int
@@ -302,7 +302,7 @@
 		group.Go(func() {
 			time.Sleep(2*time.Second + time.Duration(i)*30*time.Millisecond)
 			var last *daemon
-			for n := 0; time.Since(faultAt) < recover+3*time.Second; n++ {
+			for n := 0; time.Since(faultAt) < recoverTime+3*time.Second; n++ {
 				t := &turn{program: lines[i].program, session: lines[i].last, previous: lines[i].last, input: prose(900), maxTokens: 96, finishAt: time.Now().Add(10 * time.Second),
 					prefix: segment(4000) + "," + segment(300), target: "/lohu930/4b", deadline: 3 * time.Second, newID: newID}
 				last = c.pick(last)
@@ -319,12 +319,12 @@
 	}
 	// Other turns of the last 4 s: first turns of new programs.
 	others, othersServed, busy := 0, 0, 0.0
-	for time.Since(faultAt) < recover+3*time.Second {
+	for time.Since(faultAt) < recoverTime+3*time.Second {
 		busy = max(busy, c.fleet.busy("huvo11a"))
 		t := &turn{program: newID(), session: "s", input: prose(900), maxTokens: 96, finishAt: time.Now().Add(10 * time.Second),
 			prefix: segment(4000) + "," + segment(300), target: "/lohu930/4b", deadline: 3 * time.Second, newID: newID}
 		one := c.tryTurn(t, c.pick(nil))
-		if time.Since(faultAt) > recover-4*time.Second {
+		if time.Since(faultAt) > recoverTime-4*time.Second {
 			others++
 			if one.answer.ok() {
 				othersServed++
@@ -343,5 +343,5 @@
 	}
 	conditions := others > 0 && 5*othersServed >= 4*others
 	return lost > 0 && conditions, fmt.Sprintf("%d lines of turns (%d turns failed before), %d of them reach no runner by %v after the fault (%s); %d of %d other turns served in the last 4 s; runners at most %.0f%% full",
-		len(lines), failed, lost, recover, why, othersServed, others, 100*busy)
+		len(lines), failed, lost, recoverTime, why, othersServed, others, 100*busy)
 }
