Read the rows of a turn by their keys, not by a common prefix

Cause: the rows ID, ID/001, ID/002 were read as one range, in which "ID-1" sorts between the first two. The decoder stopped there and inflated the first row alone.

The same cause elsewhere, changed too: the rest of a cut page was never read; an ID that ends in /001 overwrote another turn's second row; the clean-up removed renewed turns that it could not decode; the viewer.

Change: the first row is read by its key and has the number of the others, which are read from after the slash, page by page; all rows must be of one write. Slashes and percent signs are escaped in keys; unescaped keys are still read.

--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -24,7 +24,7 @@
 func ExpiryKey(t *Turn) provider.RowKey {
 	return provider.RowKey{
 		Table: ExpiryTable, Partition: t.Partition,
-		Key: fmt.Sprintf("%0*d/%s", timeDigits, t.Expires.Unix(), Key(t.ID)),
+		Key: fmt.Sprintf("%0*d/%s", timeDigits, t.Expires.Unix(), turnKey(t.ID)),
 	}
 }
 
@@ -51,7 +51,7 @@
 // daemons and expires later than this row says. The transaction fails if the expiry row or the
 // turn has changed.
 func Removal(row *provider.VersionedRow, turnRows []provider.VersionedRow, now time.Time) provider.RowTransaction {
-	_, key, _ := strings.Cut(row.Key, "/")
+	key := expiredKey(row)
 	t := provider.RowTransaction{
 		Conditions: []provider.RowCondition{{RowKey: row.RowKey, Version: row.Version}},
 		Deletes:    []provider.RowKey{row.RowKey},
@@ -60,7 +60,7 @@
 		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: turnRows[0].RowKey, Version: turnRows[0].Version})
 	}
 	// A turn that cannot be decoded cannot be continued either.
-	if turn, err := Decode(key, turnRows); err == nil && turn.Expires.After(now) {
+	if turn, err := decode(key, turnRows); err == nil && turn.Expires.After(now) {
 		return t
 	}
 	segments, err := strconv.Atoi(string(row.Value))
@@ -73,8 +73,17 @@
 	return t
 }
 
-// ExpiredTurnRange selects the rows of the turn that an expiry row names.
-func ExpiredTurnRange(row *provider.VersionedRow) provider.RowRange {
+// ReadExpired reads the rows of the turn that an expiry row names. It returns none if there is no such turn.
+func ReadExpired(row *provider.VersionedRow, read RangeReader) ([]provider.VersionedRow, error) {
+	rows, err := readRows(expiredKey(row), row.Partition, read)
+	if isNotFound(err) {
+		return nil, nil
+	}
+	return rows, err
+}
+
+// expiredKey returns the key of the turn that an expiry row names.
+func expiredKey(row *provider.VersionedRow) string {
 	_, key, _ := strings.Cut(row.Key, "/")
-	return Range(key, row.Partition)
+	return key
 }
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -16,12 +17,11 @@
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
-// selectRows returns the rows of a turn that the store returns for its range, sorted by key.
-func selectRows(id string, writes []provider.RowWrite) []provider.VersionedRow {
-	q := historian.Range(id, "t1")
+// turnRows returns the rows of a turn, sorted by key.
+func turnRows(writes []provider.RowWrite) []provider.VersionedRow {
 	var rows []provider.VersionedRow
 	for _, w := range writes {
-		if w.Table == q.Table && w.Partition == q.Partition && w.Key >= q.From && w.Key < q.To {
+		if w.Table == historian.Table {
 			rows = append(rows, provider.VersionedRow{RowKey: w.RowKey, Value: w.Value})
 		}
 	}
@@ -29,6 +29,28 @@
 	return rows
 }
 
+// rangeReader returns a reader of the rows, whose pages have at most so many rows.
+func rangeReader(rows []provider.VersionedRow, pageRows int) historian.RangeReader {
+	return func(q provider.RowRange) (provider.RowPage, error) {
+		var page provider.RowPage
+		limit := pageRows
+		if q.Limit > 0 {
+			limit = min(limit, q.Limit)
+		}
+		for _, r := range rows {
+			if r.Table != q.Table || r.Partition != q.Partition || r.Key < q.From || r.Key >= q.To {
+				continue
+			}
+			if len(page.Rows) == limit {
+				page.More = true
+				break
+			}
+			page.Rows = append(page.Rows, r)
+		}
+		return page, nil
+	}
+}
+
 // TestEncodeDecode checks that a turn of any size is decoded as it was encoded, whatever the
 // number of its rows.
 func TestEncodeDecode(t *testing.T) {
@@ -44,7 +66,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := historian.Decode(turn.ID, selectRows(turn.ID, writes))
+		got, err := historian.Read(turn.ID, "t1", rangeReader(turnRows(writes), rapid.IntRange(1, 20).Draw(t, "pageRows")))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -64,7 +86,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	rows := selectRows("a", writes)
+	rows := turnRows(writes)
 	for i := range rows {
 		if _, err := historian.Decode("a", slices.Delete(slices.Clone(rows), i, i+1)); err == nil {
 			t.Errorf("a turn without row %d of %d was decoded", i, len(rows))
@@ -72,6 +94,75 @@
 	}
 }
 
+// rewrittenRows returns a turn that is rewritten before each of the first reads of its later rows.
+func rewrittenRows(t *testing.T, rewrites int) historian.RangeReader {
+	t.Helper()
+	version := 0
+	rows := func() []provider.VersionedRow {
+		writes, err := historian.Encode(&historian.Turn{ID: "a", Partition: "t1", Text: noise(5000), Expires: time.Unix(int64(version), 0)}, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		found := turnRows(writes)
+		for i := range found {
+			found[i].Version = int64(version)
+		}
+		return found
+	}
+	return func(q provider.RowRange) (provider.RowPage, error) {
+		if q.From != "a" && version < rewrites {
+			version++
+		}
+		return rangeReader(rows(), 500)(q)
+	}
+}
+
+// noise returns bytes that do not deflate.
+func noise(n int) []byte {
+	source := rand.NewChaCha8([32]byte{})
+	text := make([]byte, n)
+	_, _ = source.Read(text)
+	return text
+}
+
+// Guards against a turn that is joined from two of its writes, and against one that counts as unreadable because
+// it was renewed while it was read.
+func TestReadOfRewrittenTurn(t *testing.T) {
+	turn, err := historian.Read("a", "t1", rewrittenRows(t, 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(noise(5000), turn.Text); diff != "" {
+		t.Errorf("text (-want +got):\n%s", diff)
+	}
+	if _, err := historian.Read("a", "t1", rewrittenRows(t, 100)); historian.KindOf(err) != historian.KindCorrupt {
+		t.Errorf("a turn that is rewritten before each read: %v", err)
+	}
+}
+
+// Guards against rows of earlier versions, whose keys are not escaped, that can no longer be read, and against one
+// of their segments that is taken for a turn.
+func TestReadOfUnescapedKey(t *testing.T) {
+	writes, err := historian.Encode(&historian.Turn{ID: "a", Partition: "t1", Text: noise(5000)}, 2000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows := turnRows(writes)
+	if _, err := historian.Read("a/001", "t1", rangeReader(rows, 500)); historian.KindOf(err) != historian.KindNotFound {
+		t.Errorf("the second row of a turn as a turn: %v", err)
+	}
+	for i := range rows {
+		rows[i].Key = "b/001" + strings.TrimPrefix(rows[i].Key, "a")
+	}
+	turn, err := historian.Read("b/001", "t1", rangeReader(rows, 500))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(noise(5000), turn.Text); diff != "" {
+		t.Errorf("text (-want +got):\n%s", diff)
+	}
+}
+
 // TestRemoval checks that a removal deletes every row of an expired turn and its expiry row, and
 // only the expiry row of a turn that expires later.
 func TestRemoval(t *testing.T) {
@@ -118,6 +209,35 @@
 	}
 }
 
+// Guards against the removal of a renewed turn whose rows were mixed up with those of a turn whose ID begins with
+// its own.
+func TestRemovalAmongLongerIDs(t *testing.T) {
+	var rows []provider.VersionedRow
+	for i, id := range []string{"a", "a-1", "a/001"} {
+		writes, err := historian.Encode(&historian.Turn{ID: id, Partition: "t1", Text: noise(5000), Expires: time.Unix(200, 0)}, 2000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range turnRows(writes) {
+			r.Version = int64(i)
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b provider.VersionedRow) int { return strings.Compare(a.Key, b.Key) })
+	for _, id := range []string{"a", "a/001"} {
+		first := &historian.Turn{ID: id, Partition: "t1", Expires: time.Unix(100, 0)}
+		expiry := provider.VersionedRow{RowKey: historian.ExpiryKey(first), Value: []byte("3")}
+		found, err := historian.ReadExpired(&expiry, rangeReader(rows, 500))
+		if err != nil {
+			t.Fatal(err)
+		}
+		removal := historian.Removal(&expiry, found, time.Unix(101, 0))
+		if diff := cmp.Diff([]provider.RowKey{expiry.RowKey}, removal.Deletes); diff != "" {
+			t.Errorf("rows that are removed for the first expiry of %s differ (-want +got):\n%s", id, diff)
+		}
+	}
+}
+
 // TestCandidatePartitions checks that a turn has three different candidate partitions, and
 // that turns are spread evenly over all partitions.
 func TestCandidatePartitions(t *testing.T) {
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -7,7 +7,9 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,8 +29,9 @@
 	candidateCount = 3
 	// maxKeyBytes leaves room for a segment number within the store's limit of 200 bytes.
 	maxKeyBytes = 160
-	// segmentDigits is the width of a segment number.
-	segmentDigits = 3
+	// segmentSeparator stands between a turn's key and a segment number of segmentDigits digits.
+	segmentSeparator = "/"
+	segmentDigits    = 3
 	// maxTurnBytes bounds the inflated size of rows, which another writer may have written.
 	maxTurnBytes = 32 << 20
 )
@@ -62,12 +65,28 @@
 	Data  []byte `cbor:"2,keyasint"`
 }
 
-// Key returns the key of a turn's first row: the ID, or its hash if the ID is too long.
-func Key(id string) string {
-	if len(id) <= maxKeyBytes {
-		return id
+// keyEscaper keeps the separator of segment numbers out of keys, so that no turn has a key of another
+// turn's segment.
+var keyEscaper = strings.NewReplacer("%", "%25", segmentSeparator, "%2F")
+
+// turnKey returns the key of a turn's first row.
+func turnKey(id string) string { return Key(keyEscaper.Replace(id)) }
+
+// keys returns the keys under which a turn may be stored. Rows of earlier versions have IDs that are not
+// escaped.
+func keys(id string) []string {
+	if key, old := turnKey(id), Key(id); old != key {
+		return []string{key, old}
 	}
-	sum := sha256.Sum256([]byte(id))
+	return []string{Key(id)}
+}
+
+// Key returns a name as the key of a row: the name itself, or its hash if it is too long.
+func Key(name string) string {
+	if len(name) <= maxKeyBytes {
+		return name
+	}
+	sum := sha256.Sum256([]byte(name))
 	return hex.EncodeToString(sum[:])
 }
 
@@ -87,18 +106,23 @@
 	return candidates
 }
 
-// Range selects all rows of a turn in a partition.
-func Range(id, partition string) provider.RowRange {
-	key := Key(id)
-	// Segments are key/001 and so on; '0' is the byte after '/'.
-	return provider.RowRange{Table: Table, Partition: partition, From: key, To: key + "0"}
+// headRange selects the first row of a turn. IDs of other turns may begin with this one's, so that their rows
+// lie between the first row and the others.
+func headRange(key, partition string) provider.RowRange {
+	return provider.RowRange{Table: Table, Partition: partition, From: key, To: key + "\x00", Limit: 1}
+}
+
+// restRange selects the other rows of a turn.
+func restRange(key, partition string) provider.RowRange {
+	// '0' is the byte after '/'.
+	return provider.RowRange{Table: Table, Partition: partition, From: key + segmentSeparator, To: key + "0"}
 }
 
 func segmentKey(key string, number int) string {
 	if number == 0 {
 		return key
 	}
-	return fmt.Sprintf("%s/%0*d", key, segmentDigits, number)
+	return fmt.Sprintf("%s%s%0*d", key, segmentSeparator, segmentDigits, number)
 }
 
 // Encode returns the rows of a turn, each of at most rowBytes, and its expiry row.
@@ -119,7 +143,7 @@
 func split(t *Turn, data []byte, rowBytes int) ([]provider.RowWrite, error) {
 	size := max(1, rowBytes-segmentOverheadBytes)
 	segments := max(1, (len(data)+size-1)/size)
-	key, partition := Key(t.ID), t.Partition
+	key, partition := turnKey(t.ID), t.Partition
 	writes := make([]provider.RowWrite, 0, segments)
 	for i := range segments {
 		row := segment{Data: data[i*size : min(len(data), (i+1)*size)]}
@@ -138,32 +162,70 @@
 	return append(writes, expiry), nil
 }
 
-// Decode returns a turn from its rows, sorted by key. It fails with KindNotFound without a
-// first row, and with KindCorrupt if rows are missing or cannot be decoded.
+// Decode returns a turn from its rows, sorted by key; rows of other turns are ignored. It fails with
+// KindNotFound without a first row, and with KindCorrupt if rows are missing, of different writes, or
+// cannot be decoded.
 func Decode(id string, rows []provider.VersionedRow) (*Turn, error) {
+	var failure error
+	for _, key := range keys(id) {
+		turn, err := decode(key, rows)
+		if err == nil {
+			turn.ID = id
+			return turn, nil
+		}
+		if failure == nil || isNotFound(failure) {
+			failure = err
+		}
+	}
+	return nil, failure
+}
+
+// decodeHead returns the first row of a turn among rows and its segment.
+func decodeHead(key string, rows []provider.VersionedRow) (*provider.VersionedRow, *segment, error) {
+	const operation = "decode first row"
+	i := slices.IndexFunc(rows, func(r provider.VersionedRow) bool { return r.Key == key })
+	if i < 0 {
+		return nil, nil, NewError(operation, KindNotFound, errors.New("no row of the turn"))
+	}
+	var head segment
+	if err := cbor.Unmarshal(rows[i].Value, &head); err != nil {
+		return nil, nil, NewError(operation, KindCorrupt, err)
+	}
+	if head.Count < 1 {
+		// The row is a later segment of a turn whose ID this one begins with, written by an earlier version.
+		return nil, nil, NewError(operation, KindNotFound, errors.New("the row is not the first of a turn"))
+	}
+	return &rows[i], &head, nil
+}
+
+// decode returns the turn with a key, without its ID.
+func decode(key string, rows []provider.VersionedRow) (*Turn, error) {
 	const operation = "decode turn"
-	var deflated bytes.Buffer
-	segments, key := 0, Key(id)
+	first, head, err := decodeHead(key, rows)
+	if err != nil {
+		return nil, err
+	}
+	deflated := bytes.NewBuffer(head.Data)
+	found := 1
 	for i := range rows {
-		if rows[i].Key != segmentKey(key, i) {
+		if found == head.Count {
 			break
 		}
+		if rows[i].Key != segmentKey(key, found) {
+			continue
+		}
+		if rows[i].Version != first.Version {
+			return nil, NewError(operation, KindCorrupt, fmt.Errorf("row %d is of another write", found))
+		}
 		var row segment
 		if err := cbor.Unmarshal(rows[i].Value, &row); err != nil {
 			return nil, NewError(operation, KindCorrupt, err)
 		}
-		if i == 0 {
-			segments = row.Count
-		}
-		if i < segments {
-			deflated.Write(row.Data)
-		}
-	}
-	if len(rows) == 0 || rows[0].Key != key {
-		return nil, NewError(operation, KindNotFound, errors.New("no row of the turn"))
+		deflated.Write(row.Data)
+		found++
 	}
-	if len(rows) < segments {
-		return nil, NewError(operation, KindCorrupt, fmt.Errorf("found %d of %d rows", len(rows), segments))
+	if found < head.Count {
+		return nil, NewError(operation, KindCorrupt, fmt.Errorf("found %d of %d rows", found, head.Count))
 	}
 	plain, err := packer.Inflate(deflated.Bytes(), maxTurnBytes)
 	if err != nil {
@@ -174,7 +236,7 @@
 		return nil, NewError(operation, KindCorrupt, err)
 	}
 	return &Turn{
-		ID: id, Partition: rows[0].Partition, Previous: stored.Previous, Workspace: stored.Workspace, Text: stored.Text,
+		Partition: first.Partition, Previous: stored.Previous, Workspace: stored.Workspace, Text: stored.Text,
 		Expires: time.Unix(stored.Expires, 0),
 	}, nil
 }
--- a/recorder/cleanup.go
+++ b/recorder/cleanup.go
@@ -53,12 +53,12 @@
 	partition := partitions[rand.IntN(len(partitions))]
 	now := time.Now()
 	remove := func(ctx context.Context, row *provider.VersionedRow) (provider.RowTransaction, bool) {
-		page, err := r.readRange(ctx, historian.ExpiredTurnRange(row))
+		rows, err := historian.ReadExpired(row, r.rangeReader(ctx))
 		if err != nil {
 			r.log.Warn("cannot read an expired turn; a later clean-up retries", zap.String("part", partition), zap.Error(err))
 			return provider.RowTransaction{}, false
 		}
-		return historian.Removal(row, page.Rows, now), true
+		return historian.Removal(row, rows, now), true
 	}
 	return r.cleanUpRange(ctx, historian.ExpiredRange(partition, now, cleanupRows), remove)
 }
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -48,6 +48,11 @@
 	}
 }
 
+// rangeReader returns readRange for a context.
+func (r *Recorder) rangeReader(ctx context.Context) historian.RangeReader {
+	return func(rows provider.RowRange) (provider.RowPage, error) { return r.readRange(ctx, rows) }
+}
+
 // Chain returns the turns up to the given one, newest first. It loads turns that are not in
 // memory from peers or the store.
 func (r *Recorder) Chain(ctx context.Context, id string) ([]*historian.Turn, error) {
@@ -98,19 +103,16 @@
 			failure = errors.New("partition " + partition + " of the store is down")
 			continue
 		}
-		page, err := r.readRange(ctx, historian.Range(id, partition))
-		if err != nil {
+		turn, err := historian.Read(id, partition, r.rangeReader(ctx))
+		switch historian.KindOf(err) {
+		case historian.KindNotFound:
+		case historian.KindUnavailable:
 			failure = err
-			continue
-		}
-		if len(page.Rows) == 0 {
-			continue
-		}
-		turn, err := historian.Decode(id, page.Rows)
-		if err != nil {
+		case historian.KindCorrupt:
 			return nil, NewError(operation, KindInvalid, err)
+		default:
+			return turn, nil
 		}
-		return turn, nil
 	}
 	if failure == nil {
 		return nil, NewError(operation, KindNotFound, errors.New("no candidate partition has the turn"))
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -315,18 +315,16 @@
 // readTurn reads a turn from its candidate partitions. It returns nil if none holds it.
 func (v *Viewer) readTurn(ctx context.Context, id string) (*historian.Turn, error) {
 	for _, partition := range historian.CandidatePartitions(id) {
-		rows, _, err := v.readRange(ctx, "turn", historian.Range(id, partition))
-		if err != nil {
-			return nil, err
-		}
-		if len(rows) == 0 {
-			continue
-		}
-		turn, err := historian.Decode(id, rows)
-		if err != nil {
+		turn, err := historian.Read(id, partition, func(r provider.RowRange) (provider.RowPage, error) { return v.store.Range(ctx, r) })
+		switch historian.KindOf(err) {
+		case historian.KindNotFound:
+		case historian.KindUnavailable:
+			return nil, &Error{operation: "turn", kind: KindStore, cause: err}
+		case historian.KindCorrupt:
 			return nil, &Error{operation: "turn", kind: KindUnreadable, cause: err}
+		default:
+			return turn, nil
 		}
-		return turn, nil
 	}
 	return nil, nil
 }
