Keep the turns of a chain with their call, not only in the cache

Cause: a chain was collected from the cache alone, from its start again after each load, and was therefore rejected if it did not fit. Evidence: 6 of 6 rejections have the error "chain is larger than the cache of turns".

Change: the loaded turns stay with the call.

--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -162,16 +162,17 @@
 	if settings.OwnSecondRows {
 		secondRows = d.owners
 	}
+	limits := hostBounds(settings.MemoryLimitBytes, settings.MaxDescriptors)
 	d.recorder = recorder.New(d.store, secondRows, d.borrower, recorder.Options{
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
-		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), RowBytes: settings.Store.MaxRowBytes,
+		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), MaxChainBytes: int(limits.CallBytes),
+		RowBytes: settings.Store.MaxRowBytes,
 	}, log)
 	d.limiter = limiter.New(limiter.Dependencies{
 		Store: d.store, Peers: limiter.NewPeers(d.messenger), Daemons: d.registrar.Entries, Refresh: d.registrar.Refresh, Clock: bootClock{}, Observe: d.metrics.quotaObserver(), Log: log,
 	}, limiter.Settings{
 		Own: entry, Incarnation: uuid.NewString(), Domains: max(1, len(settings.RegionByDomain)), Regions: countRegions(settings), Seed: seed,
 	})
-	limits := hostBounds(settings.MemoryLimitBytes, settings.MaxDescriptors)
 	forwarderOptions := forwarder.DefaultOptions()
 	forwarderOptions.MaxConnections = limits.TargetConnections
 	d.forwarder = forwarder.New(dependencies.Dialect, forwarderOptions)
--- a/historian/cache.go
+++ b/historian/cache.go
@@ -64,22 +64,22 @@
 	return c.bytes
 }
 
-// Chain collects the turns up to the given one, newest first. If lookup returns nil for one of
-// them, Chain returns the newer turns and the ID of the missing turn. It fails with
+// Chain collects the turns up to the given one, newest first. It fails with the error of lookup, and with
 // KindTooLong if the chain has more than maxChainTurns turns.
-func Chain(id string, lookup func(id string) *Turn) (turns []*Turn, missing string, err error) {
+func Chain(id string, lookup func(id string) (*Turn, error)) ([]*Turn, error) {
+	var turns []*Turn
 	for id != "" {
 		if len(turns) == maxChainTurns {
-			return nil, "", NewError("chain", KindTooLong, nil)
+			return nil, NewError("chain", KindTooLong, nil)
 		}
-		t := lookup(id)
-		if t == nil {
-			return turns, id, nil
+		t, err := lookup(id)
+		if err != nil {
+			return nil, err
 		}
 		turns = append(turns, t)
 		id = t.Previous
 	}
-	return turns, "", nil
+	return turns, nil
 }
 
 // JoinedSize returns the size of the text that Join returns.
--- a/historian/doc.go
+++ b/historian/doc.go
@@ -5,10 +5,10 @@
 // # Usage
 //
 //	cache := historian.NewCache(8 << 20)
-//	writes, err := historian.Encode(turn, rowBytes) // rows for one transaction
-//	cache.Add(turn)                                 // after the write took effect
-//	turns, missing, err := historian.Chain(id, cache.Get)
-//	turn, err := historian.Decode(missing, rows)    // from the store
+//	writes, err := historian.Encode(turn, rowBytes)       // rows for one transaction
+//	cache.Add(turn)                                       // after the write took effect
+//	turn, err := historian.Read(id, partition, readRange) // from the store
+//	turns, err := historian.Chain(id, lookup)             // lookup uses both
 //	body := historian.Join(turns, input)
 //
 // The cache only holds copies: the store decides whether a turn exists.
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -392,6 +392,10 @@
 		return h.reject(http.StatusNotFound, "turnOfOtherWorkspace", 0, nil)
 	case recorder.IsNotFound(err):
 		return h.reject(http.StatusNotFound, "noSuchTurn", 0, err)
+	case recorder.KindOf(err) == recorder.KindTooLarge:
+		// Another daemon may have more memory.
+		h.writer.Header().Set("Connection", "close")
+		return h.reject(http.StatusServiceUnavailable, "historyTooLarge", options.PeerRetryAfter, err)
 	case err != nil:
 		return h.reject(http.StatusServiceUnavailable, "historyUnavailable", h.storeRetryAfter(), err)
 	}
--- a/recorder/error.go
+++ b/recorder/error.go
@@ -16,6 +16,8 @@
 	KindUnavailable
 	// KindInvalid means that a row cannot be encoded or decoded, or that a chain is too long.
 	KindInvalid
+	// KindTooLarge means that this daemon has too little memory for a chain.
+	KindTooLarge
 )
 
 // Error is the error type of the package.
@@ -48,9 +50,15 @@
 func (e *Error) Unwrap() error { return e.cause }
 
 // IsNotFound reports whether an error means that the turn does not exist.
-func IsNotFound(err error) bool {
+func IsNotFound(err error) bool { return KindOf(err) == KindNotFound }
+
+// KindOf returns the kind of an error of this package, 0 for others.
+func KindOf(err error) Kind {
 	var own *Error
-	return errors.As(err, &own) && own.kind == KindNotFound
+	if errors.As(err, &own) {
+		return own.kind
+	}
+	return 0
 }
 
 // outcomeError returns the error for the outcome of an entry, nil for KindNone.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -37,6 +37,8 @@
 	Incarnation string
 	// CacheBytes is the size limit of the text of the turns in memory.
 	CacheBytes int
+	// MaxChainBytes bounds the text of a chain, which its call holds until it ends.
+	MaxChainBytes int
 	// RowBytes is the largest size of a row's value.
 	RowBytes int
 }
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/batcher"
@@ -54,38 +55,27 @@
 }
 
 // Chain returns the turns up to the given one, newest first. It loads turns that are not in
-// memory from peers or the store.
+// memory from peers or the store, and fails with KindTooLarge if their text exceeds MaxChainBytes.
 func (r *Recorder) Chain(ctx context.Context, id string) ([]*historian.Turn, error) {
-	for {
-		turns, missing, err := historian.Chain(id, r.turns.Get)
-		if err != nil {
-			return nil, NewError("read chain of turn "+id, KindInvalid, err)
-		}
-		if missing == "" {
-			return turns, nil
-		}
-		turn, err := r.loadTurn(ctx, missing)
-		if err != nil {
-			return nil, err
+	bytes := 0
+	turns, err := historian.Chain(id, func(id string) (*historian.Turn, error) {
+		turn := r.turns.Get(id)
+		if turn == nil {
+			var err error
+			if turn, err = r.loadTurn(ctx, id); err != nil {
+				return nil, err
+			}
+			r.turns.Add(turn)
 		}
-		if err := r.cacheTurn(id, turns, turn); err != nil {
-			return nil, err
+		if bytes += len(turn.Text); bytes > r.options.MaxChainBytes {
+			return nil, NewError("load turn "+id, KindTooLarge, fmt.Errorf("the chain has more than %d bytes", r.options.MaxChainBytes))
 		}
+		return turn, nil
+	})
+	if historian.KindOf(err) == historian.KindTooLong {
+		return nil, NewError("read chain of turn "+id, KindInvalid, err)
 	}
-}
-
-// cacheTurn caches a loaded turn. It rejects a chain that is larger than the cache: each turn
-// that is loaded would evict another one of the chain, and loading would never end.
-func (r *Recorder) cacheTurn(id string, newer []*historian.Turn, turn *historian.Turn) error {
-	size := len(turn.Text)
-	for _, t := range newer {
-		size += len(t.Text)
-	}
-	if size > r.options.CacheBytes {
-		return NewError("read chain of turn "+id, KindInvalid, errors.New("chain is larger than the cache of turns"))
-	}
-	r.turns.Add(turn)
-	return nil
+	return turns, err
 }
 
 // loadTurn reads a turn from a peer's memory or from its candidate partitions. It fails with
