--- a/Makefile
+++ b/Makefile
@@ -12,12 +12,13 @@
 # Regular expression of tests to skip; CI sets it to those that KNOWN-RED.txt lists as known to fail.
 SKIP ?=
 
-# The tests with uncontrolled callers run apart from the load of others.
+# The tests with uncontrolled callers run apart from the load of others. They build the daemon themselves, which the
+# cache of test results does not see.
 FLOODER := ./platform/flooder
 
 test:
 	go test -timeout 20m $(if $(SKIP),-skip '$(SKIP)') $$(go list ./... | grep -v /platform/flooder$$)
-	go test -timeout 5m $(if $(SKIP),-skip '$(SKIP)') $(FLOODER)
+	go test -count=1 -timeout 5m $(if $(SKIP),-skip '$(SKIP)') $(FLOODER)
 
 fmt:
 	gofmt -w .
--- a/assembler/bounds.go
+++ b/assembler/bounds.go
@@ -19,6 +19,10 @@
 	// 32 KB. Bodies are kept until their calls end, while most responses pass through.
 	smallBodyMemoryFraction     = 0.1
 	smallResponseMemoryFraction = 0.05
+	// historyWorkFraction is the fraction of the memory limit for reading and writing turns, historyLendFraction
+	// that for sending them to peers.
+	historyWorkFraction = 0.06
+	historyLendFraction = 0.03
 	// queueMemoryFraction is the fraction of the memory limit for bytes that wait in the system's buffers of
 	// callers' connections.
 	queueMemoryFraction = 0.1
@@ -36,6 +40,10 @@
 	CallBytes          int64
 	SmallBodyBytes     int64
 	SmallResponseBytes int64
+	// HistoryWorkBytes bounds the memory for reading and writing turns, HistoryLendBytes that for sending them to
+	// peers.
+	HistoryWorkBytes int64
+	HistoryLendBytes int64
 	// QueuedBytes bounds the bytes in the system's buffers of callers' connections.
 	QueuedBytes int
 }
@@ -49,6 +57,8 @@
 		CallBytes:          int64(callMemoryFraction * float64(memoryBytes)),
 		SmallBodyBytes:     int64(smallBodyMemoryFraction * float64(memoryBytes)),
 		SmallResponseBytes: int64(smallResponseMemoryFraction * float64(memoryBytes)),
+		HistoryWorkBytes:   int64(historyWorkFraction * float64(memoryBytes)),
+		HistoryLendBytes:   int64(historyLendFraction * float64(memoryBytes)),
 		QueuedBytes:        int(queueMemoryFraction * float64(memoryBytes)),
 	}
 	if descriptors == 0 {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -166,7 +166,7 @@
 	d.recorder = recorder.New(d.store, secondRows, d.borrower, recorder.Options{
 		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), MaxChainBytes: int(limits.CallBytes),
-		RowBytes: settings.Store.MaxRowBytes,
+		WorkBytes: limits.HistoryWorkBytes, LendBytes: limits.HistoryLendBytes, RowBytes: settings.Store.MaxRowBytes,
 	}, log)
 	d.limiter = limiter.New(limiter.Dependencies{
 		Store: d.store, Peers: limiter.NewPeers(d.messenger), Daemons: d.registrar.Entries, Refresh: d.registrar.Refresh, Clock: bootClock{}, Observe: d.metrics.quotaObserver(), Log: log,
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -34,7 +34,9 @@
 // Lender provides what a daemon can pass on to a peer: turns that it holds in memory, and
 // unused tokens of its grants.
 type Lender interface {
-	Turn(id string) *historian.Turn
+	// LendTurn returns a turn that is in memory, or nil. The caller calls done when it has sent the turn's
+	// text. The text is missing if it takes more than maxBytes, or if there is no memory to send it.
+	LendTurn(ctx context.Context, id string, maxBytes int) (turn *historian.Turn, hasText bool, done func())
 	LendTokens(ctx context.Context, program string, tokens int) accountant.Lend
 }
 
@@ -112,19 +114,65 @@
 	}
 }
 
-// Turn returns a turn that a peer in the region has in memory, or nil.
-func (b *Borrower) Turn(ctx context.Context, id string) *historian.Turn {
-	var turn *historian.Turn
-	queryPeers(ctx, b, b.nearestPeers(), messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id},
-		func(_ string, reply *encoder.TurnAnswer) bool {
-			if reply.Found {
-				turn = &historian.Turn{
-					ID: id, Partition: reply.Part, Previous: reply.Previous, Workspace: reply.Workspace, Text: reply.Text, Expires: time.Unix(int64(reply.ExpiresAt), 0),
-				}
-			}
-			return reply.Found
+// FoundTurn is a turn that a peer has in memory. The zero value means that none has it.
+type FoundTurn struct {
+	Host string
+	// Turn is nil if its text takes more memory than was requested.
+	Turn *historian.Turn
+	// Bytes is the memory of the turn, EarlierBytes that of the earlier turns of its chain.
+	Bytes        int
+	EarlierBytes int
+}
+
+// PeerCount returns the number of peers that FindTurn asks.
+func (b *Borrower) PeerCount() int { return len(b.nearestPeers()) }
+
+// FindTurn asks the peers in the region for a turn whose text takes up to maxBytes.
+func (b *Borrower) FindTurn(ctx context.Context, id string, maxBytes int) FoundTurn {
+	var found FoundTurn
+	queryPeers(ctx, b, b.nearestPeers(), messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: maxBytes},
+		func(host string, reply *encoder.TurnAnswer) bool {
+			found = decodeTurn(host, id, maxBytes, reply)
+			return found.Host != ""
 		}, func(*encoder.TurnAnswer) {})
-	return turn
+	return found
+}
+
+// ReadTurn asks one peer for a turn that FindTurn has found. It returns nil if the peer does not send it.
+func (b *Borrower) ReadTurn(ctx context.Context, id string, found FoundTurn) *historian.Turn {
+	peers := b.nearestPeers()
+	i := slices.IndexFunc(peers, func(p messenger.Peer) bool { return p.Host == found.Host })
+	if i < 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, b.options.CallTimeout)
+	defer cancel()
+	reply, err := messenger.Call[encoder.TurnAnswer](
+		ctx, b.messenger, peers[i], messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: found.Bytes})
+	if err != nil {
+		b.log.Debug("peer did not send a turn", zap.String("peer", found.Host), zap.String("turn", id), zap.Error(err))
+		return nil
+	}
+	return decodeTurn(found.Host, id, found.Bytes, &reply).Turn
+}
+
+// decodeTurn returns the turn in a reply.
+func decodeTurn(host, id string, maxBytes int, reply *encoder.TurnAnswer) FoundTurn {
+	if !reply.Found || len(reply.Text) > maxBytes {
+		return FoundTurn{}
+	}
+	found := FoundTurn{Host: host, Bytes: reply.Bytes, EarlierBytes: reply.EarlierBytes}
+	if len(reply.Text) < reply.Bytes {
+		return found
+	}
+	found.Turn = &historian.Turn{
+		ID: id, Partition: reply.Part, Previous: reply.Previous, Workspace: reply.Workspace, Text: reply.Text,
+		EarlierBytes: reply.EarlierBytes, Expires: time.Unix(int64(reply.ExpiresAt), 0),
+	}
+	if reply.UnpackedBytes > 0 {
+		found.Turn.Text, found.Turn.Packed, found.Turn.UnpackedBytes = nil, reply.Text, reply.UnpackedBytes
+	}
+	return found
 }
 
 // BorrowTokens borrows unused tokens from peers. If the request names no hosts, it asks the daemons that
@@ -209,14 +257,7 @@
 		if err := json.Unmarshal(params, &request); err != nil {
 			return nil, true, err
 		}
-		turn := lender.Turn(request.Turn)
-		if turn == nil {
-			return encoder.TurnAnswer{}, true, nil
-		}
-		return encoder.TurnAnswer{
-			Found: true, Part: turn.Partition, Previous: turn.Previous, Workspace: turn.Workspace, Text: turn.Text,
-			ExpiresAt: int(turn.Expires.Unix()),
-		}, true, nil
+		return lendTurn(ctx, lender, request), true, nil
 	case messenger.MethodFindHolders:
 		var request encoder.HolderQuestion
 		if err := json.Unmarshal(params, &request); err != nil {
@@ -233,3 +274,28 @@
 	}
 	return nil, false, nil
 }
+
+// lendTurn returns the reply to a request for a turn. Peers of earlier versions, which name no size, know no deflated
+// texts.
+func lendTurn(ctx context.Context, lender Lender, request encoder.TurnQuestion) any {
+	maxBytes := request.MaxBytes
+	if maxBytes == 0 {
+		maxBytes = historian.PlainBytes
+	}
+	turn, hasText, done := lender.LendTurn(ctx, request.Turn, maxBytes)
+	if turn == nil || request.MaxBytes == 0 && (!hasText || turn.UnpackedBytes > 0) {
+		done()
+		return encoder.TurnAnswer{}
+	}
+	answer := encoder.TurnAnswer{
+		Found: true, Part: turn.Partition, Previous: turn.Previous, Workspace: turn.Workspace, Bytes: turn.MemoryBytes(),
+		EarlierBytes: turn.EarlierBytes, UnpackedBytes: turn.UnpackedBytes, ExpiresAt: int(turn.Expires.Unix()),
+	}
+	if hasText {
+		answer.Text = turn.Text
+		if turn.UnpackedBytes > 0 {
+			answer.Text = turn.Packed
+		}
+	}
+	return messenger.Result{Value: answer, Done: done}
+}
--- a/borrower/doc.go
+++ b/borrower/doc.go
@@ -5,7 +5,8 @@
 // # Usage
 //
 //	b := borrower.New(messenger, registrar, host, borrower.DefaultOptions(), logger)
-//	turn := b.Turn(ctx, id)
+//	found := b.FindTurn(ctx, id, historian.PlainBytes) // without the text of a larger turn
+//	turn := b.ReadTurn(ctx, id, found)                 // with its text
 //	received := b.BorrowTokens(ctx, accountant.Borrow{Program: program, Tokens: 576}, onLate)
 //	result, handled, err := b.Handle(ctx, lender, method, params) // for requests of peers
 package borrower
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -581,8 +581,14 @@
 	Tokens int `json:"tokens"`
 }
 
-// A turn in its stored form.
+// A turn in its stored form, without its text if that is larger than requested.
 type TurnAnswer struct {
+	// Size of the text, deflated or not.
+	Bytes int `json:"bytes,omitempty,omitzero"`
+
+	// Memory of the earlier turns of the chain, 0 if it is not known.
+	EarlierBytes int `json:"earlierBytes,omitempty,omitzero"`
+
 	// Unix time in seconds at which the turn expires.
 	ExpiresAt int `json:"expiresAt,omitempty,omitzero"`
 
@@ -595,15 +601,23 @@
 	// Previous corresponds to the JSON schema field "previous".
 	Previous string `json:"previous,omitempty,omitzero"`
 
-	// Input and output of the turn in base64.
+	// Input and output of the turn in base64, empty if they are larger than
+	// requested.
 	Text []byte `json:"text"`
 
+	// Size of the text of a large turn, whose field text is deflated.
+	UnpackedBytes int `json:"unpackedBytes,omitempty,omitzero"`
+
 	// Workspace that the turn belongs to.
 	Workspace string `json:"workspace,omitempty,omitzero"`
 }
 
 // Requests a turn that a peer has in memory.
 type TurnQuestion struct {
+	// Size up to which the answer has the turn's text, deflated or not. With 0, it
+	// has no deflated text.
+	MaxBytes int `json:"maxBytes,omitempty,omitzero"`
+
 	// Turn corresponds to the JSON schema field "turn".
 	Turn string `json:"turn"`
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// Body is the body of a call. It can be read more than once.
+type Body interface {
+	// Len returns the size of the body in bytes.
+	Len() int
+	// Reader returns a reader of the whole body.
+	Reader() io.Reader
+}
+
+// Bytes is a body in memory.
+type Bytes []byte
+
+// Len implements Body.
+func (b Bytes) Len() int { return len(b) }
+
+// Reader implements Body.
+func (b Bytes) Reader() io.Reader { return bytes.NewReader(b) }
+
 // Request is a call to a target.
 type Request struct {
 	Method string
@@ -55,7 +72,8 @@
 	URI    string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body may be nil.
+	Body Body
 	// CallID is echoed by the target.
 	CallID  string
 	Attempt Attempt
@@ -164,10 +182,14 @@
 		address = url.URL{Scheme: "http", Opaque: r.URI}
 	}
 	address.Host = r.Host
+	body := r.Body
+	if body == nil {
+		body = Bytes(nil)
+	}
 	return &http.Request{
 		Method: r.Method, URL: &address, Host: r.Host, ProtoMajor: 1, ProtoMinor: 1,
 		Header: f.dialect.RequestHeader(r.Header, &r.Attempt),
-		Body:   io.NopCloser(bytes.NewReader(r.Body)), ContentLength: int64(len(r.Body)),
+		Body:   io.NopCloser(body.Reader()), ContentLength: int64(body.Len()),
 	}
 }
 
--- a/historian/cache.go
+++ b/historian/cache.go
@@ -23,11 +23,11 @@
 	limit int
 }
 
-// NewCache returns an empty cache that is limited to so many bytes of text.
+// NewCache returns an empty cache that is limited to so many bytes of text, deflated if it is large.
 func NewCache(limit int) *Cache {
 	c := &Cache{limit: limit}
 	// NewLRU fails only for sizes below 1.
-	c.turns, _ = lru.NewLRU(maxCachedTurns, func(_ string, t *Turn) { c.bytes -= len(t.Text) })
+	c.turns, _ = lru.NewLRU(maxCachedTurns, func(_ string, t *Turn) { c.bytes -= t.MemoryBytes() })
 	return c
 }
 
@@ -40,9 +40,9 @@
 		if !t.Expires.After(old.Expires) {
 			return
 		}
-		c.bytes -= len(old.Text)
+		c.bytes -= old.MemoryBytes()
 	}
-	c.bytes += len(t.Text)
+	c.bytes += t.MemoryBytes()
 	c.turns.Add(t.ID, t)
 	for c.bytes > c.limit && c.turns.Len() > 1 {
 		c.turns.RemoveOldest()
@@ -57,7 +57,7 @@
 	return t
 }
 
-// Bytes returns the size of the texts in memory.
+// Bytes returns the memory that the texts take.
 func (c *Cache) Bytes() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
@@ -81,21 +81,3 @@
 	}
 	return turns, nil
 }
-
-// JoinedSize returns the size of the text that Join returns.
-func JoinedSize(turns []*Turn, input []byte) int {
-	size := len(input)
-	for _, t := range turns {
-		size += len(t.Text)
-	}
-	return size
-}
-
-// Join returns the text of a chain, given newest first, followed by the new input.
-func Join(turns []*Turn, input []byte) []byte {
-	text := make([]byte, 0, JoinedSize(turns, input))
-	for i := len(turns) - 1; i >= 0; i-- {
-		text = append(text, turns[i].Text...)
-	}
-	return append(text, input...)
-}
--- a/historian/error.go
+++ b/historian/error.go
@@ -12,6 +12,8 @@
 	KindCorrupt
 	// KindTooLong means that a chain has too many turns.
 	KindTooLong
+	// KindTooLarge means that the store does not take a turn of that size.
+	KindTooLarge
 )
 
 // String returns the kind's text.
@@ -25,6 +27,8 @@
 		return "corrupt"
 	case KindTooLong:
 		return "chain too long"
+	case KindTooLarge:
+		return "too large"
 	}
 	return "unknown"
 }
--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -60,7 +60,7 @@
 		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: turnRows[0].RowKey, Version: turnRows[0].Version})
 	}
 	// A turn that cannot be decoded cannot be continued either.
-	if turn, err := decode(key, turnRows); err == nil && turn.Expires.After(now) {
+	if expires, err := decodeExpiry(key, turnRows); err == nil && expires.After(now) {
 		return t
 	}
 	segments, err := strconv.Atoi(string(row.Value))
@@ -73,9 +73,23 @@
 	return t
 }
 
-// ReadExpired reads the rows of the turn that an expiry row names. It returns none if there is no such turn.
-func ReadExpired(row *provider.VersionedRow, read RangeReader) ([]provider.VersionedRow, error) {
-	rows, err := readRows(expiredKey(row), row.Partition, read)
+// ReadExpired reads the rows that Removal needs of the turn that an expiry row names. It returns none if there is
+// no such turn.
+func (r *Reader) ReadExpired(row *provider.VersionedRow) ([]provider.VersionedRow, error) {
+	key := expiredKey(row)
+	if err := r.Admit(0, ReadCopies*r.RowBytes); err != nil {
+		return nil, err
+	}
+	rows, head, err := r.readHead(key, row.Partition)
+	switch {
+	case isNotFound(err):
+		return nil, nil
+	case KindOf(err) == KindCorrupt, err == nil && head.isPacked():
+		return rows, nil
+	case err != nil:
+		return nil, err
+	}
+	rows, err = r.readRows(key, row.Partition)
 	if isNotFound(err) {
 		return nil, nil
 	}
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -4,16 +4,19 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodweir/dogwoodweir/historian"
+	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -29,8 +32,23 @@
 	return rows
 }
 
-// rangeReader returns a reader of the rows, whose pages have at most so many rows.
-func rangeReader(rows []provider.VersionedRow, pageRows int) historian.RangeReader {
+// readerOf returns a reader of turns that reads pages with a function and has any memory.
+func readerOf(read func(provider.RowRange) (provider.RowPage, error)) *historian.Reader {
+	return &historian.Reader{Range: read, Admit: func(int, int) error { return nil }, RowBytes: 65536}
+}
+
+// textOf returns the text of a turn.
+func textOf(t testing.TB, turns ...*historian.Turn) []byte {
+	t.Helper()
+	text, err := io.ReadAll(historian.NewHistory(turns, nil).Reader())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// pagesOf returns a function that reads the rows in pages of at most so many rows.
+func pagesOf(rows []provider.VersionedRow, pageRows int) func(provider.RowRange) (provider.RowPage, error) {
 	return func(q provider.RowRange) (provider.RowPage, error) {
 		var page provider.RowPage
 		limit := pageRows
@@ -55,27 +73,152 @@
 // number of its rows.
 func TestEncodeDecode(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		turn := &historian.Turn{
+		text := bytes.Repeat(rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "text"), rapid.IntRange(1, 1000).Draw(t, "times"))
+		cut := rapid.IntRange(0, len(text)).Draw(t, "cut")
+		turn, err := historian.NewTurn(&historian.Draft{
 			ID:        rapid.StringMatching(`[0-9a-f]{1,16}|[a-z/]{150,190}`).Draw(t, "id"),
-			Partition: "t1",
 			Previous:  rapid.StringMatching(`[0-9a-f]{0,16}`).Draw(t, "previous"),
-			Text:      bytes.Repeat(rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "text"), rapid.IntRange(1, 30).Draw(t, "times")),
-			Expires:   time.Unix(rapid.Int64Range(1, 1e10).Draw(t, "expires"), 0),
+			Workspace: rapid.StringMatching(`[a-z]{0,16}`).Draw(t, "workspace"),
+			Parts:     [][]byte{text[:cut], text[cut:]},
+		})
+		if err != nil {
+			t.Fatal(err)
 		}
-		writes, err := historian.Encode(turn, rapid.IntRange(100, 4000).Draw(t, "rowBytes"))
+		turn.Partition, turn.EarlierBytes = "t1", rapid.IntRange(0, 1e9).Draw(t, "earlierBytes")
+		turn.Expires = time.Unix(rapid.Int64Range(1, 1e10).Draw(t, "expires"), 0)
+		rowBytes := rapid.IntRange(200, 4000).Draw(t, "rowBytes")
+		writes, err := historian.Encode(turn, rowBytes)
 		if err != nil {
 			t.Fatal(err)
 		}
-		got, err := historian.Read(turn.ID, "t1", rangeReader(turnRows(writes), rapid.IntRange(1, 20).Draw(t, "pageRows")))
+		for _, w := range writes {
+			if len(w.Value) > rowBytes {
+				t.Fatalf("a row has %d bytes, want at most %d", len(w.Value), rowBytes)
+			}
+		}
+		got, err := readerOf(pagesOf(turnRows(writes), rapid.IntRange(1, 20).Draw(t, "pageRows"))).Read(turn.ID, "t1")
 		if err != nil {
 			t.Fatal(err)
 		}
 		if diff := cmp.Diff(turn, got); diff != "" {
 			t.Fatalf("turn differs (-want +got):\n%s", diff)
 		}
+		history := historian.NewHistory([]*historian.Turn{got}, []byte("more"))
+		gotText, err := io.ReadAll(history.Reader())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := string(text) + "more"; string(gotText) != want || history.Len() != len(want) {
+			t.Fatalf("text of %d bytes, length %d, want %d bytes", len(gotText), history.Len(), len(want))
+		}
 	})
 }
 
+// writeAsBefore returns the rows of a turn as versions without packed turns wrote them.
+func writeAsBefore(t *testing.T, id string, text []byte) []provider.VersionedRow {
+	t.Helper()
+	plain, err := cbor.Marshal(map[int]any{1: "before", 2: text, 3: 1000, 4: "w"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []provider.VersionedRow
+	const size = 60_000
+	deflated := packer.Deflate(plain)
+	count := (len(deflated) + size - 1) / size
+	for i := range count {
+		row := map[int]any{2: deflated[i*size : min(len(deflated), (i+1)*size)]}
+		key := fmt.Sprintf("%s/%03d", id, i)
+		if i == 0 {
+			row[1], key = count, id
+		}
+		value, err := cbor.Marshal(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, provider.VersionedRow{RowKey: provider.RowKey{Table: historian.Table, Partition: "t1", Key: key}, Value: value})
+	}
+	return rows
+}
+
+// Guards against turns of versions before packed ones that can no longer be read, and against memory that is taken
+// for them without being admitted.
+func TestReadOfTurnWrittenBefore(t *testing.T) {
+	tests := []struct {
+		name string
+		text []byte
+		// keep is the memory that must be admitted for the turn.
+		keep int
+	}{
+		{"small", []byte("said"), 0},
+		{"large", noise(300_000), 300_000},
+		{"large that deflates well", bytes.Repeat([]byte("said "), 200_000), 1_000_000},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			reader, admitted := readerOf(pagesOf(writeAsBefore(t, "a", test.text), 500)), 0
+			reader.Admit = func(keep, _ int) error {
+				admitted = max(admitted, keep)
+				return nil
+			}
+			turn, err := reader.Read("a", "t1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]any{"before", "w", time.Unix(1000, 0)}, []any{turn.Previous, turn.Workspace, turn.Expires}); diff != "" {
+				t.Errorf("turn (-want +got):\n%s", diff)
+			}
+			if !bytes.Equal(test.text, textOf(t, turn)) {
+				t.Error("the text differs")
+			}
+			if admitted < test.keep {
+				t.Errorf("%d bytes were admitted, want at least %d", admitted, test.keep)
+			}
+		})
+	}
+}
+
+// Guards against memory that is taken before it was admitted: a turn is not read further once Admit fails.
+func TestReadStopsWithoutMemory(t *testing.T) {
+	turn, err := historian.NewTurn(&historian.Draft{ID: "a", Parts: [][]byte{noise(300_000)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	turn.Partition = "t1"
+	writes, err := historian.Encode(turn, 65536)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages := pagesOf(turnRows(writes), 500)
+	full := errors.New("full")
+	for allowed, want := range []int{0, 1} {
+		requested := 0
+		reader := readerOf(func(q provider.RowRange) (provider.RowPage, error) {
+			requested++
+			return pages(q)
+		})
+		admissions := 0
+		reader.Admit = func(int, int) error {
+			if admissions++; admissions > allowed {
+				return full
+			}
+			return nil
+		}
+		if _, err := reader.Read("a", "t1"); !errors.Is(err, full) {
+			t.Errorf("after %d admissions: %v", allowed, err)
+		}
+		if diff := cmp.Diff(want, requested); diff != "" {
+			t.Errorf("pages that are read after %d admissions (-want +got):\n%s", allowed, diff)
+		}
+	}
+}
+
+// Guards against a large text that is deflated without a bound, and then refused by the store.
+func TestTurnTooLargeForStore(t *testing.T) {
+	if _, err := historian.NewTurn(&historian.Draft{ID: "a", Parts: [][]byte{noise(900_000)}}); historian.KindOf(err) != historian.KindTooLarge {
+		t.Errorf("turn of 900,000 bytes that do not deflate: %v", err)
+	}
+}
+
 // TestDecodeMissingRow checks that a turn with a missing row is never decoded.
 func TestDecodeMissingRow(t *testing.T) {
 	text := make([]byte, 5000)
@@ -95,7 +238,7 @@
 }
 
 // rewrittenRows returns a turn that is rewritten before each of the first reads of its later rows.
-func rewrittenRows(t *testing.T, rewrites int) historian.RangeReader {
+func rewrittenRows(t *testing.T, rewrites int) func(provider.RowRange) (provider.RowPage, error) {
 	t.Helper()
 	version := 0
 	rows := func() []provider.VersionedRow {
@@ -113,7 +256,7 @@
 		if q.From != "a" && version < rewrites {
 			version++
 		}
-		return rangeReader(rows(), 500)(q)
+		return pagesOf(rows(), 500)(q)
 	}
 }
 
@@ -128,14 +271,14 @@
 // Guards against a turn that is joined from two of its writes, and against one that counts as unreadable because
 // it was renewed while it was read.
 func TestReadOfRewrittenTurn(t *testing.T) {
-	turn, err := historian.Read("a", "t1", rewrittenRows(t, 1))
+	turn, err := readerOf(rewrittenRows(t, 1)).Read("a", "t1")
 	if err != nil {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(noise(5000), turn.Text); diff != "" {
 		t.Errorf("text (-want +got):\n%s", diff)
 	}
-	if _, err := historian.Read("a", "t1", rewrittenRows(t, 100)); historian.KindOf(err) != historian.KindCorrupt {
+	if _, err := readerOf(rewrittenRows(t, 100)).Read("a", "t1"); historian.KindOf(err) != historian.KindCorrupt {
 		t.Errorf("a turn that is rewritten before each read: %v", err)
 	}
 }
@@ -148,13 +291,13 @@
 		t.Fatal(err)
 	}
 	rows := turnRows(writes)
-	if _, err := historian.Read("a/001", "t1", rangeReader(rows, 500)); historian.KindOf(err) != historian.KindNotFound {
+	if _, err := readerOf(pagesOf(rows, 500)).Read("a/001", "t1"); historian.KindOf(err) != historian.KindNotFound {
 		t.Errorf("the second row of a turn as a turn: %v", err)
 	}
 	for i := range rows {
 		rows[i].Key = "b/001" + strings.TrimPrefix(rows[i].Key, "a")
 	}
-	turn, err := historian.Read("b/001", "t1", rangeReader(rows, 500))
+	turn, err := readerOf(pagesOf(rows, 500)).Read("b/001", "t1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -227,7 +370,7 @@
 	for _, id := range []string{"a", "a/001"} {
 		first := &historian.Turn{ID: id, Partition: "t1", Expires: time.Unix(100, 0)}
 		expiry := provider.VersionedRow{RowKey: historian.ExpiryKey(first), Value: []byte("3")}
-		found, err := historian.ReadExpired(&expiry, rangeReader(rows, 500))
+		found, err := readerOf(pagesOf(rows, 500)).ReadExpired(&expiry)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -292,7 +435,7 @@
 			if (err != nil) != test.fails {
 				t.Fatalf("error: %v", err)
 			}
-			got := []string{string(historian.Join(turns, []byte("x"))), missing}
+			got := []string{string(textOf(t, turns...)) + "x", missing}
 			if diff := cmp.Diff([]string{test.text, test.missing}, got); diff != "" {
 				t.Errorf("chain differs (-want +got):\n%s", diff)
 			}
--- a/historian/read.go
+++ b/historian/read.go
@@ -3,21 +3,44 @@
 import (
 	"errors"
 
+	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
-// maxReads bounds how often a turn is read anew that is rewritten meanwhile.
-const maxReads = 3
+const (
+	// maxReads bounds how often a turn is read anew that is rewritten meanwhile.
+	maxReads = 3
+	// ReadCopies bounds the memory that reading a row takes, in sizes of the row: the store's response, its
+	// growing buffer, and the row's value while it is decoded.
+	ReadCopies = 5
+	// unpackCopies is the same for inflating the text of a turn of an earlier version.
+	unpackCopies = 3
+)
+
+// RowsBytes bounds the size of the rows of a turn whose deflated text has so many bytes.
+func RowsBytes(packedBytes, rowBytes int) int {
+	return (packedBytes/max(1, rowBytes-segmentOverheadBytes) + 2) * rowBytes
+}
 
-// RangeReader reads one page of rows.
-type RangeReader func(provider.RowRange) (provider.RowPage, error)
+// Reader reads turns of the store.
+type Reader struct {
+	// Range reads one page of rows.
+	Range func(provider.RowRange) (provider.RowPage, error)
+	// Admit is called before memory is taken: keep is the memory that the turn and the earlier ones of its chain
+	// will take, or 0 if it is not known yet, work the memory for reading. It replaces what was
+	// admitted before for the turn. The turn is not read if it fails.
+	Admit func(keep, work int) error
+	// RowBytes is the largest size of a row.
+	RowBytes int
+}
 
 // Read reads a turn from a partition. It fails with KindNotFound if the partition does not have the turn,
-// with KindCorrupt if its rows cannot be decoded, and with KindUnavailable if they cannot be read.
-func Read(id, partition string, read RangeReader) (*Turn, error) {
+// with KindCorrupt if its rows cannot be decoded, and with KindUnavailable if they cannot be read. An
+// error of Admit is returned as it is.
+func (r *Reader) Read(id, partition string) (*Turn, error) {
 	var failure error
 	for _, key := range keys(id) {
-		turn, err := readTurn(key, partition, read)
+		turn, err := r.read(key, partition)
 		if err == nil {
 			turn.ID = id
 			return turn, nil
@@ -29,12 +52,12 @@
 	return nil, failure
 }
 
-func readTurn(key, partition string, read RangeReader) (*Turn, error) {
+func (r *Reader) read(key, partition string) (*Turn, error) {
 	var turn *Turn
 	var err error
 	for range maxReads {
 		var rows []provider.VersionedRow
-		if rows, err = readRows(key, partition, read); err != nil {
+		if rows, err = r.readRows(key, partition); err != nil {
 			return nil, err
 		}
 		turn, err = decode(key, rows)
@@ -45,27 +68,55 @@
 	return turn, err
 }
 
-// readRows reads the rows of a turn, the first one alone, since it has the number of the others. Between the
-// two requests the turn may be rewritten or removed.
-func readRows(key, partition string, read RangeReader) ([]provider.VersionedRow, error) {
-	const operation = "read turn"
-	page, err := read(headRange(key, partition))
+// readHead reads the first row of a turn.
+func (r *Reader) readHead(key, partition string) ([]provider.VersionedRow, *segment, error) {
+	page, err := r.Range(headRange(key, partition))
 	if err != nil {
-		return nil, NewError(operation, KindUnavailable, err)
+		return nil, nil, NewError("read turn", KindUnavailable, err)
 	}
 	_, head, err := decodeHead(key, page.Rows)
+	return page.Rows, head, err
+}
+
+// readRows reads the rows of a turn, the first one alone, since it has the number of the others.
+func (r *Reader) readRows(key, partition string) ([]provider.VersionedRow, error) {
+	if err := r.Admit(0, ReadCopies*r.RowBytes); err != nil {
+		return nil, err
+	}
+	rows, head, err := r.readHead(key, partition)
 	if err != nil {
 		return nil, err
 	}
-	rows := page.Rows
 	if head.Count == 1 {
-		return rows, nil
+		return rows, r.admitText(key, rows)
+	}
+	return r.readLarge(key, partition, head.Count*r.RowBytes, head.EarlierBytes)
+}
+
+// readLarge reads the rows of a turn that has several of them. The first one is read again, so that it takes no memory
+// while the call waits for that of all.
+func (r *Reader) readLarge(key, partition string, bytes, earlierBytes int) ([]provider.VersionedRow, error) {
+	if err := r.Admit(bytes+earlierBytes, ReadCopies*bytes); err != nil {
+		return nil, err
+	}
+	rows, err := r.readAll(key, partition)
+	if err != nil {
+		return nil, err
+	}
+	return rows, r.admitText(key, rows)
+}
+
+// readAll reads all rows of a turn. Between the requests the turn may be rewritten or removed.
+func (r *Reader) readAll(key, partition string) ([]provider.VersionedRow, error) {
+	rows, head, err := r.readHead(key, partition)
+	if err != nil || head.Count == 1 {
+		return rows, err
 	}
 	last := segmentKey(key, head.Count-1)
 	for rest := restRange(key, partition); ; {
-		page, err := read(rest)
+		page, err := r.Range(rest)
 		if err != nil {
-			return nil, NewError(operation, KindUnavailable, err)
+			return nil, NewError("read turn", KindUnavailable, err)
 		}
 		rows = append(rows, page.Rows...)
 		if !page.More || len(page.Rows) == 0 || page.Rows[len(page.Rows)-1].Key >= last {
@@ -75,6 +126,21 @@
 	}
 }
 
+// admitText admits the memory for inflating a turn that an earlier version has written. That of others is known
+// before their rows are read.
+func (r *Reader) admitText(key string, rows []provider.VersionedRow) error {
+	_, head, data, err := joinSegments(key, rows)
+	if err != nil || head.isPacked() {
+		// The caller decodes the rows and finds the error.
+		return nil
+	}
+	size, err := packer.InflatedSize(data, maxTurnBytes)
+	if err != nil || size <= PlainBytes {
+		return nil
+	}
+	return r.Admit(size, unpackCopies*size+ReadCopies*len(data))
+}
+
 func isNotFound(err error) bool { return KindOf(err) == KindNotFound }
 
 // KindOf returns the kind of an error of this package, 0 for others.
--- /dev/null
+++ b/historian/rows.go
@@ -0,0 +1,218 @@
+package historian
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/dogwoodweir/dogwoodweir/packer"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+)
+
+const (
+	// maxTurnBytes bounds the inflated size of rows, which another writer may have written.
+	maxTurnBytes = 32 << 20
+	// segmentOverheadBytes bounds what the encoding of a segment adds to its data.
+	segmentOverheadBytes = 64
+	// headOverheadBytes bounds what the encoding of the first segment of a packed turn adds besides its strings.
+	headOverheadBytes = 128
+)
+
+// storedTurn is the encoding of a turn whose text is small. It is deflated and split into one or more rows. Earlier
+// versions encoded all turns so.
+type storedTurn struct {
+	Previous     string `cbor:"1,keyasint,omitempty"`
+	Text         []byte `cbor:"2,keyasint"`
+	Expires      int64  `cbor:"3,keyasint"`
+	Workspace    string `cbor:"4,keyasint,omitempty"`
+	EarlierBytes int    `cbor:"5,keyasint,omitempty"`
+}
+
+// segment is the value of one row of a turn. The first one has the number of rows. If the turn is packed, the
+// data of its segments is the deflated text, and the first one has the rest of the turn too.
+type segment struct {
+	Count         int    `cbor:"1,keyasint,omitempty"`
+	Data          []byte `cbor:"2,keyasint"`
+	UnpackedBytes int    `cbor:"3,keyasint,omitempty"`
+	Previous      string `cbor:"4,keyasint,omitempty"`
+	Workspace     string `cbor:"5,keyasint,omitempty"`
+	Expires       int64  `cbor:"6,keyasint,omitempty"`
+	EarlierBytes  int    `cbor:"7,keyasint,omitempty"`
+}
+
+// isPacked reports whether the segment is the first one of a packed turn.
+func (s *segment) isPacked() bool { return s.UnpackedBytes > 0 }
+
+// Encode returns the rows of a turn, each of at most rowBytes, and its expiry row. It fails with KindTooLarge if the
+// store does not take a turn of that size.
+func Encode(t *Turn, rowBytes int) ([]provider.RowWrite, error) {
+	const operation = "encode turn"
+	head := segment{}
+	data, size := t.Packed, max(1, rowBytes-segmentOverheadBytes)
+	if t.UnpackedBytes > 0 {
+		head = segment{
+			UnpackedBytes: t.UnpackedBytes, Previous: t.Previous, Workspace: t.Workspace, Expires: t.Expires.Unix(), EarlierBytes: t.EarlierBytes,
+		}
+		size = max(1, rowBytes-headOverheadBytes-len(t.Previous)-len(t.Workspace))
+	} else {
+		plain, err := cbor.Marshal(storedTurn{
+			Previous: t.Previous, Text: t.Text, Expires: t.Expires.Unix(), Workspace: t.Workspace, EarlierBytes: t.EarlierBytes,
+		})
+		if err != nil {
+			return nil, NewError(operation, KindCorrupt, err)
+		}
+		data = packer.Deflate(plain)
+	}
+	if len(data) > maxStoredBytes {
+		return nil, NewError(operation, KindTooLarge, fmt.Errorf("%d bytes deflated, the store takes %d", len(data), maxStoredBytes))
+	}
+	head.Count = max(1, (len(data)+size-1)/size)
+	return split(t, head, data, size)
+}
+
+// split returns the rows that hold the data, of which each segment has so many bytes, and the expiry row.
+func split(t *Turn, head segment, data []byte, size int) ([]provider.RowWrite, error) {
+	key, partition := turnKey(t.ID), t.Partition
+	writes := make([]provider.RowWrite, 0, head.Count+1)
+	for i := range head.Count {
+		row := segment{}
+		if i == 0 {
+			row = head
+		}
+		row.Data = data[i*size : min(len(data), (i+1)*size)]
+		value, err := cbor.Marshal(row)
+		if err != nil {
+			return nil, NewError("encode turn", KindCorrupt, err)
+		}
+		writes = append(writes, provider.RowWrite{
+			RowKey: provider.RowKey{Table: Table, Partition: partition, Key: segmentKey(key, i)}, Value: value,
+		})
+	}
+	expiry := provider.RowWrite{RowKey: ExpiryKey(t), Value: strconv.AppendInt(nil, int64(head.Count), 10)}
+	return append(writes, expiry), nil
+}
+
+// Decode returns a turn from its rows, sorted by key; rows of other turns are ignored. It fails with
+// KindNotFound without a first row, and with KindCorrupt if rows are missing, of different writes, or
+// cannot be decoded.
+func Decode(id string, rows []provider.VersionedRow) (*Turn, error) {
+	var failure error
+	for _, key := range keys(id) {
+		turn, err := decode(key, rows)
+		if err == nil {
+			turn.ID = id
+			return turn, nil
+		}
+		if failure == nil || isNotFound(failure) {
+			failure = err
+		}
+	}
+	return nil, failure
+}
+
+// decodeHead returns the first row of a turn among rows and its segment.
+func decodeHead(key string, rows []provider.VersionedRow) (*provider.VersionedRow, *segment, error) {
+	const operation = "decode first row"
+	i := slices.IndexFunc(rows, func(r provider.VersionedRow) bool { return r.Key == key })
+	if i < 0 {
+		return nil, nil, NewError(operation, KindNotFound, errors.New("no row of the turn"))
+	}
+	var head segment
+	if err := cbor.Unmarshal(rows[i].Value, &head); err != nil {
+		return nil, nil, NewError(operation, KindCorrupt, err)
+	}
+	if head.Count < 1 {
+		// The row is a later segment of a turn whose ID this one begins with, written by an earlier version.
+		return nil, nil, NewError(operation, KindNotFound, errors.New("the row is not the first of a turn"))
+	}
+	if head.UnpackedBytes < 0 || head.UnpackedBytes > maxTurnBytes || head.EarlierBytes < 0 {
+		return nil, nil, NewError(operation, KindCorrupt, errors.New("sizes out of range"))
+	}
+	return &rows[i], &head, nil
+}
+
+// joinSegments returns the first row of a turn, its segment and the data of all segments.
+func joinSegments(key string, rows []provider.VersionedRow) (*provider.VersionedRow, *segment, []byte, error) {
+	const operation = "decode turn"
+	first, head, err := decodeHead(key, rows)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	data, found := head.Data, 1
+	for i := range rows {
+		if found == head.Count {
+			break
+		}
+		if rows[i].Key != segmentKey(key, found) {
+			continue
+		}
+		if rows[i].Version != first.Version {
+			return nil, nil, nil, NewError(operation, KindCorrupt, fmt.Errorf("row %d is of another write", found))
+		}
+		var row segment
+		if err := cbor.Unmarshal(rows[i].Value, &row); err != nil {
+			return nil, nil, nil, NewError(operation, KindCorrupt, err)
+		}
+		data = append(data, row.Data...)
+		found++
+	}
+	if found < head.Count {
+		return nil, nil, nil, NewError(operation, KindCorrupt, fmt.Errorf("found %d of %d rows", found, head.Count))
+	}
+	return first, head, data, nil
+}
+
+// decode returns the turn with a key, without its ID.
+func decode(key string, rows []provider.VersionedRow) (*Turn, error) {
+	const operation = "decode turn"
+	first, head, data, err := joinSegments(key, rows)
+	if err != nil {
+		return nil, err
+	}
+	if head.isPacked() {
+		return &Turn{
+			Partition: first.Partition, Previous: head.Previous, Workspace: head.Workspace, Packed: bytes.Clone(data),
+			UnpackedBytes: head.UnpackedBytes, EarlierBytes: head.EarlierBytes, Expires: time.Unix(head.Expires, 0),
+		}, nil
+	}
+	plain, err := packer.Inflate(data, maxTurnBytes)
+	if err != nil {
+		return nil, NewError(operation, KindCorrupt, err)
+	}
+	var stored storedTurn
+	if err := cbor.Unmarshal(plain, &stored); err != nil {
+		return nil, NewError(operation, KindCorrupt, err)
+	}
+	if stored.EarlierBytes < 0 {
+		return nil, NewError(operation, KindCorrupt, errors.New("sizes out of range"))
+	}
+	t := &Turn{
+		Partition: first.Partition, Previous: stored.Previous, Workspace: stored.Workspace,
+		EarlierBytes: stored.EarlierBytes, Expires: time.Unix(stored.Expires, 0),
+	}
+	if err := t.setText(len(stored.Text), maxTurnBytes, stored.Text); err != nil {
+		return nil, NewError(operation, KindCorrupt, err)
+	}
+	return t, nil
+}
+
+// decodeExpiry returns when the turn with a key expires. The first row of a packed turn suffices.
+func decodeExpiry(key string, rows []provider.VersionedRow) (time.Time, error) {
+	_, head, err := decodeHead(key, rows)
+	if err != nil {
+		return time.Time{}, err
+	}
+	if head.isPacked() {
+		return time.Unix(head.Expires, 0), nil
+	}
+	turn, err := decode(key, rows)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return turn.Expires, nil
+}
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -4,16 +4,12 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"hash/fnv"
-	"slices"
-	"strconv"
+	"io"
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -32,10 +28,37 @@
 	// segmentSeparator stands between a turn's key and a segment number of segmentDigits digits.
 	segmentSeparator = "/"
 	segmentDigits    = 3
-	// maxTurnBytes bounds the inflated size of rows, which another writer may have written.
-	maxTurnBytes = 32 << 20
+	// PlainBytes is the size up to which the text of a turn is kept as it is. A larger one is kept deflated, and
+	// inflated while it is sent.
+	PlainBytes = 64 << 10
+	// maxStoredBytes bounds the deflated text of a turn: the store takes calls of 1 MB, in which it takes a third
+	// more.
+	maxStoredBytes = 740_000
+	// deflaterBytes is the memory of a deflater, bufferCopies that of a growing buffer in sizes of its content.
+	deflaterBytes = 1 << 20
+	bufferCopies  = 3
 )
 
+// Draft is a turn that is not written yet.
+type Draft struct {
+	ID string
+	// Previous is the ID of the previous turn, empty at the start of a chain.
+	Previous string
+	// Workspace is the name of the workspace that the turn belongs to, empty for none.
+	Workspace string
+	// Parts are the turn's input and its output.
+	Parts [][]byte
+}
+
+// TextBytes returns the size of the text.
+func (d *Draft) TextBytes() int {
+	size := 0
+	for _, p := range d.Parts {
+		size += len(p)
+	}
+	return size
+}
+
 // Turn is one turn of a chain.
 type Turn struct {
 	ID string
@@ -45,24 +68,59 @@
 	Previous string
 	// Workspace is the name of the workspace that the turn belongs to, empty for none.
 	Workspace string
-	// Text is the turn's input followed by its output.
-	Text []byte
+	// Text is the turn's input followed by its output. It is nil if the text has more than PlainBytes bytes; then
+	// Packed is the deflated text and UnpackedBytes the size of the text.
+	Text          []byte
+	Packed        []byte
+	UnpackedBytes int
+	// EarlierBytes is the memory that the earlier turns of the chain take, 0 if it is not known.
+	EarlierBytes int
 	// Expires is when the turn may be removed from the store.
 	Expires time.Time
 }
 
-// storedTurn is the encoding of a turn. It is deflated and split into one or more rows.
-type storedTurn struct {
-	Previous  string `cbor:"1,keyasint,omitempty"`
-	Text      []byte `cbor:"2,keyasint"`
-	Expires   int64  `cbor:"3,keyasint"`
-	Workspace string `cbor:"4,keyasint,omitempty"`
+// WorkBytes returns the memory that NewTurn takes besides that of the draft.
+func (d *Draft) WorkBytes() int {
+	size := d.TextBytes()
+	if size <= PlainBytes {
+		return size
+	}
+	return deflaterBytes + bufferCopies*min(size, maxStoredBytes)
+}
+
+// NewTurn returns the turn of a draft. It fails with KindTooLarge if the store does not take a turn of that size.
+func NewTurn(d *Draft) (*Turn, error) {
+	t := &Turn{ID: d.ID, Previous: d.Previous, Workspace: d.Workspace}
+	if err := t.setText(d.TextBytes(), maxStoredBytes, d.Parts...); err != nil {
+		return nil, NewError("new turn", KindTooLarge, err)
+	}
+	return t, nil
+}
+
+// setText sets the text of so many bytes, deflated to at most maxPacked bytes if it is large.
+func (t *Turn) setText(size, maxPacked int, parts ...[]byte) error {
+	if size <= PlainBytes {
+		t.Text = bytes.Join(parts, nil)
+		return nil
+	}
+	var err error
+	t.Packed, err = packer.DeflateParts(maxPacked, parts...)
+	t.UnpackedBytes = size
+	return err
 }
 
-// segment is the value of one row of a turn. The first one has the number of rows.
-type segment struct {
-	Count int    `cbor:"1,keyasint,omitempty"`
-	Data  []byte `cbor:"2,keyasint"`
+// TextBytes returns the size of the text.
+func (t *Turn) TextBytes() int { return len(t.Text) + t.UnpackedBytes }
+
+// MemoryBytes returns the memory that the turn takes.
+func (t *Turn) MemoryBytes() int { return len(t.Text) + len(t.Packed) }
+
+// reader returns a reader of the text.
+func (t *Turn) reader() io.Reader {
+	if t.UnpackedBytes > 0 {
+		return packer.NewReader(t.Packed, t.UnpackedBytes)
+	}
+	return bytes.NewReader(t.Text)
 }
 
 // keyEscaper keeps the separator of segment numbers out of keys, so that no turn has a key of another
@@ -124,119 +182,3 @@
 	}
 	return fmt.Sprintf("%s%s%0*d", key, segmentSeparator, segmentDigits, number)
 }
-
-// Encode returns the rows of a turn, each of at most rowBytes, and its expiry row.
-func Encode(t *Turn, rowBytes int) ([]provider.RowWrite, error) {
-	plain, err := cbor.Marshal(storedTurn{
-		Previous: t.Previous, Text: t.Text, Expires: t.Expires.Unix(), Workspace: t.Workspace,
-	})
-	if err != nil {
-		return nil, NewError("encode turn", KindCorrupt, err)
-	}
-	return split(t, packer.Deflate(plain), rowBytes)
-}
-
-// segmentOverheadBytes bounds what the encoding of a segment adds to its data.
-const segmentOverheadBytes = 64
-
-// split returns the rows that hold the encoded turn, and its expiry row.
-func split(t *Turn, data []byte, rowBytes int) ([]provider.RowWrite, error) {
-	size := max(1, rowBytes-segmentOverheadBytes)
-	segments := max(1, (len(data)+size-1)/size)
-	key, partition := turnKey(t.ID), t.Partition
-	writes := make([]provider.RowWrite, 0, segments)
-	for i := range segments {
-		row := segment{Data: data[i*size : min(len(data), (i+1)*size)]}
-		if i == 0 {
-			row.Count = segments
-		}
-		value, err := cbor.Marshal(row)
-		if err != nil {
-			return nil, NewError("encode turn", KindCorrupt, err)
-		}
-		writes = append(writes, provider.RowWrite{
-			RowKey: provider.RowKey{Table: Table, Partition: partition, Key: segmentKey(key, i)}, Value: value,
-		})
-	}
-	expiry := provider.RowWrite{RowKey: ExpiryKey(t), Value: strconv.AppendInt(nil, int64(segments), 10)}
-	return append(writes, expiry), nil
-}
-
-// Decode returns a turn from its rows, sorted by key; rows of other turns are ignored. It fails with
-// KindNotFound without a first row, and with KindCorrupt if rows are missing, of different writes, or
-// cannot be decoded.
-func Decode(id string, rows []provider.VersionedRow) (*Turn, error) {
-	var failure error
-	for _, key := range keys(id) {
-		turn, err := decode(key, rows)
-		if err == nil {
-			turn.ID = id
-			return turn, nil
-		}
-		if failure == nil || isNotFound(failure) {
-			failure = err
-		}
-	}
-	return nil, failure
-}
-
-// decodeHead returns the first row of a turn among rows and its segment.
-func decodeHead(key string, rows []provider.VersionedRow) (*provider.VersionedRow, *segment, error) {
-	const operation = "decode first row"
-	i := slices.IndexFunc(rows, func(r provider.VersionedRow) bool { return r.Key == key })
-	if i < 0 {
-		return nil, nil, NewError(operation, KindNotFound, errors.New("no row of the turn"))
-	}
-	var head segment
-	if err := cbor.Unmarshal(rows[i].Value, &head); err != nil {
-		return nil, nil, NewError(operation, KindCorrupt, err)
-	}
-	if head.Count < 1 {
-		// The row is a later segment of a turn whose ID this one begins with, written by an earlier version.
-		return nil, nil, NewError(operation, KindNotFound, errors.New("the row is not the first of a turn"))
-	}
-	return &rows[i], &head, nil
-}
-
-// decode returns the turn with a key, without its ID.
-func decode(key string, rows []provider.VersionedRow) (*Turn, error) {
-	const operation = "decode turn"
-	first, head, err := decodeHead(key, rows)
-	if err != nil {
-		return nil, err
-	}
-	deflated := bytes.NewBuffer(head.Data)
-	found := 1
-	for i := range rows {
-		if found == head.Count {
-			break
-		}
-		if rows[i].Key != segmentKey(key, found) {
-			continue
-		}
-		if rows[i].Version != first.Version {
-			return nil, NewError(operation, KindCorrupt, fmt.Errorf("row %d is of another write", found))
-		}
-		var row segment
-		if err := cbor.Unmarshal(rows[i].Value, &row); err != nil {
-			return nil, NewError(operation, KindCorrupt, err)
-		}
-		deflated.Write(row.Data)
-		found++
-	}
-	if found < head.Count {
-		return nil, NewError(operation, KindCorrupt, fmt.Errorf("found %d of %d rows", found, head.Count))
-	}
-	plain, err := packer.Inflate(deflated.Bytes(), maxTurnBytes)
-	if err != nil {
-		return nil, NewError(operation, KindCorrupt, err)
-	}
-	var stored storedTurn
-	if err := cbor.Unmarshal(plain, &stored); err != nil {
-		return nil, NewError(operation, KindCorrupt, err)
-	}
-	return &Turn{
-		Partition: first.Partition, Previous: stored.Previous, Workspace: stored.Workspace, Text: stored.Text,
-		Expires: time.Unix(stored.Expires, 0),
-	}, nil
-}
--- a/messenger/connection.go
+++ b/messenger/connection.go
@@ -233,6 +233,11 @@
 		m.logger.Error("request handler panicked; replying with an error", zap.String("method", request.Method), zap.String("panic", recovered.String()))
 		err = errors.New("internal error")
 	}
+	if r, ok := result.(Result); ok {
+		// The queue is in the order of the calls, so that the reply is written before.
+		defer c.stream.whenWritten(r.Done)
+		result = r.Value
+	}
 	if request.Notif {
 		return
 	}
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -123,9 +123,16 @@
 	Address string
 }
 
+// Result is a result with a function that is called once the reply has been written or dropped, for instance to
+// release memory.
+type Result struct {
+	Value any
+	Done  func()
+}
+
 // Handler serves the requests of peers. Each request runs on its own goroutine.
 type Handler interface {
-	// Handle serves every method but MethodCall and returns a result for encoding/json.
+	// Handle serves every method but MethodCall and returns a result for encoding/json, or a Result with one.
 	Handle(ctx context.Context, from, method string, params json.RawMessage) (any, error)
 	// HandleCall serves a forwarded call. It sends events with emit, which blocks
 	// while the send queue is full and fails once the connection is closed. The
--- a/messenger/stream.go
+++ b/messenger/stream.go
@@ -31,7 +31,7 @@
 type objectStream struct {
 	conn            net.Conn
 	reader          *bufio.Reader
-	queue           chan []byte
+	queue           chan queuedMessage
 	done            chan struct{}
 	once            sync.Once
 	maxMessageBytes int
@@ -48,12 +48,49 @@
 
 func newObjectStream(conn net.Conn, settings Settings, counters *counters, c *peerConn) *objectStream {
 	return &objectStream{
-		conn: conn, reader: bufio.NewReader(conn), queue: make(chan []byte, maxQueuedMessages),
+		conn: conn, reader: bufio.NewReader(conn), queue: make(chan queuedMessage, maxQueuedMessages),
 		done: make(chan struct{}), maxMessageBytes: settings.MaxMessageBytes, stallTimeout: settings.StallTimeout,
 		counters: counters, peerConn: c,
 	}
 }
 
+// queuedMessage is an encoded message, or a function to be called once all messages before it have been written
+// or dropped.
+type queuedMessage struct {
+	data    []byte
+	written func()
+}
+
+// whenWritten calls a function once the messages that are queued have been written or dropped.
+func (s *objectStream) whenWritten(call func()) {
+	select {
+	case <-s.done:
+		call()
+		return
+	case s.queue <- queuedMessage{written: call}:
+	}
+	select {
+	case <-s.done:
+		// The writer may have ended before.
+		s.dropQueued()
+	default:
+	}
+}
+
+// dropQueued drops the queued messages of a closed stream.
+func (s *objectStream) dropQueued() {
+	for {
+		select {
+		case m := <-s.queue:
+			if m.written != nil {
+				m.written()
+			}
+		default:
+			return
+		}
+	}
+}
+
 // WriteObject queues a message. It blocks while the queue is full, and closes the
 // stream after the stall timeout.
 func (s *objectStream) WriteObject(object any) error {
@@ -66,7 +103,7 @@
 	}
 	var prefix [binary.MaxVarintLen64]byte
 	n := binary.PutUvarint(prefix[:], uint64(len(data)))
-	message := append(prefix[:n:n], data...)
+	message := queuedMessage{data: append(prefix[:n:n], data...)}
 	select {
 	case <-s.done:
 		return errConnClosed
@@ -89,6 +126,7 @@
 
 // write writes queued messages until the stream is closed.
 func (s *objectStream) write() {
+	defer s.dropQueued()
 	defer s.Close()
 	writer := bufio.NewWriter(s.conn)
 	for {
@@ -104,15 +142,19 @@
 }
 
 // writeBatch writes a message and those queued meanwhile, and flushes.
-func (s *objectStream) writeBatch(writer *bufio.Writer, message []byte) error {
+func (s *objectStream) writeBatch(writer *bufio.Writer, message queuedMessage) error {
 	s.writing.Store(true)
 	defer s.writing.Store(false)
 	for {
-		if err := s.writeChunks(writer, message); err != nil {
-			return err
+		if message.written != nil {
+			message.written()
+		} else {
+			if err := s.writeChunks(writer, message.data); err != nil {
+				return err
+			}
+			s.counters.sentMessages.Add(1)
+			s.peerConn.markSent()
 		}
-		s.counters.sentMessages.Add(1)
-		s.peerConn.markSent()
 		select {
 		case message = <-s.queue:
 		default:
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -4,14 +4,18 @@
 // # Usage
 //
 //	deflated := packer.Deflate(plain)
+//	deflated, err := packer.DeflateParts(maxBytes, head, body)
 //	plain, err := packer.Inflate(deflated, maxBytes)
+//	reader := packer.NewReader(deflated, size) // inflates while it is read
 package packer
 
 import (
 	"bytes"
 	"compress/flate"
+	"errors"
 	"fmt"
 	"io"
+	"math"
 	"sync"
 )
 
@@ -53,14 +57,42 @@
 
 // Deflate returns the compressed value.
 func Deflate(plain []byte) []byte {
-	var deflated bytes.Buffer
+	// The limit is the only cause of an error.
+	deflated, _ := DeflateParts(math.MaxInt, plain)
+	return deflated
+}
+
+// DeflateParts returns the compressed form of a value that is given in parts. It fails with KindTooLarge, before
+// it has taken more memory, if that has more than maxBytes bytes.
+func DeflateParts(maxBytes int, parts ...[]byte) ([]byte, error) {
+	deflated := limitedBuffer{rest: maxBytes}
 	w := deflaters.Get().(*flate.Writer)
 	defer deflaters.Put(w)
 	w.Reset(&deflated)
-	// Writes to a buffer do not fail.
-	_, _ = w.Write(plain)
-	_ = w.Close()
-	return deflated.Bytes()
+	for _, part := range parts {
+		if _, err := w.Write(part); err != nil {
+			return nil, err
+		}
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return deflated.Bytes(), nil
+}
+
+// limitedBuffer is a buffer that fails when it is full.
+type limitedBuffer struct {
+	bytes.Buffer
+	rest int
+}
+
+// Write implements io.Writer.
+func (b *limitedBuffer) Write(p []byte) (int, error) {
+	if len(p) > b.rest {
+		return 0, &Error{operation: "deflate", kind: KindTooLarge, cause: errors.New("value is larger than the limit")}
+	}
+	b.rest -= len(p)
+	return b.Buffer.Write(p)
 }
 
 // Inflate returns the decompressed value. It fails with KindTooLarge if the value has more
@@ -75,3 +107,48 @@
 	}
 	return plain, nil
 }
+
+// InflatedSize returns the size of the decompressed value, which it does not keep. It fails like Inflate.
+func InflatedSize(deflated []byte, maxBytes int) (int, error) {
+	const operation = "inflated size"
+	size, err := io.Copy(io.Discard, io.LimitReader(flate.NewReader(bytes.NewReader(deflated)), int64(maxBytes)+1))
+	if err != nil {
+		return 0, &Error{operation: operation, kind: KindCorrupt, cause: err}
+	}
+	if size > int64(maxBytes) {
+		return 0, &Error{operation: operation, kind: KindTooLarge, cause: fmt.Errorf("value is larger than %d bytes", maxBytes)}
+	}
+	return int(size), nil
+}
+
+// Reader inflates a value while it is read.
+type Reader struct {
+	deflated []byte
+	// inflater is created at the first read: it takes 40 KB.
+	inflater io.Reader
+	rest     int
+}
+
+// NewReader returns a reader of a decompressed value of the size. It fails with KindCorrupt if the value has another
+// size or the data cannot be inflated.
+func NewReader(deflated []byte, size int) *Reader { return &Reader{deflated: deflated, rest: size} }
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if r.rest == 0 {
+		r.inflater = nil
+		return 0, io.EOF
+	}
+	if r.inflater == nil {
+		r.inflater = flate.NewReader(bytes.NewReader(r.deflated))
+	}
+	n, err := r.inflater.Read(p[:min(len(p), r.rest)])
+	r.rest -= n
+	if err == io.EOF && r.rest == 0 {
+		err = nil
+	}
+	if err != nil {
+		return n, &Error{operation: "read", kind: KindCorrupt, cause: fmt.Errorf("%d bytes are missing: %w", r.rest, err)}
+	}
+	return n, nil
+}
--- a/receiver/attempt.go
+++ b/receiver/attempt.go
@@ -128,7 +128,7 @@
 	h.receiver.deps.AwaitCurrent(h.request.Context())
 	request := dispatcher.Request{
 		Service: h.service.Name, Engine: h.service.Engine, Prompt: h.call.Prompt,
-		PromptTokens: h.call.PromptTokens, BodyBytes: len(h.targetBody),
+		PromptTokens: h.call.PromptTokens, BodyBytes: h.targetBody.Len(),
 		Priority: h.route.Priority, ProgramStarted: h.programStarted(), ObjectiveMissed: h.call.Program != "" && h.call.ProgramRemaining <= 0,
 		Remaining: h.remaining(), Excluded: a.excluded,
 	}
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -40,7 +40,7 @@
 	bodyTimedOut bool
 	// callerBody is the caller's request body, targetBody the one sent to the target.
 	callerBody []byte
-	targetBody []byte
+	targetBody forwarder.Body
 	chain      []*historian.Turn
 	// reservation holds the tokens of the turn. At the end of the call, unused ones are returned.
 	reservation *recorder.Reservation
@@ -275,7 +275,7 @@
 	wait := h.receiver.waits.add(true, &h.bodyMemory, &h.responseMemory, func() { _ = controller.SetReadDeadline(pastDeadline) })
 	h.callerBody, err = h.readBody(pacedReader{http.MaxBytesReader(h.writer, h.request.Body, int64(limit)), wait}, limit)
 	h.receiver.waits.remove(wait)
-	h.targetBody = h.callerBody
+	h.targetBody = forwarder.Bytes(h.callerBody)
 	h.bodyRead = err == nil
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
@@ -386,7 +386,7 @@
 	timeout := min(options.ChainTimeout, h.remaining()/2)
 	ctx, cancel := context.WithTimeout(h.request.Context(), timeout)
 	defer cancel()
-	chain, err := h.receiver.deps.Recorder.Chain(ctx, h.call.Previous)
+	chain, err := h.receiver.deps.Recorder.Chain(ctx, h.call.Previous, historyMemory{h})
 	switch {
 	case err == nil && len(chain) > 0 && chain[0].Workspace != h.workspaceName():
 		return h.reject(http.StatusNotFound, "turnOfOtherWorkspace", 0, nil)
@@ -396,20 +396,27 @@
 		// Another daemon may have more memory.
 		h.writer.Header().Set("Connection", "close")
 		return h.reject(http.StatusServiceUnavailable, "historyTooLarge", options.PeerRetryAfter, err)
+	case recorder.KindOf(err) == recorder.KindNoMemory:
+		return h.rejectForMemory(err)
 	case err != nil:
 		return h.reject(http.StatusServiceUnavailable, "historyUnavailable", h.storeRetryAfter(), err)
 	}
 	h.chain = chain
 	h.record.ChainTurns = len(chain)
-	memoryCtx, cancelMemory := context.WithTimeout(h.request.Context(), min(options.MemoryWait, h.remaining()/3))
-	defer cancelMemory()
-	if err := h.bodyMemory.await(memoryCtx, len(h.callerBody)+historian.JoinedSize(chain, h.callerBody)); err != nil {
-		return h.rejectForMemory(err)
-	}
-	h.targetBody = historian.Join(chain, h.callerBody)
+	h.targetBody = historian.NewHistory(chain, h.callerBody)
 	return nil
 }
 
+// historyMemory is the part of a call's share of the memory for bodies that its history takes.
+type historyMemory struct{ call *callHandler }
+
+// Resize implements recorder.Memory.
+func (m historyMemory) Resize(ctx context.Context, bytes int) error {
+	size := len(m.call.callerBody) + bytes
+	m.call.bodyMemory.shrink(size)
+	return m.call.bodyMemory.await(ctx, size)
+}
+
 // storeRetryAfter returns the retry delay after a rejection because of the store. If this
 // daemon is alone, it also makes the caller close its connection. Outages
 // last for seconds, and callers wait for at most a third of their remaining time: with a
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -21,8 +21,8 @@
 	Up() bool
 	Reserve(ctx context.Context, request recorder.Request) recorder.Reservation
 	Finish(reservation recorder.Reservation, used int)
-	Chain(ctx context.Context, id string) ([]*historian.Turn, error)
-	Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error
+	Chain(ctx context.Context, id string, memory recorder.Memory) ([]*historian.Turn, error)
+	Commit(ctx context.Context, draft historian.Draft, chain []*historian.Turn, retention time.Duration) error
 }
 
 // Limiter decides whether a call of a workspace is within its quota.
@@ -199,7 +199,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	h := &callHandler{
-		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(),
+		receiver: r, writer: w, request: request, arrival: r.deps.Clock.Now(), targetBody: forwarder.Bytes(nil),
 		bodyMemory:     memoryShare{pool: r.bodyMemory, small: r.smallBodyMemory, reclaim: r.reclaimBodyMemory},
 		responseMemory: memoryShare{pool: r.responseMemory, small: r.smallResponseMemory, reclaim: r.reclaimResponseMemory},
 	}
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -334,8 +334,8 @@
 	timeout := min(h.receiver.options.CommitTimeout, h.remaining()-h.receiver.options.CommitMargin)
 	ctx, cancel := context.WithTimeout(h.request.Context(), timeout)
 	defer cancel()
-	text := make([]byte, 0, len(h.callerBody)+len(h.output))
-	text = append(append(text, h.callerBody...), h.output...)
-	turn := &historian.Turn{ID: h.call.ID, Previous: h.call.Previous, Workspace: h.workspaceName(), Text: text}
-	return h.receiver.deps.Recorder.Commit(ctx, turn, h.chain, h.route.Retention)
+	draft := historian.Draft{
+		ID: h.call.ID, Previous: h.call.Previous, Workspace: h.workspaceName(), Parts: [][]byte{h.callerBody, h.output},
+	}
+	return h.receiver.deps.Recorder.Commit(ctx, draft, h.chain, h.route.Retention)
 }
--- a/recorder/cleanup.go
+++ b/recorder/cleanup.go
@@ -53,7 +53,10 @@
 	partition := partitions[rand.IntN(len(partitions))]
 	now := time.Now()
 	remove := func(ctx context.Context, row *provider.VersionedRow) (provider.RowTransaction, bool) {
-		rows, err := historian.ReadExpired(row, r.rangeReader(ctx))
+		work := r.work.newShare()
+		defer work.release()
+		reader := r.turnReader(ctx, func(_, workBytes int) error { return work.grow(ctx, workBytes) })
+		rows, err := reader.ReadExpired(row)
 		if err != nil {
 			r.log.Warn("cannot read an expired turn; a later clean-up retries", zap.String("part", partition), zap.Error(err))
 			return provider.RowTransaction{}, false
--- a/recorder/error.go
+++ b/recorder/error.go
@@ -18,6 +18,8 @@
 	KindInvalid
 	// KindTooLarge means that this daemon has too little memory for a chain.
 	KindTooLarge
+	// KindNoMemory means that no memory became free in time.
+	KindNoMemory
 )
 
 // Error is the error type of the package.
--- a/recorder/largechain_test.go
+++ b/recorder/largechain_test.go
@@ -31,7 +31,7 @@
 			writer := start(t, rows, "writer", noPeers{})
 			previous := ""
 			for i := range test.turns {
-				turn := &historian.Turn{ID: string(rune('a' + i)), Previous: previous, Text: bytes.Repeat([]byte{byte('A' + i)}, turnBytes)}
+				turn := historian.Draft{ID: string(rune('a' + i)), Previous: previous, Parts: [][]byte{text(turnBytes, byte(i))}}
 				if err := writer.Commit(timeout(t, 5*time.Second), turn, nil, time.Minute); err != nil {
 					t.Fatal(err)
 				}
@@ -39,7 +39,7 @@
 			}
 			reader := start(t, rows, "reader", noPeers{})
 			for _, r := range []*recorder.Recorder{writer, reader, reader} {
-				turns, err := r.Chain(timeout(t, 5*time.Second), previous)
+				turns, err := r.Chain(timeout(t, 5*time.Second), previous, anyMemory{})
 				if diff := cmp.Diff(test.kind, recorder.KindOf(err)); diff != "" {
 					t.Fatalf("kind of %v (-want +got):\n%s", err, diff)
 				}
@@ -49,10 +49,12 @@
 				if diff := cmp.Diff(test.turns, len(turns)); diff != "" {
 					t.Errorf("turns (-want +got):\n%s", diff)
 				}
-				for i, turn := range turns {
-					if want := bytes.Repeat([]byte{byte('A' + test.turns - 1 - i)}, turnBytes); !bytes.Equal(want, turn.Text) {
-						t.Errorf("turn %d of the chain differs", i)
-					}
+				var want []byte
+				for i := range test.turns {
+					want = append(want, text(turnBytes, byte(i))...)
+				}
+				if !bytes.Equal(want, textOf(t, turns)) {
+					t.Error("the text of the chain differs")
 				}
 			}
 		})
--- a/recorder/prefix_test.go
+++ b/recorder/prefix_test.go
@@ -1,15 +1,15 @@
 package recorder_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/historian"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -35,6 +35,16 @@
 	return t
 }
 
+// textOf returns the text of a chain.
+func textOf(t *testing.T, chain []*historian.Turn) []byte {
+	t.Helper()
+	text, err := io.ReadAll(historian.NewHistory(chain, nil).Reader())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
 // commonPartition returns a base for the IDs of turns and a partition in which both base and base+suffix may be
 // stored.
 func commonPartition(t *testing.T, suffix string) (base, partition string) {
@@ -85,7 +95,11 @@
 			}
 			// Several rows each, so that each turn may overwrite rows of the others.
 			for i, id := range ids {
-				turn := &historian.Turn{ID: id, Partition: partition, Text: text(200_000, byte(i)), Expires: time.Now().Add(time.Minute)}
+				turn, err := historian.NewTurn(&historian.Draft{ID: id, Parts: [][]byte{text(200_000, byte(i))}})
+				if err != nil {
+					t.Fatal(err)
+				}
+				turn.Partition, turn.Expires = partition, time.Now().Add(time.Minute)
 				writes, err := historian.Encode(turn, 65536)
 				if err != nil {
 					t.Fatal(err)
@@ -96,12 +110,12 @@
 			}
 			reader := start(t, rows, "reader", noPeers{})
 			for i, id := range ids {
-				turns, err := reader.Chain(timeout(t, 5*time.Second), id)
+				turns, err := reader.Chain(timeout(t, 5*time.Second), id, anyMemory{})
 				if err != nil {
 					t.Errorf("turn %s: %v", id, err)
 					continue
 				}
-				if diff := cmp.Diff(text(200_000, byte(i)), turns[0].Text); diff != "" {
+				if !bytes.Equal(text(200_000, byte(i)), textOf(t, turns)) {
 					t.Errorf("turn %s differs", id)
 				}
 			}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -10,6 +10,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
 	"github.com/dogwoodweir/dogwoodweir/batcher"
+	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/historian"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
@@ -37,8 +38,12 @@
 	Incarnation string
 	// CacheBytes is the size limit of the text of the turns in memory.
 	CacheBytes int
-	// MaxChainBytes bounds the text of a chain, which its call holds until it ends.
+	// MaxChainBytes bounds the memory of a chain, which its call holds until it ends.
 	MaxChainBytes int
+	// WorkBytes bounds the memory that reading and writing turns takes at a time, LendBytes that of sending them to
+	// peers.
+	WorkBytes int64
+	LendBytes int64
 	// RowBytes is the largest size of a row's value.
 	RowBytes int
 }
@@ -49,8 +54,11 @@
 	// BorrowTokens borrows tokens from peers, see accountant.Borrow. Tokens that arrive after the return
 	// are passed to onLate.
 	BorrowTokens(ctx context.Context, request accountant.Borrow, onLate func(tokens int)) accountant.TokensReceived
-	// Turn returns a turn that a peer has in memory, or nil.
-	Turn(ctx context.Context, id string) *historian.Turn
+	// PeerCount returns the number of peers that FindTurn asks for a turn. Their replies have its text if that takes
+	// up to maxBytes. ReadTurn reads one that FindTurn has found without it; it returns nil on failure.
+	PeerCount() int
+	FindTurn(ctx context.Context, id string, maxBytes int) borrower.FoundTurn
+	ReadTurn(ctx context.Context, id string, found borrower.FoundTurn) *historian.Turn
 }
 
 // message is an input of the loop.
@@ -115,6 +123,8 @@
 	log        *zap.Logger
 	inbox      chan message
 	turns      *historian.Cache
+	work       *workMemory
+	lending    *workMemory
 	down       atomic.Pointer[partitionSet]
 	queueCount atomic.Int64
 	tickets    atomic.Uint64
@@ -143,7 +153,8 @@
 func New(store provider.RowStore, secondRows SecondRows, peers Peers, options Options, log *zap.Logger) *Recorder {
 	r := &Recorder{
 		store: store, secondRows: secondRows, peers: peers, options: options, log: log, inbox: make(chan message, inboxSize),
-		turns: historian.NewCache(options.CacheBytes), queues: map[string]*partitionQueue{},
+		turns: historian.NewCache(options.CacheBytes), work: newWorkMemory(options.WorkBytes),
+		lending: newWorkMemory(options.LendBytes), queues: map[string]*partitionQueue{},
 		budgets: accountant.New(options.Accountant, options.Host, options.Incarnation), submitReplies: map[batcher.Ticket]chan batcher.Outcome{},
 		budgetWrites: map[batcher.Ticket]accountant.Write{}, reserveReplies: map[accountant.Ticket]chan accountant.Decision{},
 		lendReplies: map[accountant.Ticket]chan accountant.Lend{}, cleanupStart: map[string]string{},
@@ -277,6 +288,3 @@
 		// The queued messages will use the store and detect that it is back.
 	}
 }
-
-// Turn returns a turn from memory, or nil if it is not there.
-func (r *Recorder) Turn(id string) *historian.Turn { return r.turns.Get(id) }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
 	"github.com/dogwoodweir/dogwoodweir/batcher"
+	"github.com/dogwoodweir/dogwoodweir/borrower"
 	"github.com/dogwoodweir/dogwoodweir/emulator"
 	"github.com/dogwoodweir/dogwoodweir/historian"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -25,7 +26,11 @@
 func (noPeers) BorrowTokens(_ context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
 	return accountant.TokensReceived{Program: request.Program}
 }
-func (noPeers) Turn(context.Context, string) *historian.Turn { return nil }
+func (noPeers) PeerCount() int { return 0 }
+func (noPeers) FindTurn(context.Context, string, int) borrower.FoundTurn {
+	return borrower.FoundTurn{}
+}
+func (noPeers) ReadTurn(context.Context, string, borrower.FoundTurn) *historian.Turn { return nil }
 
 // peer lends the tokens and returns the cached turns of another recorder.
 type peer struct{ lender *recorder.Recorder }
@@ -33,7 +38,32 @@
 func (p peer) BorrowTokens(ctx context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
 	return accountant.TokensReceived{Program: request.Program, Tokens: p.lender.LendTokens(ctx, request.Program, request.Tokens).Tokens}
 }
-func (p peer) Turn(_ context.Context, id string) *historian.Turn { return p.lender.Turn(id) }
+func (p peer) PeerCount() int { return 1 }
+func (p peer) FindTurn(ctx context.Context, id string, maxBytes int) borrower.FoundTurn {
+	turn, hasText, done := p.lender.LendTurn(ctx, id, maxBytes)
+	defer done()
+	if turn == nil {
+		return borrower.FoundTurn{}
+	}
+	found := borrower.FoundTurn{Host: "peer", Bytes: turn.MemoryBytes(), EarlierBytes: turn.EarlierBytes}
+	if hasText {
+		found.Turn = turn
+	}
+	return found
+}
+func (p peer) ReadTurn(ctx context.Context, id string, found borrower.FoundTurn) *historian.Turn {
+	return p.FindTurn(ctx, id, found.Bytes).Turn
+}
+
+// anyMemory is memory without a bound.
+type anyMemory struct{}
+
+func (anyMemory) Resize(context.Context, int) error { return nil }
+
+// draft returns a turn with a text.
+func draft(id, previous, text string) historian.Draft {
+	return historian.Draft{ID: id, Previous: previous, Parts: [][]byte{[]byte(text)}}
+}
 
 // storedRows are second rows that are written to the store at once, as an owner does while the store is
 // available.
@@ -69,7 +99,7 @@
 	t.Helper()
 	r := recorder.New(rows, storedRows{rows}, peers, recorder.Options{
 		Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: host, Incarnation: incarnation,
-		CacheBytes: 1 << 20, MaxChainBytes: 8 << 20, RowBytes: 65536,
+		CacheBytes: 1 << 20, MaxChainBytes: 8 << 20, WorkBytes: 8 << 20, LendBytes: 4 << 20, RowBytes: 65536,
 	}, zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -139,7 +169,7 @@
 		return partition == "t1" || partition == "t4" || partition == "t9"
 	})
 	for i := range count {
-		turn := &historian.Turn{ID: fmt.Sprint("turn", i), Text: []byte(fmt.Sprint("said ", i))}
+		turn := draft(fmt.Sprint("turn", i), "", fmt.Sprint("said ", i))
 		if err := writer.Commit(timeout(t, 5*time.Second), turn, nil, time.Minute); err != nil {
 			t.Fatalf("turn %d: %v", i, err)
 		}
@@ -147,7 +177,7 @@
 	rows.SetPartitionDown(nil)
 	reader := start(t, rows, "reader", noPeers{})
 	for i := range count {
-		turns, err := reader.Chain(timeout(t, 5*time.Second), fmt.Sprint("turn", i))
+		turns, err := reader.Chain(timeout(t, 5*time.Second), fmt.Sprint("turn", i), anyMemory{})
 		if err != nil {
 			t.Fatalf("turn %d: %v", i, err)
 		}
@@ -162,12 +192,12 @@
 func TestNotFoundNeedsAllCandidates(t *testing.T) {
 	rows := emulator.NewRowStore()
 	r := start(t, rows, "host", noPeers{})
-	if _, err := r.Chain(timeout(t, time.Second), "none"); !recorder.IsNotFound(err) {
+	if _, err := r.Chain(timeout(t, time.Second), "none", anyMemory{}); !recorder.IsNotFound(err) {
 		t.Errorf("with all partitions up: %v", err)
 	}
 	for _, candidate := range historian.CandidatePartitions("none") {
 		rows.SetPartitionDown(func(partition string) bool { return partition == candidate })
-		if _, err := r.Chain(timeout(t, 300*time.Millisecond), "none"); err == nil || recorder.IsNotFound(err) {
+		if _, err := r.Chain(timeout(t, 300*time.Millisecond), "none", anyMemory{}); err == nil || recorder.IsNotFound(err) {
 			t.Errorf("with partition %s down: %v", candidate, err)
 		}
 	}
@@ -178,7 +208,7 @@
 func TestOutage(t *testing.T) {
 	rows := emulator.NewRowStore()
 	first := start(t, rows, "first", noPeers{})
-	if err := first.Commit(timeout(t, time.Second), &historian.Turn{ID: "a", Text: []byte("A")}, nil, time.Minute); err != nil {
+	if err := first.Commit(timeout(t, time.Second), draft("a", "", "A"), nil, time.Minute); err != nil {
 		t.Fatal(err)
 	}
 	if d := first.Reserve(timeout(t, time.Second), recorder.Request{Program: "p", Budget: 10_000, Tokens: 500}); d.Verdict != accountant.Admitted {
@@ -186,7 +216,7 @@
 	}
 	second := start(t, rows, "second", peer{first})
 	rows.SetDown(true)
-	if turns, err := second.Chain(timeout(t, time.Second), "a"); err != nil || string(turns[0].Text) != "A" {
+	if turns, err := second.Chain(timeout(t, time.Second), "a", anyMemory{}); err != nil || string(turns[0].Text) != "A" {
 		t.Errorf("the turn of the peer: %v", err)
 	}
 	if d := second.Reserve(timeout(t, 2*time.Second), recorder.Request{Program: "p", Budget: 10_000, Tokens: 500, ProgramStarted: true}); d.Verdict != accountant.Admitted {
@@ -209,20 +239,19 @@
 func TestRenewedTurnIsRenewedOnce(t *testing.T) {
 	rows := emulator.NewRowStore()
 	r := start(t, rows, "host", noPeers{})
-	old := &historian.Turn{ID: "old", Text: []byte("A")}
-	if err := r.Commit(timeout(t, time.Second), old, nil, time.Minute); err != nil {
+	if err := r.Commit(timeout(t, time.Second), draft("old", "", "A"), nil, time.Minute); err != nil {
 		t.Fatal(err)
 	}
-	old.Expires = time.Now().Add(30 * time.Second)
+	cached(t, r, "old").Expires = time.Now().Add(30 * time.Second)
 	previous := "old"
 	var applied []int
 	for _, id := range []string{"first", "second", "third"} {
 		before := rows.Applied()
-		chain, err := r.Chain(timeout(t, time.Second), previous)
+		chain, err := r.Chain(timeout(t, time.Second), previous, anyMemory{})
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := r.Commit(timeout(t, time.Second), &historian.Turn{ID: id, Previous: previous, Text: []byte("B")}, chain, time.Minute); err != nil {
+		if err := r.Commit(timeout(t, time.Second), draft(id, previous, "B"), chain, time.Minute); err != nil {
 			t.Fatal(err)
 		}
 		previous = id
@@ -231,11 +260,22 @@
 	if diff := cmp.Diff([]int{2, 1, 1}, applied); diff != "" {
 		t.Errorf("transactions of the commits differ (-want +got):\n%s", diff)
 	}
-	if renewed := r.Turn("old"); !renewed.Expires.After(time.Now().Add(time.Minute)) {
+	if renewed := cached(t, r, "old"); !renewed.Expires.After(time.Now().Add(time.Minute)) {
 		t.Errorf("the turn in memory expires in %s", time.Until(renewed.Expires))
 	}
 }
 
+// cached returns a turn in memory.
+func cached(t *testing.T, r *recorder.Recorder, id string) *historian.Turn {
+	t.Helper()
+	turn, _, done := r.LendTurn(t.Context(), id, historian.PlainBytes)
+	done()
+	if turn == nil {
+		t.Fatalf("turn %s is not in memory", id)
+	}
+	return turn
+}
+
 // TestSplitBudgetIsFullyUsed checks that turns for which the whole budget suffices are
 // admitted, also when the budget is split into two rows.
 func TestSplitBudgetIsFullyUsed(t *testing.T) {
--- a/recorder/restart_test.go
+++ b/recorder/restart_test.go
@@ -33,7 +33,7 @@
 	rows := emulator.NewRowStore()
 	r := recorder.New(rows, storedRows{rows}, panickingPeers{program: "poison"}, recorder.Options{
 		Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: "a", Incarnation: "a",
-		CacheBytes: 1 << 20, MaxChainBytes: 8 << 20, RowBytes: 65536,
+		CacheBytes: 1 << 20, MaxChainBytes: 8 << 20, WorkBytes: 16 << 20, LendBytes: 16 << 20, RowBytes: 65536,
 	}, zap.NewNop())
 	ctx, cancel := context.WithCancel(t.Context())
 	done, rebuilds := make(chan struct{}), 0
--- a/recorder/slowread_test.go
+++ b/recorder/slowread_test.go
@@ -55,7 +55,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				store := &slowStore{RowStore: emulator.NewRowStore(), silent: test.silent}
 				r := New(store, nil, nil, Options{
-					Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: "a", Incarnation: "a", CacheBytes: 1, MaxChainBytes: 1 << 20, RowBytes: 1,
+					Batcher: batcher.DefaultOptions(), Accountant: accountant.DefaultOptions(), Host: "a", Incarnation: "a", CacheBytes: 1, MaxChainBytes: 1 << 20, WorkBytes: 16 << 20, LendBytes: 16 << 20, RowBytes: 1,
 				}, zap.NewNop())
 				ctx, cancel := context.WithTimeout(t.Context(), 800*time.Millisecond)
 				defer cancel()
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/batcher"
@@ -23,6 +22,9 @@
 	maxReadTimeout     = 700 * time.Millisecond
 	// readRetryDelay is the delay before a failed read is repeated.
 	readRetryDelay = 30 * time.Millisecond
+	// writeCopies bounds the memory that writing a turn takes, in sizes of its rows: the rows, the transaction and
+	// its encoding.
+	writeCopies = 5
 	// commitRetryDelay is the delay before all candidate partitions of a turn are tried again.
 	commitRetryDelay = 20 * time.Millisecond
 )
@@ -49,71 +51,11 @@
 	}
 }
 
-// rangeReader returns readRange for a context.
-func (r *Recorder) rangeReader(ctx context.Context) historian.RangeReader {
-	return func(rows provider.RowRange) (provider.RowPage, error) { return r.readRange(ctx, rows) }
-}
-
-// Chain returns the turns up to the given one, newest first. It loads turns that are not in
-// memory from peers or the store, and fails with KindTooLarge if their text exceeds MaxChainBytes.
-func (r *Recorder) Chain(ctx context.Context, id string) ([]*historian.Turn, error) {
-	bytes := 0
-	turns, err := historian.Chain(id, func(id string) (*historian.Turn, error) {
-		turn := r.turns.Get(id)
-		if turn == nil {
-			var err error
-			if turn, err = r.loadTurn(ctx, id); err != nil {
-				return nil, err
-			}
-			r.turns.Add(turn)
-		}
-		if bytes += len(turn.Text); bytes > r.options.MaxChainBytes {
-			return nil, NewError("load turn "+id, KindTooLarge, fmt.Errorf("the chain has more than %d bytes", r.options.MaxChainBytes))
-		}
-		return turn, nil
-	})
-	if historian.KindOf(err) == historian.KindTooLong {
-		return nil, NewError("read chain of turn "+id, KindInvalid, err)
-	}
-	return turns, err
-}
-
-// loadTurn reads a turn from a peer's memory or from its candidate partitions. It fails with
-// KindNotFound only if all these partitions respond without the turn, and with
-// KindUnavailable if one of them fails.
-func (r *Recorder) loadTurn(ctx context.Context, id string) (*historian.Turn, error) {
-	operation := "load turn " + id
-	// A peer replies faster than the store. Turns in its memory have been written.
-	if turn := r.peers.Turn(ctx, id); turn != nil {
-		return turn, nil
-	}
-	var failure error
-	for _, partition := range historian.CandidatePartitions(id) {
-		if !r.partitionUp(partition) {
-			failure = errors.New("partition " + partition + " of the store is down")
-			continue
-		}
-		turn, err := historian.Read(id, partition, r.rangeReader(ctx))
-		switch historian.KindOf(err) {
-		case historian.KindNotFound:
-		case historian.KindUnavailable:
-			failure = err
-		case historian.KindCorrupt:
-			return nil, NewError(operation, KindInvalid, err)
-		default:
-			return turn, nil
-		}
-	}
-	if failure == nil {
-		return nil, NewError(operation, KindNotFound, errors.New("no candidate partition has the turn"))
-	}
-	return nil, NewError(operation, KindUnavailable, failure)
-}
-
-// Commit writes a turn to the first of its candidate partitions that accepts it, and sets the
-// turn's Partition and Expires. Before that, it rewrites turns of the chain, given newest
-// first, that would expire too early.
-func (r *Recorder) Commit(ctx context.Context, turn *historian.Turn, chain []*historian.Turn, retention time.Duration) error {
+// Commit writes the turn of a draft to the first of its candidate partitions that accepts it. Before that, it
+// rewrites turns of the chain, given newest first, that would expire too early.
+func (r *Recorder) Commit(ctx context.Context, draft historian.Draft, chain []*historian.Turn, retention time.Duration) error {
+	work := r.work.newShare()
+	defer work.release()
 	now := time.Now()
 	expires := now.Add(retentionMultiple * retention)
 	for _, old := range chain {
@@ -122,17 +64,16 @@
 		}
 		renewed := *old
 		renewed.Expires = expires
-		entry, err := r.turnEntry(ctx, &renewed)
-		if err != nil {
-			return err
-		}
-		entry.Transaction.Deletes = append(entry.Transaction.Deletes, historian.ExpiryKey(old))
-		if err := r.writeEntry(ctx, old.Partition, entry); err != nil {
+		if err := r.renew(ctx, work, old, &renewed); err != nil {
 			return err
 		}
 		r.turns.Add(&renewed)
 	}
-	turn.Expires = expires
+	turn, err := r.newTurn(ctx, work, draft)
+	if err != nil {
+		return err
+	}
+	turn.Expires, turn.EarlierBytes = expires, chainBytes(chain)
 	if err := r.writeNewTurn(ctx, turn); err != nil {
 		return err
 	}
@@ -140,6 +81,47 @@
 	return nil
 }
 
+// newTurn returns the turn of a draft. Memory for writing it is taken if it is large: the text of others is
+// a small part of what their calls hold.
+func (r *Recorder) newTurn(ctx context.Context, work *workShare, draft historian.Draft) (*historian.Turn, error) {
+	large := draft.TextBytes() > historian.PlainBytes
+	if large {
+		if err := work.grow(ctx, draft.WorkBytes()); err != nil {
+			return nil, err
+		}
+	}
+	turn, err := historian.NewTurn(&draft)
+	if err != nil {
+		return nil, NewError("commit turn", KindInvalid, err)
+	}
+	work.shrink(writeCopies * turn.MemoryBytes())
+	return turn, nil
+}
+
+// renew replaces the rows of a turn by those of the same turn with a later expiry.
+func (r *Recorder) renew(ctx context.Context, work *workShare, old, renewed *historian.Turn) error {
+	if renewed.TextBytes() > historian.PlainBytes {
+		if err := work.grow(ctx, writeCopies*renewed.MemoryBytes()); err != nil {
+			return err
+		}
+	}
+	entry, err := r.turnEntry(ctx, renewed)
+	if err != nil {
+		return err
+	}
+	entry.Transaction.Deletes = append(entry.Transaction.Deletes, historian.ExpiryKey(old))
+	return r.writeEntry(ctx, old.Partition, entry)
+}
+
+// chainBytes returns the memory of the turns of a chain.
+func chainBytes(chain []*historian.Turn) int {
+	bytes := 0
+	for _, t := range chain {
+		bytes += t.MemoryBytes()
+	}
+	return bytes
+}
+
 // writeNewTurn tries the candidate partitions of a turn until one accepts it or the context
 // ends. A turn that is written to two of them after a lost response is the same in both.
 func (r *Recorder) writeNewTurn(ctx context.Context, turn *historian.Turn) error {
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -306,7 +306,7 @@
 			t.Rows = append(t.Rows, []string{next, "-", "-", "missing"})
 			break
 		}
-		t.Rows = append(t.Rows, []string{turn.ID, turn.Partition, fmt.Sprint(len(turn.Text)), turn.Expires.UTC().Format(time.RFC3339)})
+		t.Rows = append(t.Rows, []string{turn.ID, turn.Partition, fmt.Sprint(turn.TextBytes()), turn.Expires.UTC().Format(time.RFC3339)})
 		next = turn.Previous
 	}
 	return t, nil
@@ -314,16 +314,21 @@
 
 // readTurn reads a turn from its candidate partitions. It returns nil if none holds it.
 func (v *Viewer) readTurn(ctx context.Context, id string) (*historian.Turn, error) {
+	reader := &historian.Reader{
+		Range: func(r provider.RowRange) (provider.RowPage, error) { return v.store.Range(ctx, r) },
+		Admit: func(int, int) error { return nil },
+	}
 	for _, partition := range historian.CandidatePartitions(id) {
-		turn, err := historian.Read(id, partition, func(r provider.RowRange) (provider.RowPage, error) { return v.store.Range(ctx, r) })
+		turn, err := reader.Read(id, partition)
+		if err == nil {
+			return turn, nil
+		}
 		switch historian.KindOf(err) {
 		case historian.KindNotFound:
 		case historian.KindUnavailable:
 			return nil, &Error{operation: "turn", kind: KindStore, cause: err}
-		case historian.KindCorrupt:
-			return nil, &Error{operation: "turn", kind: KindUnreadable, cause: err}
 		default:
-			return turn, nil
+			return nil, &Error{operation: "turn", kind: KindUnreadable, cause: err}
 		}
 	}
 	return nil, nil
