Do not take the end of a broken upload for the end of its response

Cause: the system reports a reset once. The write of the request got it, and the reads after it ended as after an orderly close, which is the end of a response without a length.

Change: without the whole request written, the end of the connection ends no response.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -193,7 +193,10 @@
 	}
 }
 
-var errNothingWritten = errors.New("no byte of the request was written")
+var (
+	errNothingWritten = errors.New("no byte of the request was written")
+	errBrokenUpload   = errors.New("the connection broke during the request, so that its end does not mark that of the response")
+)
 
 // countingWriter counts the bytes that were sent.
 type countingWriter struct {
@@ -256,6 +259,11 @@
 // Read reads from the response body. At io.EOF the response is complete.
 func (e *Exchange) Read(p []byte) (int, error) {
 	n, err := e.response.Body.Read(p)
+	if err == io.EOF && !e.written && e.EndsWithConnection() {
+		// The system reports a reset once. If a write has got it, reads end as if the target had closed the
+		// connection in an orderly way.
+		return n, errBrokenUpload
+	}
 	if err == io.EOF {
 		e.complete = true
 	}
