Treat a status outside of 100 to 599 as a broken response

Callers got responses with statuses of 600 and 999 as answers, and waited until their deadline for 000, 001 and 099, which were taken for interim responses.

Cause: the HTTP parser takes any three digits, and nothing behind it checked the range.

Change: such a status is an error of the head. The connection is closed; a call that may be repeated is, others get 502.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -22,6 +23,10 @@
 	maxStaleResponses = 3
 	// maxStaleResponseBytes bounds the body of a response that is skipped.
 	maxStaleResponseBytes = 1 << 20
+	// minStatus and maxStatus are the range of statuses in the protocol, of which the HTTP parser takes any three
+	// digits.
+	minStatus = 100
+	maxStatus = 599
 )
 
 // Options configure a Forwarder.
@@ -233,6 +238,9 @@
 		if err != nil {
 			return err
 		}
+		if response.StatusCode < minStatus || response.StatusCode > maxStatus {
+			return fmt.Errorf("status %03d is none of a response", response.StatusCode)
+		}
 		head := e.forwarder.dialect.ParseResponse(response)
 		if r.OnHead != nil {
 			r.OnHead(head)
