Read all pages of the list of daemons

Cause: the list was read as one page of up to 500 rows. Rows of hosts that end without a planned stop stay in the table, so that daemons behind them were unknown: their tokens counted as lost.

Change: provider.ReadAll reads all pages; the viewer uses it too.

--- a/provider/rows.go
+++ b/provider/rows.go
@@ -104,3 +104,19 @@
 	// longer has the changes after that version, so the table must be read again.
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (RowPage, error)
 }
+
+// ReadAll reads all pages of a range. The pages may be of different moments; the version is that of the first.
+func ReadAll(ctx context.Context, store RowStore, r RowRange) (RowPage, error) {
+	all, err := store.Range(ctx, r)
+	for more := all; err == nil && more.More && len(more.Rows) > 0; {
+		r.From = more.Rows[len(more.Rows)-1].Key + "\x00"
+		if more, err = store.Range(ctx, r); err == nil {
+			all.Rows = append(all.Rows, more.Rows...)
+		}
+	}
+	if err != nil {
+		return RowPage{}, err
+	}
+	all.More = false
+	return all, nil
+}
--- /dev/null
+++ b/registrar/pages_test.go
@@ -0,0 +1,56 @@
+package registrar_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"github.com/dogwoodweir/dogwoodweir/emulator"
+	"github.com/dogwoodweir/dogwoodweir/encoder"
+	"github.com/dogwoodweir/dogwoodweir/provider"
+	"github.com/dogwoodweir/dogwoodweir/registrar"
+)
+
+// pagedStore is a store whose pages have at most as many rows as the platform's.
+type pagedStore struct{ provider.RowStore }
+
+func (s pagedStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
+	const pageRows = 500
+	if r.Limit == 0 || r.Limit > pageRows {
+		r.Limit = pageRows
+	}
+	return s.RowStore.Range(ctx, r)
+}
+
+// Guards against daemons that are missing from the list, so that their tokens count as lost and they get no feeds, since only its
+// first page is read. Entries of hosts that ended without removing theirs stay in the table.
+func TestListOfSeveralPages(t *testing.T) {
+	rows := emulator.NewRowStore()
+	const daemons, ended = 350, 900
+	for i := range daemons + ended {
+		expires := time.Now().Add(time.Hour)
+		if i < ended {
+			expires = time.Now().Add(-time.Hour)
+		}
+		value, err := json.Marshal(encoder.PeerEntry{Address: fmt.Sprintf("127.0.0.1:%d", i), Domain: "ams", Region: "nl", ExpiresAt: int(expires.Unix())})
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := provider.RowKey{Table: registrar.Table, Key: fmt.Sprintf("host-%04d", i)}
+		if _, err := rows.Apply(t.Context(), provider.RowTransaction{Writes: []provider.RowWrite{{RowKey: key, Value: value}}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := registrar.New(pagedStore{rows}, registrar.Entry{Host: "own", Address: "127.0.0.1:9999", Domain: "ams", Region: "nl"}, zap.NewNop())
+	if err := r.Refresh(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(daemons, len(r.Peers())); diff != "" {
+		t.Errorf("listed daemons (-want +got):\n%s", diff)
+	}
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -177,7 +177,7 @@
 	if !r.lastRead.IsZero() && started.Sub(r.lastRead) < maxAge {
 		return nil
 	}
-	page, err := r.store.Range(ctx, provider.RowRange{Table: Table})
+	page, err := provider.ReadAll(ctx, r.store, provider.RowRange{Table: Table})
 	if err != nil {
 		return err
 	}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -60,20 +60,13 @@
 }
 
 // readRange reads all pages of a range. It returns the rows and the store version of the
-// last page.
+// first page.
 func (v *Viewer) readRange(ctx context.Context, operation string, r provider.RowRange) ([]provider.VersionedRow, int64, error) {
-	var rows []provider.VersionedRow
-	for {
-		page, err := v.store.Range(ctx, r)
-		if err != nil {
-			return nil, 0, &Error{operation: operation, kind: KindStore, cause: err}
-		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return rows, page.Version, nil
-		}
-		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+	page, err := provider.ReadAll(ctx, v.store, r)
+	if err != nil {
+		return nil, 0, &Error{operation: operation, kind: KindStore, cause: err}
 	}
+	return page.Rows, page.Version, nil
 }
 
 // Configuration returns the routes of the newest configuration. Daemons may use an older
