--- a/historian/doc.go
+++ b/historian/doc.go
@@ -5,11 +5,14 @@
 // # Usage
 //
 //	cache := historian.NewCache(8 << 20)
-//	writes, err := historian.Encode(turn, rowBytes)       // rows for one transaction
-//	cache.Add(turn)                                       // after the write took effect
-//	turn, err := historian.Read(id, partition, readRange) // from the store
-//	turns, err := historian.Chain(id, lookup)             // lookup uses both
-//	body := historian.Join(turns, input)
+//	turn, err := historian.NewTurn(&historian.Draft{ID: id, Previous: previous, Parts: [][]byte{input, output}})
+//	writes, err := historian.Encode(turn, rowBytes) // rows for one transaction
+//	cache.Add(turn)                                 // after the write took effect
+//	turn, err := reader.Read(id, partition)         // from the store, with a historian.Reader
+//	turns, err := historian.Chain(id, lookup)       // lookup uses both
+//	body := historian.NewHistory(turns, input)
+//
+// Text of more than PlainBytes is kept deflated, and inflated while a History is read.
 //
 // The cache only holds copies: the store decides whether a turn exists.
 package historian
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -36,7 +36,7 @@
 	// Host names the daemon, Incarnation this run of it.
 	Host        string
 	Incarnation string
-	// CacheBytes is the size limit of the text of the turns in memory.
+	// CacheBytes bounds the memory of the cached turns.
 	CacheBytes int
 	// MaxChainBytes bounds the memory of a chain, which its call holds until it ends.
 	MaxChainBytes int
@@ -163,7 +163,7 @@
 	return r
 }
 
-// CachedBytes returns the size of the text of the turns in memory.
+// CachedBytes returns the memory of the cached turns.
 func (r *Recorder) CachedBytes() int { return r.turns.Bytes() }
 
 // Run processes messages until the context ends, then waits for the requests in progress. After a
