Return the memory of peers' replies before a turn is read from the store

Cause: a call kept the memory for the replies of up to 12 peers (2.4 MB) while it read a turn from the store, up to 0.9 s if the store is slow. On a host of 112 MB two such calls held all of the memory for reading turns.

--- a/recorder/chain.go
+++ b/recorder/chain.go
@@ -137,6 +137,8 @@
 	}
 	found := peers.FindTurn(ctx, id, historian.PlainBytes)
 	if found.Turn != nil || found.Host == "" {
+		// The store may be slow, and replies of the peers are no longer expected.
+		l.work.shrink(historian.ReadCopies * l.recorder.options.RowBytes)
 		return found.Turn, nil
 	}
 	// Enough for reading its rows, should the peer not send it.
