--- a/recorder/chain.go
+++ b/recorder/chain.go
@@ -43,7 +43,8 @@
 type chainLoader struct {
 	recorder *Recorder
 	memory   Memory
-	// work is kept until the chain is loaded: if all calls took turns with it, none would be served in time.
+	// work is kept from one large turn that peers have to the next: if all calls took turns with it, none would be
+	// served in time.
 	work *workShare
 	// loaded is the memory of the turns so far, expected that of the chain as far as it is known, taken that of
 	// the call's share.
