Read the pages of a range in one place

Five loops read all pages of a range: the new ones of the list of daemons and of the rows of a turn, and those of the feeds, the second budget rows and the holders of quotas. provider.ReadAll takes a function that reads a page and serves all of them. The rows of a turn are a range that ends at its last segment, so that reading needs no end of its own.

Behaviour is as before. Tests of provider, registrar, historian, recorder, allocator, assembler and limiter pass.

--- a/allocator/runner.go
+++ b/allocator/runner.go
@@ -257,26 +257,21 @@
 func (r *Runner) readRows(ctx context.Context, o *owner, c ReadRows) RowsRead {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
-	read := RowsRead{Sequence: c.Sequence}
-	from := ""
-	for {
-		page, err := r.dependencies.Store.Range(ctx, provider.RowRange{Table: r.dependencies.RowTable, Partition: o.partition, From: from})
-		if err != nil {
-			if !o.loadFailed.Swap(true) {
-				r.log.Warn("cannot read the second budget rows of an own partition; trying again", zap.String("part", o.partition), zap.Error(err))
-			}
-			return RowsRead{Sequence: c.Sequence, Kind: provider.KindUnavailable}
-		}
-		for _, row := range page.Rows {
-			if r.dependencies.IsSecondRow(row.Key) {
-				read.Rows = append(read.Rows, row)
-			}
+	all, err := provider.ReadAll(
+		provider.RowRange{Table: r.dependencies.RowTable, Partition: o.partition}, provider.Ranges(ctx, r.dependencies.Store))
+	if err != nil {
+		if !o.loadFailed.Swap(true) {
+			r.log.Warn("cannot read the second budget rows of an own partition; trying again", zap.String("part", o.partition), zap.Error(err))
 		}
-		if !page.More || len(page.Rows) == 0 {
-			return read
+		return RowsRead{Sequence: c.Sequence, Kind: provider.KindUnavailable}
+	}
+	read := RowsRead{Sequence: c.Sequence}
+	for _, row := range all.Rows {
+		if r.dependencies.IsSecondRow(row.Key) {
+			read.Rows = append(read.Rows, row)
 		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
 	}
+	return read
 }
 
 // apply runs a transaction of an owner.
--- a/assembler/feeds.go
+++ b/assembler/feeds.go
@@ -214,28 +214,14 @@
 	defer cancel()
 	listCtx, stop := provider.WithStallTimeout(listCtx, listTimeout)
 	defer stop()
-	var rows []provider.VersionedRow
-	from := ""
-	var version int64
-	var pageAge time.Duration
-	for {
-		page, err := f.store.Range(listCtx, provider.RowRange{Table: f.table, From: from})
-		if err != nil {
-			return err
-		}
-		if version == 0 {
-			// Changes that occur while later pages are read come again with the feed.
-			version, pageAge = page.Version, page.Age
-		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			break
-		}
-		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	// Changes that occur while later pages are read come again with the feed.
+	all, err := provider.ReadAll(provider.RowRange{Table: f.table}, provider.Ranges(listCtx, f.store))
+	if err != nil {
+		return err
 	}
-	f.version = version
-	f.recordResponse(ctx, pageAge)
-	f.onSnapshot(ctx, provider.RowPage{Rows: rows, Version: version, Age: pageAge})
+	f.version = all.Version
+	f.recordResponse(ctx, all.Age)
+	f.onSnapshot(ctx, all)
 	f.confirm(ctx, wanted)
 	return nil
 }
--- a/historian/read.go
+++ b/historian/read.go
@@ -112,18 +112,11 @@
 	if err != nil || head.Count == 1 {
 		return rows, err
 	}
-	last := segmentKey(key, head.Count-1)
-	for rest := restRange(key, partition); ; {
-		page, err := r.Range(rest)
-		if err != nil {
-			return nil, NewError("read turn", KindUnavailable, err)
-		}
-		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 || page.Rows[len(page.Rows)-1].Key >= last {
-			return rows, nil
-		}
-		rest.From = page.Rows[len(page.Rows)-1].Key + "\x00"
+	rest, err := provider.ReadAll(restRange(key, partition, head.Count), r.Range)
+	if err != nil {
+		return nil, NewError("read turn", KindUnavailable, err)
 	}
+	return append(rows, rest.Rows...), nil
 }
 
 // admitText admits the memory for inflating a turn that an earlier version has written. That of others is known
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -170,10 +170,9 @@
 	return provider.RowRange{Table: Table, Partition: partition, From: key, To: key + "\x00", Limit: 1}
 }
 
-// restRange selects the other rows of a turn.
-func restRange(key, partition string) provider.RowRange {
-	// '0' is the byte after '/'.
-	return provider.RowRange{Table: Table, Partition: partition, From: key + segmentSeparator, To: key + "0"}
+// restRange selects the other rows of a turn that has so many rows.
+func restRange(key, partition string, count int) provider.RowRange {
+	return provider.RowRange{Table: Table, Partition: partition, From: key + segmentSeparator, To: segmentKey(key, count-1) + "\x00"}
 }
 
 func segmentKey(key string, number int) string {
--- a/limiter/commands.go
+++ b/limiter/commands.go
@@ -129,19 +129,13 @@
 
 // readPartition reads all rows of a partition.
 func (l *Limiter) readPartition(ctx context.Context, r provider.RowRange, rows *[]provider.VersionedRow) provider.Kind {
-	for {
+	all, err := provider.ReadAll(r, func(r provider.RowRange) (provider.RowPage, error) {
 		page, err := l.deps.Store.Range(ctx, r)
-		kind := provider.KindOf(err)
-		l.deps.Observe.storeCall("readHolders", kind)
-		if err != nil {
-			return kind
-		}
-		*rows = append(*rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
-			return kind
-		}
-		r.From = page.Rows[len(page.Rows)-1].Key + "\x00"
-	}
+		l.deps.Observe.storeCall("readHolders", provider.KindOf(err))
+		return page, err
+	})
+	*rows = append(*rows, all.Rows...)
+	return provider.KindOf(err)
 }
 
 func (l *Limiter) borrowTokens(c borrowTokens) {
--- a/provider/rows.go
+++ b/provider/rows.go
@@ -105,13 +105,14 @@
 	Feed(ctx context.Context, table string, after int64, wait time.Duration) (RowPage, error)
 }
 
-// ReadAll reads all pages of a range. The pages may be of different moments; the version is that of the first.
-func ReadAll(ctx context.Context, store RowStore, r RowRange) (RowPage, error) {
-	all, err := store.Range(ctx, r)
-	for more := all; err == nil && more.More && len(more.Rows) > 0; {
-		r.From = more.Rows[len(more.Rows)-1].Key + "\x00"
-		if more, err = store.Range(ctx, r); err == nil {
-			all.Rows = append(all.Rows, more.Rows...)
+// ReadAll reads all pages of a range with a function that reads one. The pages may be of different moments; the
+// version and the age are those of the first.
+func ReadAll(r RowRange, read func(RowRange) (RowPage, error)) (RowPage, error) {
+	all, err := read(r)
+	for next := all; err == nil && next.More && len(next.Rows) > 0; {
+		r.From = next.Rows[len(next.Rows)-1].Key + "\x00"
+		if next, err = read(r); err == nil {
+			all.Rows = append(all.Rows, next.Rows...)
 		}
 	}
 	if err != nil {
@@ -120,3 +121,8 @@
 	all.More = false
 	return all, nil
 }
+
+// Ranges returns a function that reads pages of a store.
+func Ranges(ctx context.Context, store RowStore) func(RowRange) (RowPage, error) {
+	return func(r RowRange) (RowPage, error) { return store.Range(ctx, r) }
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -177,7 +177,7 @@
 	if !r.lastRead.IsZero() && started.Sub(r.lastRead) < maxAge {
 		return nil
 	}
-	page, err := provider.ReadAll(ctx, r.store, provider.RowRange{Table: Table})
+	page, err := provider.ReadAll(provider.RowRange{Table: Table}, provider.Ranges(ctx, r.store))
 	if err != nil {
 		return err
 	}
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -62,7 +62,7 @@
 // readRange reads all pages of a range. It returns the rows and the store version of the
 // first page.
 func (v *Viewer) readRange(ctx context.Context, operation string, r provider.RowRange) ([]provider.VersionedRow, int64, error) {
-	page, err := provider.ReadAll(ctx, v.store, r)
+	page, err := provider.ReadAll(r, provider.Ranges(ctx, v.store))
 	if err != nil {
 		return nil, 0, &Error{operation: operation, kind: KindStore, cause: err}
 	}
@@ -308,7 +308,7 @@
 // readTurn reads a turn from its candidate partitions. It returns nil if none holds it.
 func (v *Viewer) readTurn(ctx context.Context, id string) (*historian.Turn, error) {
 	reader := &historian.Reader{
-		Range: func(r provider.RowRange) (provider.RowPage, error) { return v.store.Range(ctx, r) },
+		Range: provider.Ranges(ctx, v.store),
 		Admit: func(int, int) error { return nil },
 	}
 	for _, partition := range historian.CandidatePartitions(id) {
