Read and inflate a turn once

- The clean-up read the first row of each small turn twice, and a load that of each turn of several rows: readHead and readRest read each row once.
While a call waits for the memory of the others, the first row is within that of a small turn, which the call has taken.
- Each small turn was joined and inflated twice, once only to learn its size.
Text is inflated up to the size of a small one first; only a larger one, which an earlier version wrote, is counted and admitted before it is inflated.
- ReadExpired returns what Removal needs, so that nothing is decoded outside of what was admitted.
- Decode was no longer used outside of tests.
These, the fuzz test too, go through Reader.Read and keep their assertions.

Test: TestReadsOfTurn failed before for a small turn (2 pages in the clean-up, want 1) and for one of several rows (3, want 2).

--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -46,56 +46,75 @@
 
 func partitionName(number int) string { return "t" + strconv.Itoa(number) }
 
-// Removal returns the transaction that deletes an expiry row and its turn, whose rows are given in
-// the order of their keys. It deletes the expiry row only, if the turn has been renewed by several
-// daemons and expires later than this row says. The transaction fails if the expiry row or the
-// turn has changed.
-func Removal(row *provider.VersionedRow, turnRows []provider.VersionedRow, now time.Time) provider.RowTransaction {
+// ExpiredTurn is what Removal needs of the turn that an expiry row names.
+type ExpiredTurn struct {
+	first provider.RowCondition
+	// expires is when the turn expires, zero if it cannot be decoded.
+	expires time.Time
+}
+
+// ReadExpired reads the turn that an expiry row names, and of a packed one its first row only. It returns nil if there
+// is no such turn.
+func (r *Reader) ReadExpired(row *provider.VersionedRow) (*ExpiredTurn, error) {
 	key := expiredKey(row)
+	rows, head, err := r.readHead(key, row.Partition)
+	if isNotFound(err) {
+		return nil, nil
+	}
+	if len(rows) == 0 {
+		return nil, err
+	}
+	t := &ExpiredTurn{first: provider.RowCondition{RowKey: rows[0].RowKey, Version: rows[0].Version}}
+	if err == nil {
+		t.expires, err = r.readExpiry(key, row.Partition, rows, head)
+	}
+	if KindOf(err) == KindCorrupt {
+		return t, nil
+	}
+	return t, err
+}
+
+// readExpiry returns when the turn with a first row expires.
+func (r *Reader) readExpiry(key, partition string, first []provider.VersionedRow, head *segment) (time.Time, error) {
+	if head.isPacked() {
+		return time.Unix(head.Expires, 0), nil
+	}
+	rows, err := r.readRest(key, partition, first, head)
+	if err != nil {
+		return time.Time{}, err
+	}
+	turn, err := decode(key, rows, r.admitText)
+	if err != nil {
+		return time.Time{}, err
+	}
+	return turn.Expires, nil
+}
+
+// Removal returns the transaction that deletes an expiry row and its turn, which may be nil. It deletes the expiry row
+// only, if the turn has been renewed by several daemons and expires later than this row says. The transaction fails if
+// the expiry row or the turn has changed.
+func Removal(row *provider.VersionedRow, turn *ExpiredTurn, now time.Time) provider.RowTransaction {
 	t := provider.RowTransaction{
 		Conditions: []provider.RowCondition{{RowKey: row.RowKey, Version: row.Version}},
 		Deletes:    []provider.RowKey{row.RowKey},
 	}
-	if len(turnRows) > 0 {
-		t.Conditions = append(t.Conditions, provider.RowCondition{RowKey: turnRows[0].RowKey, Version: turnRows[0].Version})
-	}
-	// A turn that cannot be decoded cannot be continued either.
-	if expires, err := decodeExpiry(key, turnRows); err == nil && expires.After(now) {
-		return t
+	if turn != nil {
+		t.Conditions = append(t.Conditions, turn.first)
+		// A turn that cannot be decoded cannot be continued either.
+		if turn.expires.After(now) {
+			return t
+		}
 	}
 	segments, err := strconv.Atoi(string(row.Value))
 	if err != nil || segments < 1 || segments > maxSegments {
 		segments = 1
 	}
 	for i := range segments {
-		t.Deletes = append(t.Deletes, provider.RowKey{Table: Table, Partition: row.Partition, Key: segmentKey(key, i)})
+		t.Deletes = append(t.Deletes, provider.RowKey{Table: Table, Partition: row.Partition, Key: segmentKey(expiredKey(row), i)})
 	}
 	return t
 }
 
-// ReadExpired reads the rows that Removal needs of the turn that an expiry row names. It returns none if there is
-// no such turn.
-func (r *Reader) ReadExpired(row *provider.VersionedRow) ([]provider.VersionedRow, error) {
-	key := expiredKey(row)
-	if err := r.Admit(0, ReadCopies*r.RowBytes); err != nil {
-		return nil, err
-	}
-	rows, head, err := r.readHead(key, row.Partition)
-	switch {
-	case isNotFound(err):
-		return nil, nil
-	case KindOf(err) == KindCorrupt, err == nil && head.isPacked():
-		return rows, nil
-	case err != nil:
-		return nil, err
-	}
-	rows, err = r.readRows(key, row.Partition)
-	if isNotFound(err) {
-		return nil, nil
-	}
-	return rows, err
-}
-
 // expiredKey returns the key of the turn that an expiry row names.
 func expiredKey(row *provider.VersionedRow) string {
 	_, key, _ := strings.Cut(row.Key, "/")
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -212,6 +212,49 @@
 	}
 }
 
+// Guards against calls to the store that a turn does not need: each is paid for.
+func TestReadsOfTurn(t *testing.T) {
+	tests := []struct {
+		name string
+		text []byte
+		// read and expired are the pages that are read of a turn, and of one that has expired.
+		read, expired int
+	}{
+		{"small", []byte("said"), 1, 1},
+		{"large in one row", bytes.Repeat([]byte("said "), 100_000), 1, 1},
+		{"large in several rows", noise(300_000), 2, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			turn, err := historian.NewTurn(&historian.Draft{ID: "a", Parts: [][]byte{test.text}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			turn.Partition, turn.Expires = "t1", time.Unix(100, 0)
+			writes, err := historian.Encode(turn, 65536)
+			if err != nil {
+				t.Fatal(err)
+			}
+			requested := 0
+			pages := pagesOf(turnRows(writes), 500)
+			reader := readerOf(func(q provider.RowRange) (provider.RowPage, error) {
+				requested++
+				return pages(q)
+			})
+			if _, err := reader.Read("a", "t1"); err != nil {
+				t.Fatal(err)
+			}
+			read := requested
+			if _, err := reader.ReadExpired(&provider.VersionedRow{RowKey: historian.ExpiryKey(turn), Value: []byte("1")}); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff([]int{test.read, test.expired}, []int{read, requested - read}); diff != "" {
+				t.Errorf("pages (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a large text that is deflated without a bound, and then refused by the store.
 func TestTurnTooLargeForStore(t *testing.T) {
 	if _, err := historian.NewTurn(&historian.Draft{ID: "a", Parts: [][]byte{noise(900_000)}}); historian.KindOf(err) != historian.KindTooLarge {
@@ -231,7 +274,7 @@
 	}
 	rows := turnRows(writes)
 	for i := range rows {
-		if _, err := historian.Decode("a", slices.Delete(slices.Clone(rows), i, i+1)); err == nil {
+		if _, err := readerOf(pagesOf(slices.Delete(slices.Clone(rows), i, i+1), 500)).Read("a", "t1"); err == nil {
 			t.Errorf("a turn without row %d of %d was decoded", i, len(rows))
 		}
 	}
@@ -331,8 +374,13 @@
 	}
 	want := []provider.RowCondition{{RowKey: expiry.RowKey, Version: 3}, {RowKey: turnRows[0].RowKey, Version: 5}}
 
+	expired, err := readerOf(pagesOf(turnRows, 500)).ReadExpired(&expiry)
+	if err != nil {
+		t.Fatal(err)
+	}
+
 	// Guards against the loss of a turn that another daemon has renewed meanwhile.
-	renewed := historian.Removal(&expiry, turnRows, time.Unix(99, 0))
+	renewed := historian.Removal(&expiry, expired, time.Unix(99, 0))
 	if diff := cmp.Diff([]provider.RowKey{expiry.RowKey}, renewed.Deletes); diff != "" {
 		t.Errorf("rows that are removed of a turn that has been renewed differ (-want +got):\n%s", diff)
 	}
@@ -340,7 +388,7 @@
 		t.Errorf("conditions for a turn that has been renewed differ (-want +got):\n%s", diff)
 	}
 
-	removal := historian.Removal(&expiry, turnRows, time.Unix(101, 0))
+	removal := historian.Removal(&expiry, expired, time.Unix(101, 0))
 	for _, k := range removal.Deletes {
 		delete(remaining, k)
 	}
@@ -485,6 +533,7 @@
 	f.Add([]byte("not a row"))
 	f.Fuzz(func(_ *testing.T, value []byte) {
 		// The result does not matter: a panic fails the test.
-		_, _ = historian.Decode("a", []provider.VersionedRow{{RowKey: provider.RowKey{Key: "a"}, Value: value}})
+		row := provider.VersionedRow{RowKey: provider.RowKey{Table: historian.Table, Partition: "t1", Key: "a"}, Value: value}
+		_, _ = readerOf(pagesOf([]provider.VersionedRow{row}, 500)).Read("a", "t1")
 	})
 }
--- a/historian/read.go
+++ b/historian/read.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 
-	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -60,7 +59,7 @@
 		if rows, err = r.readRows(key, partition); err != nil {
 			return nil, err
 		}
-		turn, err = decode(key, rows)
+		turn, err = decode(key, rows, r.admitText)
 		if KindOf(err) != KindCorrupt || len(rows) == 1 {
 			break
 		}
@@ -68,70 +67,49 @@
 	return turn, err
 }
 
-// readHead reads the first row of a turn.
-func (r *Reader) readHead(key, partition string) ([]provider.VersionedRow, *segment, error) {
-	page, err := r.Range(headRange(key, partition))
-	if err != nil {
-		return nil, nil, NewError("read turn", KindUnavailable, err)
-	}
-	_, head, err := decodeHead(key, page.Rows)
-	return page.Rows, head, err
-}
-
-// readRows reads the rows of a turn, the first one alone, since it has the number of the others.
+// readRows reads the rows of a turn.
 func (r *Reader) readRows(key, partition string) ([]provider.VersionedRow, error) {
-	if err := r.Admit(0, ReadCopies*r.RowBytes); err != nil {
-		return nil, err
-	}
 	rows, head, err := r.readHead(key, partition)
 	if err != nil {
 		return nil, err
 	}
-	if head.Count == 1 {
-		return rows, r.admitText(key, rows)
-	}
-	return r.readLarge(key, partition, head.Count*r.RowBytes, head.EarlierBytes)
+	return r.readRest(key, partition, rows, head)
 }
 
-// readLarge reads the rows of a turn that has several of them. The first one is read again, so that it takes no memory
-// while the call waits for that of all.
-func (r *Reader) readLarge(key, partition string, bytes, earlierBytes int) ([]provider.VersionedRow, error) {
-	if err := r.Admit(bytes+earlierBytes, ReadCopies*bytes); err != nil {
-		return nil, err
+// readHead reads the first row of a turn, alone, since it has the number of the others.
+func (r *Reader) readHead(key, partition string) ([]provider.VersionedRow, *segment, error) {
+	if err := r.Admit(0, ReadCopies*r.RowBytes); err != nil {
+		return nil, nil, err
 	}
-	rows, err := r.readAll(key, partition)
+	page, err := r.Range(headRange(key, partition))
 	if err != nil {
-		return nil, err
+		return nil, nil, NewError("read turn", KindUnavailable, err)
 	}
-	return rows, r.admitText(key, rows)
+	_, head, err := decodeHead(key, page.Rows)
+	return page.Rows, head, err
 }
 
-// readAll reads all rows of a turn. Between the requests the turn may be rewritten or removed.
-func (r *Reader) readAll(key, partition string) ([]provider.VersionedRow, error) {
-	rows, head, err := r.readHead(key, partition)
-	if err != nil || head.Count == 1 {
-		return rows, err
+// readRest returns the first row and the others. While it waits for their memory, the first one is within that of a
+// small turn, which the call has already.
+func (r *Reader) readRest(key, partition string, first []provider.VersionedRow, head *segment) ([]provider.VersionedRow, error) {
+	if head.Count == 1 {
+		return first, nil
 	}
+	size := head.Count * r.RowBytes
+	if err := r.Admit(size+head.EarlierBytes, ReadCopies*size); err != nil {
+		return nil, err
+	}
+	// The turn may have been rewritten or removed since its first row was read.
 	rest, err := provider.ReadAll(restRange(key, partition, head.Count), r.Range)
 	if err != nil {
 		return nil, NewError("read turn", KindUnavailable, err)
 	}
-	return append(rows, rest.Rows...), nil
+	return append(first, rest.Rows...), nil
 }
 
-// admitText admits the memory for inflating a turn that an earlier version has written. That of others is known
-// before their rows are read.
-func (r *Reader) admitText(key string, rows []provider.VersionedRow) error {
-	_, head, data, err := joinSegments(key, rows)
-	if err != nil || head.isPacked() {
-		// The caller decodes the rows and finds the error.
-		return nil
-	}
-	size, err := packer.InflatedSize(data, maxTurnBytes)
-	if err != nil || size <= PlainBytes {
-		return nil
-	}
-	return r.Admit(size, unpackCopies*size+ReadCopies*len(data))
+// admitText admits the memory for inflating a text that is not known to be small.
+func (r *Reader) admitText(textBytes, packedBytes int) error {
+	return r.Admit(textBytes, unpackCopies*textBytes+ReadCopies*packedBytes)
 }
 
 func isNotFound(err error) bool { return KindOf(err) == KindNotFound }
--- a/historian/rows.go
+++ b/historian/rows.go
@@ -97,24 +97,6 @@
 	return append(writes, expiry), nil
 }
 
-// Decode returns a turn from its rows, sorted by key; rows of other turns are ignored. It fails with
-// KindNotFound without a first row, and with KindCorrupt if rows are missing, of different writes, or
-// cannot be decoded.
-func Decode(id string, rows []provider.VersionedRow) (*Turn, error) {
-	var failure error
-	for _, key := range keys(id) {
-		turn, err := decode(key, rows)
-		if err == nil {
-			turn.ID = id
-			return turn, nil
-		}
-		if failure == nil || isNotFound(failure) {
-			failure = err
-		}
-	}
-	return nil, failure
-}
-
 // decodeHead returns the first row of a turn among rows and its segment.
 func decodeHead(key string, rows []provider.VersionedRow) (*provider.VersionedRow, *segment, error) {
 	const operation = "decode first row"
@@ -167,8 +149,10 @@
 	return first, head, data, nil
 }
 
-// decode returns the turn with a key, without its ID.
-func decode(key string, rows []provider.VersionedRow) (*Turn, error) {
+// decode returns the turn with a key, without its ID, from its rows, sorted by key; rows of other turns are ignored. It
+// fails with KindNotFound without a first row, with KindCorrupt if rows are missing, of different writes, or cannot be
+// decoded, and with the error of admit, which is called as for inflate.
+func decode(key string, rows []provider.VersionedRow, admit func(textBytes, packedBytes int) error) (*Turn, error) {
 	const operation = "decode turn"
 	first, head, data, err := joinSegments(key, rows)
 	if err != nil {
@@ -180,9 +164,9 @@
 			UnpackedBytes: head.UnpackedBytes, EarlierBytes: head.EarlierBytes, Expires: time.Unix(head.Expires, 0),
 		}, nil
 	}
-	plain, err := packer.Inflate(data, maxTurnBytes)
+	plain, err := inflate(data, admit)
 	if err != nil {
-		return nil, NewError(operation, KindCorrupt, err)
+		return nil, err
 	}
 	var stored storedTurn
 	if err := cbor.Unmarshal(plain, &stored); err != nil {
@@ -201,18 +185,23 @@
 	return t, nil
 }
 
-// decodeExpiry returns when the turn with a key expires. The first row of a packed turn suffices.
-func decodeExpiry(key string, rows []provider.VersionedRow) (time.Time, error) {
-	_, head, err := decodeHead(key, rows)
-	if err != nil {
-		return time.Time{}, err
-	}
-	if head.isPacked() {
-		return time.Unix(head.Expires, 0), nil
+// inflate returns the encoding of a turn that is not packed. Large ones, which earlier versions wrote, are admitted
+// before they are inflated.
+func inflate(data []byte, admit func(textBytes, packedBytes int) error) ([]byte, error) {
+	const operation = "inflate turn"
+	plain, err := packer.Inflate(data, PlainBytes)
+	if packer.KindOf(err) == packer.KindTooLarge {
+		size, sizeErr := packer.InflatedSize(data, maxTurnBytes)
+		if sizeErr != nil {
+			return nil, NewError(operation, KindCorrupt, sizeErr)
+		}
+		if err := admit(size, len(data)); err != nil {
+			return nil, err
+		}
+		plain, err = packer.Inflate(data, size)
 	}
-	turn, err := decode(key, rows)
 	if err != nil {
-		return time.Time{}, err
+		return nil, NewError(operation, KindCorrupt, err)
 	}
-	return turn.Expires, nil
+	return plain, nil
 }
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -48,6 +48,15 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.cause }
 
+// KindOf returns the kind of an error of this package, 0 for others.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.kind
+	}
+	return 0
+}
+
 // deflaters reuses writers, since a new one allocates several hundred kilobytes.
 var deflaters = sync.Pool{New: func() any {
 	// NewWriter fails only for an invalid level.
--- a/recorder/cleanup.go
+++ b/recorder/cleanup.go
@@ -56,12 +56,12 @@
 		work := r.work.newShare()
 		defer work.release()
 		reader := r.turnReader(ctx, func(_, workBytes int) error { return work.grow(ctx, workBytes) })
-		rows, err := reader.ReadExpired(row)
+		turn, err := reader.ReadExpired(row)
 		if err != nil {
 			r.log.Warn("cannot read an expired turn; a later clean-up retries", zap.String("part", partition), zap.Error(err))
 			return provider.RowTransaction{}, false
 		}
-		return historian.Removal(row, rows, now), true
+		return historian.Removal(row, turn, now), true
 	}
 	return r.cleanUpRange(ctx, historian.ExpiredRange(partition, now, cleanupRows), remove)
 }
