Count the memory of writing a small turn in one place

Draft.WorkBytes had a value for small turns that nobody used, since newTurn asked the same question before. It is 0 for them now, and newTurn asks no more. Behaviour is as before; tests of historian and recorder pass.

--- a/historian/turn.go
+++ b/historian/turn.go
@@ -79,11 +79,12 @@
 	Expires time.Time
 }
 
-// WorkBytes returns the memory that NewTurn takes besides that of the draft.
+// WorkBytes returns the memory that NewTurn takes besides that of the draft. A small text counts nothing: it is a small
+// part of what its call holds.
 func (d *Draft) WorkBytes() int {
 	size := d.TextBytes()
 	if size <= PlainBytes {
-		return size
+		return 0
 	}
 	return deflaterBytes + bufferCopies*min(size, maxStoredBytes)
 }
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -69,7 +69,7 @@
 		}
 		r.turns.Add(&renewed)
 	}
-	turn, err := r.newTurn(ctx, work, draft)
+	turn, err := newTurn(ctx, work, draft)
 	if err != nil {
 		return err
 	}
@@ -81,14 +81,10 @@
 	return nil
 }
 
-// newTurn returns the turn of a draft. Memory for writing it is taken if it is large: the text of others is
-// a small part of what their calls hold.
-func (r *Recorder) newTurn(ctx context.Context, work *workShare, draft historian.Draft) (*historian.Turn, error) {
-	large := draft.TextBytes() > historian.PlainBytes
-	if large {
-		if err := work.grow(ctx, draft.WorkBytes()); err != nil {
-			return nil, err
-		}
+// newTurn returns the turn of a draft. Memory for writing it is taken if it is large.
+func newTurn(ctx context.Context, work *workShare, draft historian.Draft) (*historian.Turn, error) {
+	if err := work.grow(ctx, draft.WorkBytes()); err != nil {
+		return nil, err
 	}
 	turn, err := historian.NewTurn(&draft)
 	if err != nil {
