Give the emulated store the pages of the platform's

Two tests had a store of their own with small pages, since the emulated one returned ranges whole, which hid that the list of daemons was read as one page. Its pages have 500 rows now, as on the platform, for all tests; SetPageRows makes them smaller. TestListOfSeveralPages still fails without its fix. Tests of emulator, registrar, recorder, replicator, relayer, allocator and assembler pass.

--- a/emulator/rows.go
+++ b/emulator/rows.go
@@ -25,11 +25,15 @@
 	partitionDown  func(partition string) bool
 	loseResponse   func() bool
 	applied        int
+	pageRows       int
 }
 
+// defaultPageRows is the number of rows of a page, as on the platform.
+const defaultPageRows = 500
+
 // NewRowStore returns an empty store without faults.
 func NewRowStore() *RowStore {
-	return &RowStore{rows: map[provider.RowKey]provider.VersionedRow{}, changed: make(chan struct{})}
+	return &RowStore{rows: map[provider.RowKey]provider.VersionedRow{}, changed: make(chan struct{}), pageRows: defaultPageRows}
 }
 
 // SetDown makes all requests fail with KindUnavailable.
@@ -39,6 +43,13 @@
 	r.down = down
 }
 
+// SetPageRows sets the largest number of rows in a page of a range.
+func (r *RowStore) SetPageRows(rows int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.pageRows = rows
+}
+
 // SetPartitionDown sets a function that reports whether a partition is down. A transaction
 // over such a partition fails with KindUnknown, as if there were no response.
 func (r *RowStore) SetPartitionDown(down func(partition string) bool) {
@@ -147,8 +158,12 @@
 		}
 	}
 	slices.SortFunc(page.Rows, func(a, b provider.VersionedRow) int { return cmp.Compare(a.Key, b.Key) })
-	if q.Limit > 0 && len(page.Rows) > q.Limit {
-		page.Rows, page.More = page.Rows[:q.Limit], true
+	limit := r.pageRows
+	if q.Limit > 0 {
+		limit = min(limit, q.Limit)
+	}
+	if len(page.Rows) > limit {
+		page.Rows, page.More = page.Rows[:limit], true
 	}
 	return page, nil
 }
--- a/recorder/prefix_test.go
+++ b/recorder/prefix_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -15,19 +14,6 @@
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
-// pagedStore is a store whose pages have at most so many rows.
-type pagedStore struct {
-	provider.RowStore
-	pageRows int
-}
-
-func (s pagedStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
-	if r.Limit == 0 || r.Limit > s.pageRows {
-		r.Limit = s.pageRows
-	}
-	return s.RowStore.Range(ctx, r)
-}
-
 // text returns text of a size that does not deflate.
 func text(size int, seed byte) []byte {
 	t := make([]byte, size)
@@ -85,7 +71,8 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			rows := pagedStore{emulator.NewRowStore(), test.pageRows}
+			rows := emulator.NewRowStore()
+			rows.SetPageRows(test.pageRows)
 			base, partition := commonPartition(t, test.suffix)
 			ids := []string{base, base + test.suffix}
 			for i := range test.turns {
--- a/registrar/pages_test.go
+++ b/registrar/pages_test.go
@@ -1,7 +1,6 @@
 package registrar_test
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"testing"
@@ -16,17 +15,6 @@
 	"github.com/dogwoodweir/dogwoodweir/registrar"
 )
 
-// pagedStore is a store whose pages have at most as many rows as the platform's.
-type pagedStore struct{ provider.RowStore }
-
-func (s pagedStore) Range(ctx context.Context, r provider.RowRange) (provider.RowPage, error) {
-	const pageRows = 500
-	if r.Limit == 0 || r.Limit > pageRows {
-		r.Limit = pageRows
-	}
-	return s.RowStore.Range(ctx, r)
-}
-
 // Guards against daemons that are missing from the list, so that their tokens count as lost and they get no feeds, since only its
 // first page is read. Entries of hosts that ended without removing theirs stay in the table.
 func TestListOfSeveralPages(t *testing.T) {
@@ -46,7 +34,7 @@
 			t.Fatal(err)
 		}
 	}
-	r := registrar.New(pagedStore{rows}, registrar.Entry{Host: "own", Address: "127.0.0.1:9999", Domain: "ams", Region: "nl"}, zap.NewNop())
+	r := registrar.New(rows, registrar.Entry{Host: "own", Address: "127.0.0.1:9999", Domain: "ams", Region: "nl"}, zap.NewNop())
 	if err := r.Refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
