Ask an owner of second budget rows that has started since

Callers got 503 for programs whose first half of the budget was spent, for up to 5 s after the daemon that owns the second half had started (only with budget owners on, which is off by default).

Cause: requests looked for the owner in the order of daemons that is computed every 5 s, not in the current list. Evidence: in 3 of 3 traced failures the daemon had an order without any other daemon and asked nobody, while its list had the owner; it computed the new order 74 ms after the response.

Change: if the order does not have the host to ask, it is computed from the current list first.

Test: TestOwnerThatStartsLater failed before in both cases.

--- a/allocator/runner.go
+++ b/allocator/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -155,7 +156,7 @@
 		graceEnded := mayClaim && orderedAt.Before(listedAt.Add(startGrace))
 		if !listedAt.IsZero() && (graceEnded || now.Sub(orderedAt) >= orderInterval) {
 			orderedAt = now
-			r.updateOrder()
+			r.updateOrder(slices.Collect(maps.Values(r.owners))...)
 		}
 		for _, o := range r.owners {
 			rank := -1
@@ -190,20 +191,6 @@
 	return o.rank
 }
 
-// updateOrder computes which daemons are to own and to watch each partition.
-func (r *Runner) updateOrder() {
-	self := r.dependencies.Identity.Host
-	members := append([]Member{{Peer: messenger.Peer{Host: self}, Domain: r.dependencies.Domain}}, r.dependencies.Others()...)
-	isSelf := func(m Member) bool { return m.Host == self }
-	for _, o := range r.owners {
-		order := rendezvousOrder(o.partition, members)
-		rank := slices.IndexFunc(claimants(order), isSelf)
-		o.mutex.Lock()
-		o.order, o.rank = order, rank
-		o.mutex.Unlock()
-	}
-}
-
 // update applies a message to the state of a partition and runs the commands that follow.
 func (r *Runner) update(o *owner, m Message) {
 	o.mutex.Lock()
@@ -340,6 +327,10 @@
 	reply := r.ask(ctx, o, m)
 	host := reply.Owner
 	for hop := 0; reply.NotOwner && hop < maxHops; hop++ {
+		if !o.knows(host) {
+			// The daemon may have started since the last update.
+			r.updateOrder(o)
+		}
 		peer, ok := o.nextPeer(now, host, hop)
 		if !ok {
 			break
@@ -357,30 +348,6 @@
 	return provider.VersionedRow{RowKey: key, Version: reply.Version, Value: reply.Value}, reply.Kind
 }
 
-// nextPeer returns the daemon to ask next: the one that is said to be the owner, else the last known
-// owner, else the daemons that are to own the partition, in their order.
-func (o *owner) nextPeer(now time.Time, host string, hop int) (messenger.Peer, bool) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if now.Before(o.silentUntil) {
-		return messenger.Peer{}, false
-	}
-	for _, name := range []string{host, o.known} {
-		if name == "" {
-			continue
-		}
-		if i := slices.IndexFunc(o.order, func(m Member) bool { return m.Host == name }); i >= 0 && o.order[i].Address != "" {
-			return o.order[i].Peer, true
-		}
-	}
-	// This daemon has no address in the order.
-	others := slices.DeleteFunc(slices.Clone(o.order[:min(len(o.order), maxHops+1)]), func(m Member) bool { return m.Address == "" })
-	if hop < len(others) {
-		return others[hop].Peer, true
-	}
-	return messenger.Peer{}, false
-}
-
 // ask passes a request to the own state of the partition.
 func (r *Runner) ask(ctx context.Context, o *owner, m Request) Reply {
 	reply := make(chan Reply, 1)
--- a/allocator/runner_test.go
+++ b/allocator/runner_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -200,6 +202,78 @@
 	}
 }
 
+// Guards against second halves that are refused for up to 5 s after their owner has started: it was asked only once
+// the order had been computed anew.
+func TestOwnerThatStartsLater(t *testing.T) {
+	t.Parallel()
+	network := messenger.NewMemoryNetwork()
+	newMessenger := func(host string, handler messenger.Handler) *messenger.Messenger {
+		m := messenger.New(messenger.Settings{Host: host, Dial: network.Dialer(host)}, handler, zap.NewNop())
+		t.Cleanup(m.Close)
+		return m
+	}
+	for _, host := range []string{"owner", "other"} {
+		m, listener := newMessenger(host, namingOwner(host)), network.Listen(host)
+		go func() { _ = m.Serve(listener) }()
+	}
+	owner := allocator.Member{Peer: messenger.Peer{Host: "owner", Address: "owner"}}
+	other := allocator.Member{Peer: messenger.Peer{Host: "other", Address: "other"}}
+	tests := []struct {
+		name          string
+		before, after []allocator.Member
+	}{
+		{"no daemon before", nil, []allocator.Member{owner}},
+		{"a daemon that names the owner", []allocator.Member{other}, []allocator.Member{other, owner}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var members atomic.Pointer[[]allocator.Member]
+			members.Store(&test.before)
+			ordered := make(chan struct{}, 100)
+			listed := make(chan struct{})
+			close(listed)
+			r := allocator.NewRunner(allocator.Dependencies{
+				Store: emulator.NewRowStore(), Clock: systemClock{}, Messenger: newMessenger("host", nil),
+				Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
+				Others: func() []allocator.Member {
+					ordered <- struct{}{}
+					return *members.Load()
+				},
+				Listed: listed, RowTable: testTable, Partitions: []string{testPartition}, IsSecondRow: func(string) bool { return true },
+			}, allocator.DefaultOptions(), zap.NewNop())
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				r.Run(ctx)
+			}()
+			r.Activate()
+			<-ordered
+			// The runner stops, so that only the request can compute the order.
+			cancel()
+			<-done
+			members.Store(&test.after)
+			if row, kind := r.Read(t.Context(), secondKey); kind != provider.KindNone || string(row.Value) != "a" {
+				t.Errorf("read of a row of the owner: %s, value %q", kind, row.Value)
+			}
+		})
+	}
+}
+
+// namingOwner is a daemon of this name. If it is the owner, it has the value a in each row; if not, it names the owner.
+type namingOwner string
+
+func (n namingOwner) Handle(context.Context, string, string, json.RawMessage) (any, error) {
+	if n == "owner" {
+		return encoder.BudgetRowAnswer{Kind: provider.KindNone.String(), Version: 1, Value: "a"}, nil
+	}
+	return encoder.BudgetRowAnswer{Kind: provider.KindUnavailable.String(), NotOwner: true, Owner: "owner"}, nil
+}
+
+func (namingOwner) HandleCall(context.Context, string, encoder.ForwardedCall, messenger.Emit) (encoder.CallResult, error) {
+	return encoder.CallResult{}, errors.ErrUnsupported
+}
+
 // Guards against a call that waits for the store longer than one for a first row does.
 func TestRequestWithoutResponseEnds(t *testing.T) {
 	t.Parallel()
