Choose the route by the path as it was sent

Cause: the route was chosen by the unescaped path, while the target gets the path as it was sent.

Change: the route is chosen by the path of the request line, escapes included; in absolute form, by what follows the authority. A path that begins with a double slash and has a byte that the library escapes is now sent on unchanged too, in absolute form.

--- a/follower/configuration.go
+++ b/follower/configuration.go
@@ -166,8 +166,8 @@
 	return false
 }
 
-// Match returns the route with the longest prefix of the path, or nil if there is none. The
-// host may include a port.
+// Match returns the route with the longest prefix of the path, or nil if there is none. The path is compared as it is,
+// escapes included. The host may include a port.
 func (c *Configuration) Match(host, path string) *Route {
 	host = strings.ToLower(host)
 	list := c.routes[host]
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -183,8 +183,12 @@
 func (f *Forwarder) httpRequest(r *Request) *http.Request {
 	address := *r.URL
 	address.Scheme, address.Host = "http", ""
-	if address.RequestURI() != r.URI && !strings.HasPrefix(r.URI, "//") {
+	if address.RequestURI() != r.URI {
 		address = url.URL{Scheme: "http", Opaque: r.URI}
+		if strings.HasPrefix(r.URI, "//") {
+			// The library takes a leading double slash for the start of an authority.
+			address.Opaque = "//" + r.Host + r.URI
+		}
 	}
 	address.Host = r.Host
 	body := r.Body
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
@@ -128,7 +129,7 @@
 		return h.reject(http.StatusServiceUnavailable, "noConfiguration", h.receiver.options.StartRetryAfter, nil)
 	}
 	h.record.ConfigurationVersion, h.record.FeedAge = c.Version, h.receiver.deps.FeedAge()
-	h.route = c.Match(h.request.Host, h.request.URL.Path)
+	h.route = c.Match(h.request.Host, sentPath(h.request))
 	if h.route == nil {
 		return h.rejectUnknown(http.StatusNotFound, "noRoute")
 	}
@@ -154,6 +155,23 @@
 	return nil
 }
 
+// sentPath returns the path of a request as it was sent, with its escapes: the target gets it in this form, so that an
+// escaped slash does not begin a segment for either.
+func sentPath(r *http.Request) string {
+	target, _, _ := strings.Cut(r.RequestURI, "?")
+	if strings.HasPrefix(target, "/") {
+		return target
+	}
+	_, rest, isAbsolute := strings.Cut(target, "://")
+	if !isAbsolute {
+		return target
+	}
+	if i := strings.IndexByte(rest, '/'); i >= 0 {
+		return rest[i:]
+	}
+	return "/"
+}
+
 // authenticate finds the workspace that holds the key of the call.
 func (h *callHandler) authenticate(c *follower.Configuration) error {
 	if !c.NeedsKey(h.route) {
