Bound the memory of callers' names

Cause: budgets of programs, the index of the holders of tokens and the programs under quotas keep names whole, and count entries or nothing instead of bytes.

The same cause elsewhere, changed too: the cache of turns did not count the IDs (233 MB with IDs of 14 KB), and the queue of log lines counted lines (57 MB for 1,000 lines of 50 KB).

The budgets of the others have 4 % of the memory: programs that have been idle the longest are removed early, after their unused tokens are returned, and without memory a turn is refused (503).

TestCacheIsBounded has larger sizes, since each turn now counts 384 bytes besides its strings, and cases for names.

--- /dev/null
+++ b/accountant/idle.go
@@ -0,0 +1,89 @@
+package accountant
+
+import (
+	"slices"
+	"time"
+)
+
+// programBytes is the memory of a program in addition to its name.
+const programBytes = 512
+
+// Bytes returns the memory that programs take, with their names.
+func (s *State) Bytes() int { return s.bytes }
+
+// add adds a program. It returns nil if there is no memory.
+func (s *State) add(name string) *program {
+	if s.options.MaxBytes > 0 && s.bytes+len(name)+programBytes > s.options.MaxBytes {
+		return nil
+	}
+	p := &program{}
+	s.programs[name] = p
+	s.bytes += len(name) + programBytes
+	return p
+}
+
+// remove removes a program that is not busy. Its unused tokens are returned first, and it remains until they are.
+// Those that cannot be returned are lost.
+func (s *State) remove(name string, p *program) {
+	s.returnUnused(name, p)
+	if p.busy() {
+		return
+	}
+	delete(s.programs, name)
+	s.bytes -= len(name) + programBytes
+}
+
+// returnUnused writes the unused tokens of a program without running turns back to its row.
+// They are deducted before the write: if its response is lost, they may have been returned.
+func (s *State) returnUnused(name string, p *program) {
+	if p.reserved > 0 || p.unused <= 0 || p.busy() || len(p.waiters) > 0 || !p.rowKnown {
+		return
+	}
+	tokens := p.unused
+	p.unused = 0
+	s.writeGrant(name, p, -tokens)
+}
+
+// isIdle reports whether nothing of a program is in progress.
+func (p *program) isIdle() bool { return p.reserved == 0 && !p.busy() && len(p.waiters) == 0 }
+
+// isEmpty reports whether no daemon is known to have had tokens of a program: all its turns were refused. What is
+// known of it is not used after MaxStaleness.
+func (p *program) isEmpty() bool { return !p.hadTokens && !p.hasGrant && p.unused == 0 }
+
+// tick removes idle programs from memory, and near the bound those that have been idle the longest.
+func (s *State) tick() {
+	for name, p := range s.programs {
+		timeout := s.options.IdleTimeout
+		if p.isEmpty() {
+			timeout = s.options.MaxStaleness
+		}
+		if p.isIdle() && s.now.Sub(p.lastUsedAt) >= timeout {
+			s.remove(name, p)
+		}
+	}
+	if s.options.MaxBytes > 0 && s.bytes > s.options.MaxBytes*3/4 {
+		s.removeOldest(s.options.MaxBytes / 2)
+	}
+}
+
+// removeOldest removes idle programs until the others take at most the given memory.
+func (s *State) removeOldest(bytes int) {
+	type idleProgram struct {
+		name   string
+		usedAt time.Time
+	}
+	var idle []idleProgram
+	for name, p := range s.programs {
+		if p.isIdle() {
+			idle = append(idle, idleProgram{name, p.lastUsedAt})
+		}
+	}
+	slices.SortFunc(idle, func(a, b idleProgram) int { return a.usedAt.Compare(b.usedAt) })
+	for _, p := range idle {
+		if s.bytes <= bytes {
+			return
+		}
+		s.remove(p.name, s.programs[p.name])
+	}
+}
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -23,6 +23,9 @@
 	MaxStaleness time.Duration
 	// IdleTimeout is the time after the last turn at which a program is removed from memory.
 	IdleTimeout time.Duration
+	// MaxBytes bounds the memory of programs, 0 for no bound. Near it, programs without running turns are removed
+	// earlier; at it, further programs are refused as Unavailable.
+	MaxBytes int
 	// Retention is the time after the last write at which a row expires.
 	Retention time.Duration
 }
@@ -120,6 +123,7 @@
 	host        string
 	incarnation string
 	programs    map[string]*program
+	bytes       int
 	// sequence counts the writes of all programs, so that the daemon recognises a row that it wrote.
 	// Numbers of a program would begin again after it was removed from memory.
 	sequence int
@@ -164,17 +168,6 @@
 	return s.commands
 }
 
-// returnUnused writes the unused tokens of a program without running turns back to its row.
-// They are deducted before the write: if its response is lost, they may have been returned.
-func (s *State) returnUnused(name string, p *program) {
-	if p.reserved > 0 || p.unused <= 0 || p.busy() || len(p.waiters) > 0 || !p.rowKnown {
-		return
-	}
-	tokens := p.unused
-	p.unused = 0
-	s.writeGrant(name, p, -tokens)
-}
-
 func (s *State) tokensReceived(m TokensReceived) {
 	p := s.programs[m.Program]
 	if p == nil {
@@ -220,8 +213,10 @@
 func (s *State) addWaiter(m ReservationRequested) {
 	p := s.programs[m.Program]
 	if p == nil {
-		p = &program{}
-		s.programs[m.Program] = p
+		if p = s.add(m.Program); p == nil {
+			s.emit(Decision{Ticket: m.Ticket, Verdict: Unavailable})
+			return
+		}
 	}
 	p.budget, p.lastUsedAt, p.programStarted = m.Budget, s.now, m.ProgramStarted
 	p.findHolders = m.FindHolders
@@ -496,17 +491,3 @@
 	s.adoptRow(p, m.Row)
 	s.serveWaiters(m.Program, p)
 }
-
-// tick removes idle programs from memory. Their unused tokens are returned first. Those that cannot be
-// returned are lost.
-func (s *State) tick() {
-	for name, p := range s.programs {
-		if p.reserved != 0 || p.busy() || len(p.waiters) > 0 || s.now.Sub(p.lastUsedAt) < s.options.IdleTimeout {
-			continue
-		}
-		s.returnUnused(name, p)
-		if !p.busy() {
-			delete(s.programs, name)
-		}
-	}
-}
--- a/assembler/bounds.go
+++ b/assembler/bounds.go
@@ -23,6 +23,8 @@
 	// that for sending them to peers.
 	historyWorkFraction = 0.06
 	historyLendFraction = 0.03
+	// programMemoryFraction is the fraction of the memory limit for the budgets of programs, with their names.
+	programMemoryFraction = 0.04
 	// queueMemoryFraction is the fraction of the memory limit for bytes that wait in the system's buffers of
 	// callers' connections.
 	queueMemoryFraction = 0.1
@@ -44,6 +46,8 @@
 	// peers.
 	HistoryWorkBytes int64
 	HistoryLendBytes int64
+	// ProgramBytes bounds the memory of the budgets of programs.
+	ProgramBytes int
 	// QueuedBytes bounds the bytes in the system's buffers of callers' connections.
 	QueuedBytes int
 }
@@ -59,6 +63,7 @@
 		SmallResponseBytes: int64(smallResponseMemoryFraction * float64(memoryBytes)),
 		HistoryWorkBytes:   int64(historyWorkFraction * float64(memoryBytes)),
 		HistoryLendBytes:   int64(historyLendFraction * float64(memoryBytes)),
+		ProgramBytes:       int(programMemoryFraction * float64(memoryBytes)),
 		QueuedBytes:        int(queueMemoryFraction * float64(memoryBytes)),
 	}
 	if descriptors == 0 {
--- a/assembler/bounds_test.go
+++ b/assembler/bounds_test.go
@@ -25,10 +25,10 @@
 		descriptors int
 		want        bounds
 	}{
-		{"smallest host", 112 * mb, 3075, bounds{CallerConnections: 716, TargetConnections: 1294, CallBytes: 17616076, SmallBodyBytes: 11744051, SmallResponseBytes: 5872025, HistoryWorkBytes: 7046430, HistoryLendBytes: 3523215, QueuedBytes: 11744051}},
-		{"few descriptors", 164 * mb, 700, bounds{CallerConnections: 225, TargetConnections: 225, CallBytes: 25794969, SmallBodyBytes: 17196646, SmallResponseBytes: 8598323, HistoryWorkBytes: 10317987, HistoryLendBytes: 5158993, QueuedBytes: 17196646}},
-		{"unknown descriptors", 256 * mb, 0, bounds{CallerConnections: 1638, CallBytes: 40265318, SmallBodyBytes: 26843545, SmallResponseBytes: 13421772, HistoryWorkBytes: 16106127, HistoryLendBytes: 8053063, QueuedBytes: 26843545}},
-		{"fewer descriptors than are reserved", 64 * mb, 100, bounds{CallerConnections: 16, TargetConnections: 16, CallBytes: 10066329, SmallBodyBytes: 6710886, SmallResponseBytes: 3355443, HistoryWorkBytes: 4026531, HistoryLendBytes: 2013265, QueuedBytes: 6710886}},
+		{"smallest host", 112 * mb, 3075, bounds{CallerConnections: 716, TargetConnections: 1294, CallBytes: 17616076, SmallBodyBytes: 11744051, SmallResponseBytes: 5872025, HistoryWorkBytes: 7046430, HistoryLendBytes: 3523215, ProgramBytes: 4697620, QueuedBytes: 11744051}},
+		{"few descriptors", 164 * mb, 700, bounds{CallerConnections: 225, TargetConnections: 225, CallBytes: 25794969, SmallBodyBytes: 17196646, SmallResponseBytes: 8598323, HistoryWorkBytes: 10317987, HistoryLendBytes: 5158993, ProgramBytes: 6878658, QueuedBytes: 17196646}},
+		{"unknown descriptors", 256 * mb, 0, bounds{CallerConnections: 1638, CallBytes: 40265318, SmallBodyBytes: 26843545, SmallResponseBytes: 13421772, HistoryWorkBytes: 16106127, HistoryLendBytes: 8053063, ProgramBytes: 10737418, QueuedBytes: 26843545}},
+		{"fewer descriptors than are reserved", 64 * mb, 100, bounds{CallerConnections: 16, TargetConnections: 16, CallBytes: 10066329, SmallBodyBytes: 6710886, SmallResponseBytes: 3355443, HistoryWorkBytes: 4026531, HistoryLendBytes: 2013265, ProgramBytes: 2684354, QueuedBytes: 6710886}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -36,7 +36,7 @@
 	// targetGracePeriod is how long a target stays in use whose entry expired during an
 	// outage of the store. Targets register again within about two seconds.
 	targetGracePeriod = 2200 * time.Millisecond
-	// turnCacheFraction is the fraction of the memory limit that texts of turns may use.
+	// turnCacheFraction is the fraction of the memory limit that turns in memory may use.
 	turnCacheFraction = 0.06
 	// tokenReturnMargin is the part of the grace period that is reserved for returning
 	// unused tokens after the last responses.
@@ -163,8 +163,10 @@
 		secondRows = d.owners
 	}
 	limits := hostBounds(settings.MemoryLimitBytes, settings.MaxDescriptors)
+	accountantOptions := accountant.DefaultOptions()
+	accountantOptions.MaxBytes = limits.ProgramBytes
 	d.recorder = recorder.New(d.store, secondRows, d.borrower, recorder.Options{
-		Batcher: batcherOptions, Accountant: accountant.DefaultOptions(), Host: settings.Host, Incarnation: incarnation,
+		Batcher: batcherOptions, Accountant: accountantOptions, Host: settings.Host, Incarnation: incarnation,
 		CacheBytes: int(turnCacheFraction * float64(settings.MemoryLimitBytes)), MaxChainBytes: int(limits.CallBytes),
 		WorkBytes: limits.HistoryWorkBytes, LendBytes: limits.HistoryLendBytes, RowBytes: settings.Store.MaxRowBytes,
 	}, log)
@@ -451,6 +453,7 @@
 		d.metrics.setGauge("calls_serving", float64(d.receiver.InFlightCalls()))
 		d.metrics.setFractions(d.limiter.Fractions())
 		d.metrics.setGauge("history_bytes", float64(d.recorder.CachedBytes()))
+		d.metrics.setGauge("program_bytes", float64(d.recorder.ProgramBytes()))
 		d.metrics.setOwnership(d.owners.Stats())
 	}
 }
--- a/assembler/logger.go
+++ b/assembler/logger.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -12,9 +13,10 @@
 )
 
 const (
-	// logQueueLines is the number of lines that may wait to be written. Further lines are
-	// dropped and counted.
+	// logQueueLines is the number of lines that may wait to be written, logQueueBytes their size. Further lines
+	// are dropped and counted.
 	logQueueLines = 1024
+	logQueueBytes = 2 << 20
 	// logFlushInterval is the longest time that a line stays in the buffer.
 	logFlushInterval = 250 * time.Millisecond
 	// logBurst is the number of lines per second that are written for one message. Of
@@ -28,20 +30,29 @@
 type queueWriter struct {
 	lines   chan []byte
 	done    chan struct{}
+	bytes   atomic.Int64
 	dropped atomic.Int64
 }
 
 // Write implements io.Writer.
 func (w *queueWriter) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	if w.bytes.Add(int64(len(p))) > logQueueBytes {
+		w.drop(p)
+		return len(p), nil
+	}
 	select {
-	case w.lines <- line:
+	case w.lines <- slices.Clone(p):
 	default:
-		w.dropped.Add(1)
+		w.drop(p)
 	}
 	return len(p), nil
 }
 
+func (w *queueWriter) drop(line []byte) {
+	w.bytes.Add(-int64(len(line)))
+	w.dropped.Add(1)
+}
+
 // Sync implements zapcore.WriteSyncer. It does nothing: run flushes at an interval.
 func (w *queueWriter) Sync() error { return nil }
 
@@ -58,6 +69,7 @@
 				return
 			}
 			_, _ = buffer.Write(line)
+			w.bytes.Add(-int64(len(line)))
 			if timer == nil {
 				timer = time.After(logFlushInterval)
 			}
--- a/assembler/logger_test.go
+++ b/assembler/logger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,3 +50,34 @@
 		t.Errorf("no line reports the dropped lines in %d bytes of output", len(text))
 	}
 }
+
+// Guards against lines with the names of callers that take the memory of a host while the output is blocked.
+func TestLogQueueIsBounded(t *testing.T) {
+	const lines, lineBytes, maxBytes = 1000, 50_000, 8 << 20
+	output := &blockedWriter{release: make(chan struct{})}
+	log, flush := assembler.NewLogger(output)
+	name := strings.Repeat("n", lineBytes)
+	before := heapBytes()
+	for i := range lines {
+		// Different messages are not sampled.
+		log.Info(strconv.Itoa(i), zap.String("program", name))
+	}
+	if took := heapBytes() - before; took > maxBytes {
+		t.Errorf("%d lines of %d bytes take %d bytes, want at most %d", lines, lineBytes, took, maxBytes)
+	}
+	close(output.release)
+	time.Sleep(300 * time.Millisecond)
+	log.Info("last")
+	flush()
+	if text := output.written.String(); !strings.Contains(text, `"last"`) {
+		t.Errorf("the line after the others is missing in %d bytes of output", len(text))
+	}
+}
+
+// heapBytes returns the memory that is in use.
+func heapBytes() int {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int(stats.HeapAlloc)
+}
--- a/borrower/holders.go
+++ b/borrower/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"slices"
 	"sync"
 	"time"
@@ -26,15 +27,17 @@
 // holderIndex remembers which daemons may hold unused tokens of programs. A wrong or missing entry costs
 // calls only. It is safe for concurrent use.
 type holderIndex struct {
-	mutex   sync.Mutex
-	holders *expirable.LRU[string, []string]
+	mutex sync.Mutex
+	// holders has hashes of the names of programs, which take less memory than names of any length.
+	holders *expirable.LRU[uint64, []string]
+	seed    maphash.Seed
 	// silentUntil is when the daemons that did not reply are asked again.
 	silentUntil map[string]time.Time
 }
 
 func newHolderIndex(lifetime time.Duration) *holderIndex {
 	return &holderIndex{
-		holders: expirable.NewLRU[string, []string](maxIndexedPrograms, nil, lifetime), silentUntil: map[string]time.Time{},
+		holders: expirable.NewLRU[uint64, []string](maxIndexedPrograms, nil, lifetime), seed: maphash.MakeSeed(), silentUntil: map[string]time.Time{},
 	}
 }
 
@@ -43,9 +46,10 @@
 func (x *holderIndex) register(program, host string) []string {
 	x.mutex.Lock()
 	defer x.mutex.Unlock()
-	before, _ := x.holders.Get(program)
+	key := maphash.String(x.seed, program)
+	before, _ := x.holders.Get(key)
 	others := slices.DeleteFunc(slices.Clone(before), func(h string) bool { return h == host })
-	x.holders.Add(program, append([]string{host}, others[:min(len(others), maxHolders-1)]...))
+	x.holders.Add(key, append([]string{host}, others[:min(len(others), maxHolders-1)]...))
 	if others == nil {
 		return []string{}
 	}
--- a/historian/cache.go
+++ b/historian/cache.go
@@ -14,6 +14,14 @@
 // reached first.
 const maxCachedTurns = 65_536
 
+// turnBytes is the memory of a turn in the cache in addition to its strings and its text.
+const turnBytes = 384
+
+// cachedBytes returns the memory that a turn takes in the cache.
+func cachedBytes(t *Turn) int {
+	return turnBytes + len(t.ID) + len(t.Previous) + len(t.Partition) + len(t.Workspace) + t.MemoryBytes()
+}
+
 // Cache holds turns in memory and evicts the least recently used ones. It is safe for
 // concurrent use.
 type Cache struct {
@@ -23,11 +31,11 @@
 	limit int
 }
 
-// NewCache returns an empty cache that is limited to so many bytes of text, deflated if it is large.
+// NewCache returns an empty cache that is limited to so many bytes of turns, with their texts as they are kept.
 func NewCache(limit int) *Cache {
 	c := &Cache{limit: limit}
 	// NewLRU fails only for sizes below 1.
-	c.turns, _ = lru.NewLRU(maxCachedTurns, func(_ string, t *Turn) { c.bytes -= t.MemoryBytes() })
+	c.turns, _ = lru.NewLRU(maxCachedTurns, func(_ string, t *Turn) { c.bytes -= cachedBytes(t) })
 	return c
 }
 
@@ -40,9 +48,9 @@
 		if !t.Expires.After(old.Expires) {
 			return
 		}
-		c.bytes -= old.MemoryBytes()
+		c.bytes -= cachedBytes(old)
 	}
-	c.bytes += t.MemoryBytes()
+	c.bytes += cachedBytes(t)
 	c.turns.Add(t.ID, t)
 	for c.bytes > c.limit && c.turns.Len() > 1 {
 		c.turns.RemoveOldest()
@@ -57,7 +65,7 @@
 	return t
 }
 
-// Bytes returns the memory that the texts take.
+// Bytes returns the memory that the turns take.
 func (c *Cache) Bytes() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/historian/historian_test.go
+++ b/historian/historian_test.go
@@ -264,16 +264,39 @@
 	}
 }
 
+// Guards against a cache that counts the texts of turns only: IDs of 14 KB took several times the memory of the host.
 func TestCacheIsBounded(t *testing.T) {
-	cache := historian.NewCache(100)
-	for _, id := range []string{"a", "b", "c"} {
-		cache.Add(&historian.Turn{ID: id, Text: make([]byte, 60)})
-	}
-	if cache.Bytes() > 100 {
-		t.Errorf("%d bytes are cached, above the limit of 100", cache.Bytes())
+	const limit, large = 10_000, 6_000
+	name := strings.Repeat("n", large)
+	tests := []struct {
+		what string
+		turn historian.Turn
+	}{
+		{"texts", historian.Turn{Text: make([]byte, large)}},
+		{"IDs", historian.Turn{ID: name}},
+		{"IDs of the turns before", historian.Turn{Previous: name}},
+		{"workspaces", historian.Turn{Workspace: name}},
 	}
-	if cache.Get("c") == nil {
-		t.Error("the newest turn was evicted")
+	for _, test := range tests {
+		t.Run(test.what, func(t *testing.T) {
+			cache, kept := historian.NewCache(limit), 0
+			for _, id := range []string{"a", "b", "c"} {
+				turn := test.turn
+				turn.ID += id
+				cache.Add(&turn)
+			}
+			for _, id := range []string{"a", "b", "c"} {
+				if turn := cache.Get(test.turn.ID + id); turn != nil {
+					kept += len(turn.ID) + len(turn.Previous) + len(turn.Workspace) + len(turn.Text)
+				}
+			}
+			if cache.Bytes() > limit || kept > limit {
+				t.Errorf("%d bytes are cached, %d by its count, above the limit of %d", kept, cache.Bytes(), limit)
+			}
+			if cache.Get(test.turn.ID+"c") == nil {
+				t.Error("the newest turn was evicted")
+			}
+		})
 	}
 }
 
--- a/limiter/programs.go
+++ b/limiter/programs.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"hash/maphash"
 	"math"
 	"time"
 )
@@ -35,7 +36,8 @@
 // programs are the programs of a workspace that a holder has admitted calls of. A rejection in the middle of
 // a program wastes its earlier calls, so that new ones are rejected first.
 type programs struct {
-	byID map[string]*program
+	// byKey has hashes of the IDs of programs, which take less memory than IDs of any length.
+	byKey map[uint64]*program
 	// lengths are the numbers of calls of ended programs, next the index of the oldest one.
 	lengths []int
 	next    int
@@ -44,25 +46,32 @@
 	sweptAt  time.Time
 }
 
+// programSeed makes the keys of programs differ between processes.
+var programSeed = maphash.MakeSeed()
+
+// programKey returns the key of a program.
+func programKey(id string) uint64 { return maphash.String(programSeed, id) }
+
 // known reports whether the program has begun.
-func (p *programs) known(id string) bool { return id != "" && p.byID[id] != nil }
+func (p *programs) known(id string) bool { return id != "" && p.byKey[programKey(id)] != nil }
 
 // record records an admitted call of a program.
 func (p *programs) record(now time.Time, id string) {
 	if id == "" {
 		return
 	}
-	if p.byID == nil {
-		p.byID = map[string]*program{}
+	if p.byKey == nil {
+		p.byKey = map[uint64]*program{}
 	}
 	p.sweep(now)
-	known := p.byID[id]
+	key := programKey(id)
+	known := p.byKey[key]
 	if known == nil {
-		if len(p.byID) >= maxPrograms {
+		if len(p.byKey) >= maxPrograms {
 			return
 		}
 		known = &program{}
-		p.byID[id] = known
+		p.byKey[key] = known
 	} else if pause := now.Sub(known.lastCall); pause < programIdle {
 		const weight = 0.1
 		if p.interval == 0 {
@@ -80,14 +89,14 @@
 		return
 	}
 	p.sweptAt = now
-	for id, known := range p.byID {
+	for key, known := range p.byKey {
 		idle := now.Sub(known.lastCall)
 		if idle >= programIdle && !known.counted {
 			known.counted = true
 			p.keepLength(known.calls)
 		}
 		if idle >= programMemory {
-			delete(p.byID, id)
+			delete(p.byKey, key)
 		}
 	}
 }
@@ -136,7 +145,7 @@
 	}
 	perProgram := float64(reservedTime) / float64(p.interval)
 	total := 0.0
-	for _, known := range p.byID {
+	for _, known := range p.byKey {
 		if now.Sub(known.lastCall) < min(programIdle, 4*p.interval) {
 			total += math.Min(perProgram, p.remaining(known.calls))
 		}
--- a/limiter/programs_test.go
+++ b/limiter/programs_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,12 +73,12 @@
 			h := b.holder.holdings["w"]
 			h.demand = meter{mean: test.demand * testQuota.RatePerSecond, at: b.now, start: b.now.Add(-time.Hour)}
 			h.bucket.tokens, h.bucket.at = 1, b.now
-			h.programs = programs{byID: map[string]*program{}, interval: 400 * time.Millisecond}
+			h.programs = programs{byKey: map[uint64]*program{}, interval: 400 * time.Millisecond}
 			for range minLengths {
 				h.programs.keepLength(5)
 			}
 			for i := range test.running {
-				h.programs.byID[fmt.Sprint("running-", i)] = &program{calls: 2, lastCall: b.now}
+				h.programs.byKey[programKey(fmt.Sprint("running-", i))] = &program{calls: 2, lastCall: b.now}
 			}
 			if diff := cmp.Diff(test.wantReason, b.ask("w", test.program).reason); diff != "" {
 				t.Errorf("reason (-want +got):\n%s", diff)
@@ -100,3 +102,25 @@
 		t.Errorf("%v calls reserved for ten programs in progress, want 40", got)
 	}
 }
+
+// Guards against IDs of programs that take the memory of a small host: each workspace remembers maxPrograms.
+func TestMemoryOfProgramIDs(t *testing.T) {
+	const idBytes, maxBytes = 14_000, 2 << 20
+	heap := func() int {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return int(stats.HeapAlloc)
+	}
+	var p programs
+	before := heap()
+	for i := range maxPrograms {
+		p.record(time.Unix(1_000_000, 0), fmt.Sprint(i, strings.Repeat("n", idBytes)))
+	}
+	if took := heap() - before; took > maxBytes {
+		t.Errorf("%d programs take %d bytes, want at most %d", maxPrograms, took, maxBytes)
+	}
+	if !p.known(fmt.Sprint(maxPrograms-1, strings.Repeat("n", idBytes))) {
+		t.Error("the last program is not known")
+	}
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -127,8 +127,10 @@
 	lending    *workMemory
 	down       atomic.Pointer[partitionSet]
 	queueCount atomic.Int64
-	tickets    atomic.Uint64
-	tasks      conc.WaitGroup
+	// programBytes is the memory of budgets.
+	programBytes atomic.Int64
+	tickets      atomic.Uint64
+	tasks        conc.WaitGroup
 	// cleanupStart maps each partition of the program table to the key at which its next
 	// clean-up begins. Only RunCleanup uses it.
 	cleanupStart map[string]string
@@ -163,6 +165,9 @@
 	return r
 }
 
+// ProgramBytes returns the memory of the budgets of programs.
+func (r *Recorder) ProgramBytes() int { return int(r.programBytes.Load()) }
+
 // CachedBytes returns the memory of the cached turns.
 func (r *Recorder) CachedBytes() int { return r.turns.Bytes() }
 
