Keep names that are not UTF-8 apart

Turns whose ID has a byte that is not UTF-8 were lost with a restart (404 for the next turn), and mixed: the next turn of "caf\xe9" got the history of "caf\ufffd". Programs whose names differ in such a byte only shared a budget.

Cause: the protocol of the store and the messages between daemons are JSON, which replaces such bytes; the decoder of rows refused them. Evidence: the test gets "B" in place of "A" before the input, and 404 for turns that a peer has in memory.

Tests: TestTurnsWhoseIDsAreNotUTF8 failed before in all ten cases, TestBudgetsOfNamesThatAreNotUTF8 in four of five; both pass.

--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"slices"
 	"time"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
@@ -127,9 +128,13 @@
 // PeerCount returns the number of peers that FindTurn asks.
 func (b *Borrower) PeerCount() int { return len(b.nearestPeers()) }
 
-// FindTurn asks the peers in the region for a turn whose text takes up to maxBytes.
+// FindTurn asks the peers in the region for a turn whose text takes up to maxBytes. It asks for none whose ID is not
+// UTF-8, which messages between daemons cannot have.
 func (b *Borrower) FindTurn(ctx context.Context, id string, maxBytes int) FoundTurn {
 	var found FoundTurn
+	if !utf8.ValidString(id) {
+		return found
+	}
 	queryPeers(ctx, b, b.nearestPeers(), messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: maxBytes},
 		func(host string, reply *encoder.TurnAnswer) bool {
 			found = decodeTurn(host, id, maxBytes, reply)
@@ -283,7 +288,7 @@
 		maxBytes = historian.PlainBytes
 	}
 	turn, hasText, done := lender.LendTurn(ctx, request.Turn, maxBytes)
-	if turn == nil || request.MaxBytes == 0 && (!hasText || turn.UnpackedBytes > 0) {
+	if turn == nil || !utf8.ValidString(turn.Previous) || request.MaxBytes == 0 && (!hasText || turn.UnpackedBytes > 0) {
 		done()
 		return encoder.TurnAnswer{}
 	}
--- a/historian/rows.go
+++ b/historian/rows.go
@@ -23,6 +23,15 @@
 	headOverheadBytes = 128
 )
 
+// decodeMode accepts strings that are not UTF-8, since callers choose the IDs of turns.
+var decodeMode = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are constant
+	}
+	return mode
+}()
+
 // storedTurn is the encoding of a turn whose text is small. It is deflated and split into one or more rows. Earlier
 // versions encoded all turns so.
 type storedTurn struct {
@@ -105,7 +114,7 @@
 		return nil, nil, NewError(operation, KindNotFound, errors.New("no row of the turn"))
 	}
 	var head segment
-	if err := cbor.Unmarshal(rows[i].Value, &head); err != nil {
+	if err := decodeMode.Unmarshal(rows[i].Value, &head); err != nil {
 		return nil, nil, NewError(operation, KindCorrupt, err)
 	}
 	if head.Count < 1 {
@@ -137,7 +146,7 @@
 			return nil, nil, nil, NewError(operation, KindCorrupt, fmt.Errorf("row %d is of another write", found))
 		}
 		var row segment
-		if err := cbor.Unmarshal(rows[i].Value, &row); err != nil {
+		if err := decodeMode.Unmarshal(rows[i].Value, &row); err != nil {
 			return nil, nil, nil, NewError(operation, KindCorrupt, err)
 		}
 		data = append(data, row.Data...)
@@ -169,7 +178,7 @@
 		return nil, err
 	}
 	var stored storedTurn
-	if err := cbor.Unmarshal(plain, &stored); err != nil {
+	if err := decodeMode.Unmarshal(plain, &stored); err != nil {
 		return nil, NewError(operation, KindCorrupt, err)
 	}
 	if stored.EarlierBytes < 0 {
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -9,6 +9,7 @@
 	"io"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/dogwoodweir/dogwoodweir/packer"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -140,9 +141,10 @@
 	return []string{Key(id)}
 }
 
-// Key returns a name as the key of a row: the name itself, or its hash if it is too long.
+// Key returns a name as the key of a row: the name itself, or its hash if it is too long or not UTF-8. Stores whose
+// protocol is JSON replace bytes that are not UTF-8.
 func Key(name string) string {
-	if len(name) <= maxKeyBytes {
+	if len(name) <= maxKeyBytes && utf8.ValidString(name) {
 		return name
 	}
 	sum := sha256.Sum256([]byte(name))
--- a/receiver/handler.go
+++ b/receiver/handler.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
@@ -155,23 +154,6 @@
 	return nil
 }
 
-// sentPath returns the path of a request as it was sent, with its escapes: the target gets it in this form, so that an
-// escaped slash does not begin a segment for either.
-func sentPath(r *http.Request) string {
-	target, _, _ := strings.Cut(r.RequestURI, "?")
-	if strings.HasPrefix(target, "/") {
-		return target
-	}
-	_, rest, isAbsolute := strings.Cut(target, "://")
-	if !isAbsolute {
-		return target
-	}
-	if i := strings.IndexByte(rest, '/'); i >= 0 {
-		return rest[i:]
-	}
-	return "/"
-}
-
 // authenticate finds the workspace that holds the key of the call.
 func (h *callHandler) authenticate(c *follower.Configuration) error {
 	if !c.NeedsKey(h.route) {
@@ -463,15 +445,6 @@
 	return (tokens + eventTokens - 1) / eventTokens * eventTokens
 }
 
-// budgetName returns the name of the program's budget. Programs of different workspaces may have the
-// same ID.
-func (h *callHandler) budgetName() string {
-	if h.workspace == nil {
-		return h.call.Program
-	}
-	return h.workspace.Name + ":" + h.call.Program
-}
-
 // reserveTokens takes the tokens of the turn from the program's budget.
 func (h *callHandler) reserveTokens() error {
 	if !h.call.HasBudget || h.call.Program == "" || !h.route.Streaming {
