--- a/allocator/runner_test.go
+++ b/allocator/runner_test.go
@@ -34,14 +34,22 @@
 
 // startRunner starts a runner that is alone. It returns a function that ends it as a kill does.
 func startRunner(t *testing.T, rows *emulator.RowStore, host, incarnation string, partitions ...string) (*allocator.Runner, func()) {
+	t.Helper()
+	return run(t, allocator.Dependencies{
+		Store: rows, Identity: allocator.Identity{Host: host, Incarnation: incarnation, Boot: "boot"}, Partitions: partitions,
+		Others: func() []allocator.Member { return nil },
+	})
+}
+
+// run starts a runner with the given dependencies and those that are the same in all tests. It returns a function that
+// ends it as a kill does.
+func run(t *testing.T, d allocator.Dependencies) (*allocator.Runner, func()) {
 	t.Helper()
 	listed := make(chan struct{})
 	close(listed)
-	r := allocator.NewRunner(allocator.Dependencies{
-		Store: rows, Clock: systemClock{}, Identity: allocator.Identity{Host: host, Incarnation: incarnation, Boot: "boot"},
-		Others: func() []allocator.Member { return nil }, Listed: listed, RowTable: testTable, Partitions: partitions,
-		IsSecondRow: func(key string) bool { return strings.HasSuffix(key, " second") },
-	}, allocator.DefaultOptions(), zap.NewNop())
+	d.Clock, d.Listed, d.RowTable = systemClock{}, listed, testTable
+	d.IsSecondRow = func(key string) bool { return strings.HasSuffix(key, " second") }
+	r := allocator.NewRunner(d, allocator.DefaultOptions(), zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -170,27 +178,16 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = listener.Close() }()
-	listed := make(chan struct{})
-	close(listed)
 	m := messenger.New(messenger.Settings{Host: "host"}, nil, zap.NewNop())
 	defer m.Close()
-	r := allocator.NewRunner(allocator.Dependencies{
-		Store: emulator.NewRowStore(), Clock: systemClock{}, Messenger: m, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
+	r, kill := run(t, allocator.Dependencies{
+		Store: emulator.NewRowStore(), Messenger: m, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
 		Others: func() []allocator.Member {
 			return []allocator.Member{{Peer: messenger.Peer{Host: "silent", Address: listener.Addr().String()}}}
 		},
-		Listed: listed, RowTable: testTable, Partitions: []string{testPartition}, IsSecondRow: func(string) bool { return true },
-	}, allocator.DefaultOptions(), zap.NewNop())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		r.Run(ctx)
-	}()
-	defer func() {
-		cancel()
-		<-done
-	}()
+		Partitions: []string{testPartition},
+	})
+	defer kill()
 	r.Activate()
 	time.Sleep(300 * time.Millisecond)
 	for i, limit := range []time.Duration{bound + margin, margin} {
@@ -230,28 +227,19 @@
 			var members atomic.Pointer[[]allocator.Member]
 			members.Store(&test.before)
 			ordered := make(chan struct{}, 100)
-			listed := make(chan struct{})
-			close(listed)
-			r := allocator.NewRunner(allocator.Dependencies{
-				Store: emulator.NewRowStore(), Clock: systemClock{}, Messenger: newMessenger("host", nil),
+			r, kill := run(t, allocator.Dependencies{
+				Store: emulator.NewRowStore(), Messenger: newMessenger("host", nil),
 				Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
 				Others: func() []allocator.Member {
 					ordered <- struct{}{}
 					return *members.Load()
 				},
-				Listed: listed, RowTable: testTable, Partitions: []string{testPartition}, IsSecondRow: func(string) bool { return true },
-			}, allocator.DefaultOptions(), zap.NewNop())
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				r.Run(ctx)
-			}()
+				Partitions: []string{testPartition},
+			})
 			r.Activate()
 			<-ordered
 			// The runner stops, so that only the request can compute the order.
-			cancel()
-			<-done
+			kill()
 			members.Store(&test.after)
 			if row, kind := r.Read(t.Context(), secondKey); kind != provider.KindNone || string(row.Value) != "a" {
 				t.Errorf("read of a row of the owner: %s, value %q", kind, row.Value)
@@ -279,23 +267,10 @@
 	t.Parallel()
 	rows := emulator.NewRowStore()
 	store := &stallingStore{RowStore: rows, stall: make(chan struct{})}
-	listed := make(chan struct{})
-	close(listed)
-	r := allocator.NewRunner(allocator.Dependencies{
-		Store: store, Clock: systemClock{}, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
-		Others: func() []allocator.Member { return nil }, Listed: listed, RowTable: testTable, Partitions: []string{testPartition},
-		IsSecondRow: func(string) bool { return true },
-	}, allocator.DefaultOptions(), zap.NewNop())
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		r.Run(ctx)
-	}()
-	defer func() {
-		cancel()
-		<-done
-	}()
+	r, _ := run(t, allocator.Dependencies{
+		Store: store, Identity: allocator.Identity{Host: "host", Incarnation: "run", Boot: "boot"},
+		Others: func() []allocator.Member { return nil }, Partitions: []string{testPartition},
+	})
 	version := awaitWrite(t, r, 0, "a")
 	close(store.stall)
 	began := time.Now()
