Count the memory of a program in one place

Cause: three places added the overhead of a program to its name, returnUnused repeated the condition of isIdle, and the gauge was set in a deferred function. Change: memoryOf, isIdle, and a plain statement; behaviour stays as it is.

--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -5,20 +5,23 @@
 	"time"
 )
 
-// programBytes is the memory of a program in addition to its name.
-const programBytes = 512
+// memoryOf returns the memory of a program with a name.
+func memoryOf(name string) int {
+	const programBytes = 512
+	return len(name) + programBytes
+}
 
 // Bytes returns the memory that programs take, with their names.
 func (s *State) Bytes() int { return s.bytes }
 
 // add adds a program. It returns nil if there is no memory.
 func (s *State) add(name string) *program {
-	if s.options.MaxBytes > 0 && s.bytes+len(name)+programBytes > s.options.MaxBytes {
+	if s.options.MaxBytes > 0 && s.bytes+memoryOf(name) > s.options.MaxBytes {
 		return nil
 	}
 	p := &program{}
 	s.programs[name] = p
-	s.bytes += len(name) + programBytes
+	s.bytes += memoryOf(name)
 	return p
 }
 
@@ -30,13 +33,13 @@
 		return
 	}
 	delete(s.programs, name)
-	s.bytes -= len(name) + programBytes
+	s.bytes -= memoryOf(name)
 }
 
 // returnUnused writes the unused tokens of a program without running turns back to its row.
 // They are deducted before the write: if its response is lost, they may have been returned.
 func (s *State) returnUnused(name string, p *program) {
-	if p.reserved > 0 || p.unused <= 0 || p.busy() || len(p.waiters) > 0 || !p.rowKnown {
+	if !p.isIdle() || p.unused <= 0 || !p.rowKnown {
 		return
 	}
 	tokens := p.unused
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -256,8 +256,9 @@
 }
 
 func (r *Recorder) updateBudgets(ctx context.Context, now time.Time, m accountant.Message) {
-	defer func() { r.programBytes.Store(int64(r.budgets.Bytes())) }()
-	for _, c := range r.budgets.Update(now, m) {
+	commands := r.budgets.Update(now, m)
+	r.programBytes.Store(int64(r.budgets.Bytes()))
+	for _, c := range commands {
 		switch c := c.(type) {
 		case accountant.Decision:
 			if reply := r.reserveReplies[c.Ticket]; reply != nil {
