--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,35 +1,40 @@
-"""A machine is removed for good while long programs run; their later turns must still reach a runner."""
+"""A machine is stopped and started as planned while programs run; none may be told that its budget is spent while it is not."""
 import asyncio
 import os
+import signal
 import sys
 import time
 
-from programs import Case
+from programs import MOST, Case
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 
 
-class RemovedMachine(Case):
+class StoppedMachine(Case):
+    programs, event_s = 12, 0.01
+    # The budget is what the turns of a program generate.
+    budget = MOST * Case.turns
+    first_entries = (1, 0)
+
     async def disturb(self):
-        removed = self.daemons[0]
-        await removed.end()
+        asyncio.ensure_future(self.roll(self.daemons[0]))
+
+    async def roll(self, machine):
+        machine.send(signal.SIGTERM)
+        self.line("SIGTERM to %s" % machine.name)
+        await machine.process.wait()
+        self.line("%s has ended with status %d" % (machine.name, machine.process.returncode))
+        await machine.start()
+        await machine.await_ready()
         self.calm_from = time.monotonic()
-        self.line("machine %s is removed for good" % removed.name)
-        asyncio.ensure_future(self.replace())
-
-    async def replace(self):
-        await asyncio.sleep(2)
-        spare = self.machine("front-nl-ams-3", "nl-ams")
-        self.daemons.append(spare)
-        await spare.start()
-        self.line("machine %s is added in its place, at another address" % spare.name)
+        self.line("%s is ready again" % machine.name)
 
     def judge(self, programs):
-        return self.judge_lost(programs)
+        return self.judge_denied(programs)
 
 
 async def main():
-    return await RemovedMachine(FOLDER, sys.argv[1]).run()
+    return await StoppedMachine(FOLDER, sys.argv[1]).run()
 
 
 status = asyncio.run(main())
