--- a/review/11/case.py
+++ b/review/11/case.py
@@ -11,7 +11,7 @@
 
 
 class StoppedMachine(Case):
-    programs, event_s = 12, 0.01
+    programs, event_s = 16, 0.01
     # The budget is what the turns of a program generate.
     budget = MOST * Case.turns
     first_entries = (1, 0)
