--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,35 +1,37 @@
-"""A machine is removed for good while long programs run; their later turns must still reach a runner."""
+"""A machine freezes for 4 s and wakes again while programs run; none may be told that its budget is spent while it is not."""
 import asyncio
 import os
+import signal
 import sys
 import time
 
 from programs import Case
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+FREEZE_S = 4.0
 
 
-class RemovedMachine(Case):
+class FrozenMachine(Case):
+    event_s = 0.01
+
     async def disturb(self):
-        removed = self.daemons[0]
-        await removed.end()
+        frozen = self.daemons[0]
+        frozen.send(signal.SIGSTOP)
+        self.line("machine %s freezes" % frozen.name)
+        asyncio.ensure_future(self.wake(frozen))
+
+    async def wake(self, frozen):
+        await asyncio.sleep(FREEZE_S)
+        frozen.send(signal.SIGCONT)
         self.calm_from = time.monotonic()
-        self.line("machine %s is removed for good" % removed.name)
-        asyncio.ensure_future(self.replace())
-
-    async def replace(self):
-        await asyncio.sleep(2)
-        spare = self.machine("front-nl-ams-3", "nl-ams")
-        self.daemons.append(spare)
-        await spare.start()
-        self.line("machine %s is added in its place, at another address" % spare.name)
+        self.line("machine %s wakes" % frozen.name)
 
     def judge(self, programs):
-        return self.judge_lost(programs)
+        return self.judge_denied(programs)
 
 
 async def main():
-    return await RemovedMachine(FOLDER, sys.argv[1]).run()
+    return await FrozenMachine(FOLDER, sys.argv[1]).run()
 
 
 status = asyncio.run(main())
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,37 +1,37 @@
-"""A machine freezes for 4 s and wakes again while programs run; none may be told that its budget is spent while it is not."""
+"""The store falls silent for 2 s as programs begin; none may be told later that its budget is spent while it is not."""
 import asyncio
 import os
-import signal
 import sys
 import time
 
 from programs import Case
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-FREEZE_S = 4.0
-
-
-class FrozenMachine(Case):
-    programs, event_s = 10, 0.01
-
-    async def disturb(self):
-        frozen = self.daemons[0]
-        frozen.send(signal.SIGSTOP)
-        self.line("machine %s freezes" % frozen.name)
-        asyncio.ensure_future(self.wake(frozen))
-
-    async def wake(self, frozen):
-        await asyncio.sleep(FREEZE_S)
-        frozen.send(signal.SIGCONT)
+SILENCE_S = 2.0
+
+
+class SilentStore(Case):
+    async def before_programs(self):
+        # The first tokens of the programs are granted as the store falls silent.
+        self.store.silence_at = "programs"
+        self.resumed.set()
+        asyncio.ensure_future(self.return_of_store())
+
+    async def return_of_store(self):
+        while not self.store.silent:
+            await asyncio.sleep(0.005)
+        self.line("the store falls silent")
+        await asyncio.sleep(SILENCE_S)
+        self.store.silent = False
         self.calm_from = time.monotonic()
-        self.line("machine %s wakes" % frozen.name)
+        self.line("the store answers again; %d transactions were performed without an answer" % self.store.unanswered)
 
     def judge(self, programs):
         return self.judge_denied(programs)
 
 
 async def main():
-    return await FrozenMachine(FOLDER, sys.argv[1]).run()
+    return await SilentStore(FOLDER, sys.argv[1]).run()
 
 
 status = asyncio.run(main())
