--- a/review/11/case.py
+++ b/review/11/case.py
@@ -6,6 +6,7 @@
 import time
 
 from programs import MOST, Case
+from standins import play
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 
@@ -33,10 +34,4 @@
         return self.judge_denied(programs)
 
 
-async def main():
-    return await StoppedMachine(FOLDER, sys.argv[1]).run()
-
-
-status = asyncio.run(main())
-print("status %d" % status)
-sys.exit(status)
+play(StoppedMachine(FOLDER, sys.argv[1]).run)
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -6,6 +6,7 @@
 import time
 
 from programs import Case
+from standins import play
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 FREEZE_S = 4.0
@@ -30,10 +31,4 @@
         return self.judge_denied(programs)
 
 
-async def main():
-    return await FrozenMachine(FOLDER, sys.argv[1]).run()
-
-
-status = asyncio.run(main())
-print("status %d" % status)
-sys.exit(status)
+play(FrozenMachine(FOLDER, sys.argv[1]).run)
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -5,6 +5,7 @@
 import time
 
 from programs import Case
+from standins import play
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 SILENCE_S = 2.0
@@ -30,10 +31,4 @@
         return self.judge_denied(programs)
 
 
-async def main():
-    return await SilentStore(FOLDER, sys.argv[1]).run()
-
-
-status = asyncio.run(main())
-print("status %d" % status)
-sys.exit(status)
+play(SilentStore(FOLDER, sys.argv[1]).run)
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -6,7 +6,7 @@
 import sys
 
 from standins import (HEADER, Client, Daemon, Record, Server, Store, engine_service, free_ports, manifest, new_id,
-                      plain_service, serve, turn_route)
+                      plain_service, play, serve, turn_route)
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -82,6 +82,4 @@
         return 1 if closed > ALLOWED or cut else 0
 
 
-status = asyncio.run(Case(sys.argv[1]).main())
-print("status %d" % status)
-sys.exit(status)
+play(Case(sys.argv[1]).main)
--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -9,7 +9,9 @@
 import os
 import random
 import signal
+import sys
 import time
+import traceback
 
 HEADER = "X-Dogwoodweir-"
 
@@ -477,3 +479,23 @@
     s = {"name": name, "health_path": "/health", "max_conns": 96, "protocol": "h1", "tls": False}
     s.update(more)
     return s
+
+
+def play(main):
+    """Run a case and exit with its status: 2 if it could not run or was told to end."""
+
+    async def guarded():
+        task, loop = asyncio.current_task(), asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
+        except Exception:
+            traceback.print_exc()
+            return 2
+
+    status = asyncio.run(guarded())
+    print("status %d" % status)
+    sys.exit(status)
