Return borrowed tokens at a planned stop and after idleness

Cause: a daemon that had only borrowed a program's tokens did not know the program's row, and returned nothing of programs whose row it did not know. Evidence: tokens printed at the stop on a scratch copy, 18 of 28 rows with 144 to 1,152 unused tokens and no known row. Removal after a minute without a turn lost them alike, and a write that the store rejected lost all. Change: a return without a known row is written as if there were none; its conflict returns the row for a second write. A return without effect gives the tokens back and is tried again. The program stays in memory until then. A stop that ends first is logged. The case 'store not available' of TestUnusedTokensOfIdleProgramAreReturned expected the loss; it now expects a second write.

--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -25,21 +25,22 @@
 	return p
 }
 
-// remove removes a program that is not busy. Its unused tokens are returned first, and it remains until they are.
-// Those that cannot be returned are lost.
+// remove removes a program without tokens that is not busy. Its unused tokens are returned first, and it remains
+// until they are.
 func (s *State) remove(name string, p *program) {
 	s.returnUnused(name, p)
-	if p.busy() {
+	if p.busy() || p.unused > 0 {
 		return
 	}
 	delete(s.programs, name)
 	s.bytes -= memoryOf(name)
 }
 
-// returnUnused writes the unused tokens of a program without running turns back to its row.
-// They are deducted before the write: if its response is lost, they may have been returned.
+// returnUnused writes the unused tokens of a program without running turns back to its row. They are deducted
+// before the write, and added again if it has no effect. A daemon that has only borrowed tokens does not know the
+// row: its write conflicts and returns it. A failed return is tried again at a later Tick or Stopping.
 func (s *State) returnUnused(name string, p *program) {
-	if !p.isIdle() || p.unused <= 0 || !p.rowKnown {
+	if !p.isIdle() || p.unused <= 0 || s.now.Before(p.nextReturnAt) {
 		return
 	}
 	tokens := p.unused
@@ -47,6 +48,18 @@
 	s.writeGrant(name, p, -tokens)
 }
 
+// UnreturnedPrograms returns the number of programs without running turns that have tokens to be returned, or whose
+// return is in progress.
+func (s *State) UnreturnedPrograms() int {
+	count := 0
+	for _, p := range s.programs {
+		if p.busy() || p.isIdle() && p.unused > 0 {
+			count++
+		}
+	}
+	return count
+}
+
 // isIdle reports whether nothing of a program is in progress.
 func (p *program) isIdle() bool { return p.reserved == 0 && !p.busy() && len(p.waiters) == 0 }
 
--- a/accountant/lost_test.go
+++ b/accountant/lost_test.go
@@ -99,7 +99,7 @@
 			accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: row(7, encoder.ProgramBudget{Granted: 5000, Holder: "other"})},
 			[][2]int{{200, 0}, {200, 0}},
 		},
-		{"store not available", accountant.WriteCompleted{Program: "p", Kind: provider.KindUnavailable}, [][2]int{{200, 0}}},
+		{"store not available", accountant.WriteCompleted{Program: "p", Kind: provider.KindUnavailable}, [][2]int{{200, 0}, {200, 0}}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -113,8 +113,12 @@
 			now = now.Add(accountant.DefaultOptions().IdleTimeout)
 			var got [][2]int
 			results := []accountant.WriteCompleted{test.result, {Program: "p", Version: 8}}
-			before := []int{granted, 5000}
+			before := []int{granted, granted}
+			if test.result.Row != nil {
+				before[1] = 5000
+			}
 			for i := 0; state.ProgramCount() > 0 && i < 10; i++ {
+				now = now.Add(accountant.DefaultOptions().ReturnRetryDelay)
 				for _, c := range state.Update(now, accountant.Tick{}) {
 					b := decodeWrite(t, c.(accountant.Write))
 					got = append(got, [2]int{b.Granted - before[len(got)] + granted, b.Spare["host"]})
@@ -131,6 +135,61 @@
 	}
 }
 
+// Guards against the loss of tokens that a daemon has only borrowed, so that it does not know the program's row: after a
+// planned stop, programs were told that their budget was spent while it held further turns.
+func TestBorrowedTokensAreReturned(t *testing.T) {
+	const budget, turn, lent, granted = 9000, 576, 2000, 5000
+	stored := row(7, encoder.ProgramBudget{Granted: granted, Holder: "other", Spare: encoder.ProgramBudgetSpare{"other": lent}})
+	unavailable := accountant.WriteCompleted{Program: "p", Kind: provider.KindUnavailable}
+	conflict := accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: stored}
+	tests := []struct {
+		name string
+		// end is sent after the turn, and again until the tokens are returned.
+		end accountant.Message
+		// failures are the results of the writes before the row is known.
+		failures []accountant.WriteCompleted
+	}{
+		{"planned stop", accountant.Stopping{}, nil},
+		{"planned stop, store away at first", accountant.Stopping{}, []accountant.WriteCompleted{unavailable, unavailable}},
+		{"removal after idleness", accountant.Tick{}, nil},
+		{"removal after idleness, store away at first", accountant.Tick{}, []accountant.WriteCompleted{unavailable, unavailable}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			state, now := accountant.New(accountant.DefaultOptions(), "host", "me"), start
+			request := requested(1, budget, turn)
+			request.ProgramStarted = true
+			state.Update(now, request)
+			state.Update(now, accountant.TokensReceived{Program: "p", Tokens: lent})
+			state.Update(now, accountant.TurnFinished{Program: "p", Reserved: turn, Used: turn})
+			now = now.Add(accountant.DefaultOptions().IdleTimeout)
+			results, returned := append(test.failures, conflict), 0
+			for i := 0; i < 20 && returned == 0; i++ {
+				for _, c := range state.Update(now, test.end) {
+					if w := c.(accountant.Write); w.Version == stored.Version {
+						returned = granted - decodeWrite(t, w).Granted
+						state.Update(now, accountant.WriteCompleted{Program: "p", Version: 8})
+						continue
+					}
+					state.Update(now, results[0])
+					results = results[1:]
+				}
+				now = now.Add(accountant.DefaultOptions().ReturnRetryDelay)
+			}
+			if diff := cmp.Diff(lent-turn, returned); diff != "" {
+				t.Errorf("tokens returned to the row (-want +got):\n%s", diff)
+			}
+			if n := state.UnreturnedPrograms(); n != 0 {
+				t.Errorf("%d programs have tokens to be returned", n)
+			}
+			state.Update(now, accountant.Tick{})
+			if state.ProgramCount() != 0 {
+				t.Error("the program is still in memory")
+			}
+		})
+	}
+}
+
 func decodeWrite(t *testing.T, w accountant.Write) encoder.ProgramBudget {
 	t.Helper()
 	var b encoder.ProgramBudget
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -74,7 +74,7 @@
 	Tokens  int
 }
 
-// Stopping returns the unused tokens before the daemon exits.
+// Stopping returns the unused tokens before the daemon exits. Send it until UnreturnedPrograms is 0.
 type Stopping struct{}
 
 // Tick removes idle programs. Send it periodically.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -23,6 +23,10 @@
 	MaxStaleness time.Duration
 	// IdleTimeout is the time after the last turn at which a program is removed from memory.
 	IdleTimeout time.Duration
+	// ReturnRetryDelay is the time after which a failed return of tokens is tried again, StopRetryDelay the same
+	// while the daemon stops.
+	ReturnRetryDelay time.Duration
+	StopRetryDelay   time.Duration
 	// MaxBytes bounds the memory of programs, 0 for no bound. Near it, programs without running turns are removed
 	// earlier; at it, further programs are refused as Unavailable.
 	MaxBytes int
@@ -34,7 +38,8 @@
 func DefaultOptions() Options {
 	return Options{
 		MaxExtraTurns: 24, MinRemainingShare: 0.5, MinRemainingTurns: 2, MaxStaleness: 200 * time.Millisecond,
-		IdleTimeout: time.Minute, Retention: 10 * time.Minute,
+		IdleTimeout: time.Minute, ReturnRetryDelay: 2 * time.Second, StopRetryDelay: 50 * time.Millisecond,
+		Retention: 10 * time.Minute,
 	}
 }
 
@@ -78,18 +83,31 @@
 	holdersSilent  []string
 	// hasGrant is set once this daemon has written the row, so that the row lists its tokens.
 	hasGrant bool
-	// pendingRow is the row that is being written, nil when no write is in progress.
-	pendingRow *encoder.ProgramBudget
-	reading    bool
-	borrowing  bool
+	// pending is the write in progress, nil if there is none.
+	pending   *pendingWrite
+	reading   bool
+	borrowing bool
 	// borrowHosts are the peers being asked for tokens, nil if they are the region peers.
 	borrowHosts []string
 	waiters     []waiter
 	// reserved is the number of tokens of the running turns.
 	reserved   int
 	lastUsedAt time.Time
+	// nextReturnAt is when unused tokens may be returned, after a return that failed.
+	nextReturnAt time.Time
 }
 
+// pendingWrite is a write of a row that is not completed.
+type pendingWrite struct {
+	row encoder.ProgramBudget
+	// tokens are those that it grants to this daemon. A negative number returns tokens, which are deducted from
+	// the unused ones already.
+	tokens int
+}
+
+// returned returns the number of tokens that the write returns.
+func (w *pendingWrite) returned() int { return max(0, -w.tokens) }
+
 // needed is the number of tokens that waiters lack.
 func (p *program) needed() int {
 	need := -max(0, p.unused)
@@ -114,7 +132,7 @@
 	return tokens
 }
 
-func (p *program) busy() bool { return p.pendingRow != nil || p.reading || p.borrowing }
+func (p *program) busy() bool { return p.pending != nil || p.reading || p.borrowing }
 
 // State holds the budgets of the programs that this daemon serves. It is not safe for
 // concurrent use.
@@ -127,6 +145,8 @@
 	// sequence counts the writes of all programs, so that the daemon recognises a row that it wrote.
 	// Numbers of a program would begin again after it was removed from memory.
 	sequence int
+	// stopping is set once the daemon stops.
+	stopping bool
 	commands []Command
 	now      time.Time
 }
@@ -159,6 +179,7 @@
 		p := s.programs[m.Program]
 		s.emit(Lend{Ticket: m.Ticket, Tokens: s.lend(m), UnknownProgram: p == nil || !p.hasGrant})
 	case Stopping:
+		s.stopping = true
 		for name, p := range s.programs {
 			s.returnUnused(name, p)
 		}
@@ -380,48 +401,64 @@
 // A negative number returns tokens.
 func (s *State) writeGrant(name string, p *program, tokens int) {
 	s.sequence++
-	p.pendingRow = &encoder.ProgramBudget{
-		Granted: p.granted + tokens, Holder: s.incarnation, Sequence: s.sequence,
+	row := encoder.ProgramBudget{
+		// A row that has expired no longer counts the tokens that are returned.
+		Granted: max(0, p.granted+tokens), Holder: s.incarnation, Sequence: s.sequence,
 		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{}, Lost: p.lost,
 	}
 	for host, spare := range p.spare {
-		p.pendingRow.Spare[host] = spare
+		row.Spare[host] = spare
 	}
-	p.pendingRow.Spare[s.host] = p.unused + p.reserved + max(0, tokens)
+	row.Spare[s.host] = p.unused + p.reserved + max(0, tokens)
+	p.pending = &pendingWrite{row: row, tokens: tokens}
 	// The type has only numbers and strings, so encoding cannot fail.
-	value, _ := json.Marshal(p.pendingRow)
+	value, _ := json.Marshal(row)
 	s.emit(Write{Program: name, Version: p.version, Value: value, Needed: p.needed()})
 }
 
 func (s *State) writeCompleted(m WriteCompleted) {
 	p := s.programs[m.Program]
-	if p == nil || p.pendingRow == nil {
+	if p == nil || p.pending == nil {
 		return
 	}
 	switch m.Kind {
 	case provider.KindNone:
-		s.adoptPendingRow(p, m.Version)
+		s.adoptPending(p, m.Version)
 	case provider.KindConflict:
-		// Tokens that the write would have returned can be used again.
-		p.unused += max(0, p.granted-p.pendingRow.Granted)
-		p.pendingRow = nil
+		s.dropPending(p)
 		s.adoptRow(p, m.Row)
 	case provider.KindUnknown:
 		s.readRow(m.Program, p)
 		return
 	default:
-		p.pendingRow = nil
+		s.dropPending(p)
+		s.delayReturn(p)
 		s.rejectWaiters(p)
 	}
 	s.serveWaiters(m.Program, p)
 }
 
-// adoptPendingRow makes the pending row the current one after its write took effect. Tokens
-// that it returns have already been deducted from unused.
-func (s *State) adoptPendingRow(p *program, version int64) {
-	p.unused += max(0, p.pendingRow.Granted-p.granted)
-	p.granted, p.version, p.spare, p.lost = p.pendingRow.Granted, version, p.pendingRow.Spare, p.pendingRow.Lost
-	p.rowKnown, p.rowReadAt, p.pendingRow, p.hasGrant = true, s.now, nil, true
+// adoptPending makes the row of the pending write the current one after it took effect.
+func (s *State) adoptPending(p *program, version int64) {
+	w := p.pending
+	p.unused += max(0, w.tokens)
+	p.granted, p.version, p.spare, p.lost = w.row.Granted, version, w.row.Spare, w.row.Lost
+	p.rowKnown, p.rowReadAt, p.pending, p.hasGrant = true, s.now, nil, true
+}
+
+// dropPending drops a write that had no effect. Tokens that it would have returned can be used again.
+func (s *State) dropPending(p *program) {
+	p.unused += p.pending.returned()
+	p.pending = nil
+}
+
+// delayReturn delays the next attempt to return unused tokens.
+func (s *State) delayReturn(p *program) {
+	delay := s.options.ReturnRetryDelay
+	if s.stopping {
+		delay = s.options.StopRetryDelay
+	}
+	p.nextReturnAt = s.now.Add(delay)
 }
 
 // maxRowTokens bounds the numbers of tokens in a row. Sums of a few of them do not overflow.
@@ -450,12 +487,12 @@
 			stored = encoder.ProgramBudget{Granted: p.budget}
 		}
 	}
-	if p.pendingRow != nil {
-		if stored.Holder == s.incarnation && stored.Sequence == p.pendingRow.Sequence {
-			s.adoptPendingRow(p, version)
+	if p.pending != nil {
+		if stored.Holder == s.incarnation && stored.Sequence == p.pending.row.Sequence {
+			s.adoptPending(p, version)
 			return
 		}
-		p.pendingRow = nil
+		s.dropPending(p)
 	}
 	p.granted, p.version, p.spare, p.lost = stored.Granted, version, stored.Spare, stored.Lost
 	if !p.hasGrant {
@@ -484,7 +521,7 @@
 	if m.Kind != provider.KindNone {
 		// It stays unknown whether the pending row was written. Its tokens are not used. If it
 		// was written, the next write conflicts and returns the current row.
-		p.pendingRow, p.rowKnown = nil, false
+		p.pending, p.rowKnown = nil, false
 		s.rejectWaiters(p)
 		return
 	}
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -223,20 +223,21 @@
 // ReturnTokens writes unused tokens back to the store before the daemon exits. It returns when
 // the writes have completed or the context ends.
 func (r *Recorder) ReturnTokens(ctx context.Context) {
-	r.send(ctx, budgetMessage{accountant.Stopping{}})
+	programs := 0
 	for ctx.Err() == nil {
-		idle := make(chan bool, 1)
-		r.send(ctx, idleQuery{idle})
+		r.send(ctx, budgetMessage{accountant.Stopping{}})
+		reply := make(chan int, 1)
+		r.send(ctx, unreturnedQuery{reply})
 		select {
-		case done := <-idle:
-			if done {
+		case programs = <-reply:
+			if programs == 0 {
 				return
 			}
 		case <-ctx.Done():
-			return
 		}
 		time.Sleep(busyTickInterval)
 	}
+	r.log.Warn("unused tokens not returned in time", zap.Int("programs", programs))
 }
 
 // LendTokens deducts tokens from this daemon's grant in a budget row for a peer: more or fewer than
@@ -283,7 +284,6 @@
 func (r *Recorder) writeBudget(ctx context.Context, now time.Time, c accountant.Write) {
 	key := programKey(c.Program)
 	if r.isOwned(c.Program) {
-		r.secondWrites++
 		r.spawn(ctx, func() {
 			row, kind := r.secondRows.Write(ctx, key, c.Version, c.Value)
 			r.send(ctx, secondWritten{write: c, row: row, kind: kind})
@@ -346,11 +346,13 @@
 	})
 }
 
-// borrowInstead borrows tokens from peers in place of a request to the store that was not made
-// or failed, then passes the result of that request to the accountant.
+// borrowInstead borrows the tokens that waiting turns lack from peers in place of a request to the store that was not
+// made or failed, then passes the result of that request to the accountant.
 func (r *Recorder) borrowInstead(ctx context.Context, program string, tokens int, result accountant.Message) {
 	r.spawn(ctx, func() {
-		r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true})
+		if tokens > 0 {
+			r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true})
+		}
 		r.send(ctx, budgetMessage{result})
 	})
 }
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -92,8 +92,8 @@
 	batcher.Message
 }
 
-// idleQuery asks whether no write of a budget row is in progress.
-type idleQuery struct{ reply chan bool }
+// unreturnedQuery asks for the number of programs that have tokens to be returned.
+type unreturnedQuery struct{ reply chan int }
 
 // secondWritten is the result of a write of a second row.
 type secondWritten struct {
@@ -111,7 +111,7 @@
 func (submit) message()           {}
 func (partitionMessage) message() {}
 func (storeReachable) message()   {}
-func (idleQuery) message()        {}
+func (unreturnedQuery) message()  {}
 func (secondWritten) message()    {}
 
 // Recorder writes and reads the rows of turns and budgets.
@@ -147,8 +147,6 @@
 	budgetWrites   map[batcher.Ticket]accountant.Write
 	reserveReplies map[accountant.Ticket]chan accountant.Decision
 	lendReplies    map[accountant.Ticket]chan accountant.Lend
-	// secondWrites is the number of writes of second rows in progress.
-	secondWrites int
 }
 
 // New returns a Recorder. Without secondRows, it writes the second rows of budgets itself, like the first. Run must be running while turns and tokens are written or requested.
@@ -228,10 +226,9 @@
 		r.updateQueue(ctx, now, m.partition, batcher.Submitted{Entry: m.entry})
 	case partitionMessage:
 		r.updateQueue(ctx, now, m.partition, m.Message)
-	case idleQuery:
-		m.reply <- len(r.budgetWrites)+r.secondWrites == 0
+	case unreturnedQuery:
+		m.reply <- r.budgets.UnreturnedPrograms()
 	case secondWritten:
-		r.secondWrites--
 		r.budgetWritten(ctx, now, m.write, accountant.WriteCompleted{
 			Program: m.write.Program, Kind: m.kind, Version: m.row.Version, Row: &m.row,
 		})
--- a/recorder/restart.go
+++ b/recorder/restart.go
@@ -38,7 +38,6 @@
 	incarnation := fmt.Sprintf("%s/%d", r.options.Incarnation, r.rebuilds)
 	r.budgets = accountant.New(r.options.Accountant, r.options.Host, incarnation)
 	clear(r.budgetWrites)
-	r.secondWrites = 0
 	for ticket, reply := range r.reserveReplies {
 		reply <- accountant.Decision{Ticket: ticket, Verdict: accountant.Unavailable}
 	}
