Take back tokens of loans that were not received

Cause: a lender deducted the tokens of a loan when it replied, and nobody checked whether the reply arrived. Change: questions are numbered, the borrower confirms the loans that it accepts, the lender asks for the others and takes them back: the answer closes the question, so that exactly one of the two has the tokens. Until a loan is settled the lender keeps the program in memory and answers that it may have more tokens soon; the turn is then rejected with 503, not 402. Covers resets of the connection and handlers whose caller has gone. Daemons of earlier versions lend and borrow without confirmation.

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -127,6 +127,24 @@
 			},
 			want: []string{"write at 0", "borrow 576 from [other]", "1 contended"},
 		},
+		{
+			name: "a peer that may have more tokens soon leaves the budget contended",
+			messages: []accountant.Message{
+				requested(1, 900, 576), accountant.WriteCompleted{Program: "p", Kind: provider.KindConflict, Row: spareAtPeer},
+				accountant.TokensReceived{Program: "p", Uncertain: []string{"other"}},
+			},
+			want: []string{"write at 0", "borrow 576 from [other]", "1 contended"},
+		},
+		{
+			name: "an own loan that is not settled leaves the budget contended, and its return admits the next turn",
+			messages: []accountant.Message{
+				requested(1, 1152, 576), accountant.WriteCompleted{Program: "p", Version: 5},
+				accountant.TurnFinished{Program: "p", Reserved: 576}, accountant.BorrowRequested{Ticket: 9, Program: "p", Tokens: 576, Confirms: true},
+				requested(2, 1152, 600), accountant.LoanSettled{Program: "p", Ticket: 9}, requested(3, 1152, 600),
+				accountant.WriteCompleted{Program: "p", Version: 6},
+			},
+			want: []string{"write at 0", "1 admitted", "2 contended", "write at 5", "3 admitted"},
+		},
 		{
 			// Guards against ending a program too early: when region peers had no tokens,
 			// the unused tokens of a host that was not among them counted as used.
--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -29,7 +29,7 @@
 // until they are.
 func (s *State) remove(name string, p *program) {
 	s.returnUnused(name, p)
-	if p.busy() || p.unused > 0 {
+	if !p.isIdle() || p.unused > 0 {
 		return
 	}
 	delete(s.programs, name)
@@ -49,11 +49,11 @@
 }
 
 // UnreturnedPrograms returns the number of programs without running turns that have tokens to be returned, or whose
-// return is in progress.
+// return or loan is not settled.
 func (s *State) UnreturnedPrograms() int {
 	count := 0
 	for _, p := range s.programs {
-		if p.busy() || p.isIdle() && p.unused > 0 {
+		if p.busy() || len(p.loans) > 0 || p.isIdle() && p.unused > 0 {
 			count++
 		}
 	}
@@ -61,7 +61,9 @@
 }
 
 // isIdle reports whether nothing of a program is in progress.
-func (p *program) isIdle() bool { return p.reserved == 0 && !p.busy() && len(p.waiters) == 0 }
+func (p *program) isIdle() bool {
+	return p.reserved == 0 && !p.busy() && len(p.waiters) == 0 && len(p.loans) == 0
+}
 
 // isEmpty reports whether no daemon is known to have had tokens of a program: all its turns were refused. What is
 // known of it is not used after MaxStaleness.
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -60,9 +60,10 @@
 	Program string
 	Tokens  int
 	// Silent are the hosts that were asked and did not reply. Ended are those whose daemon has ended
-	// since it was granted tokens: its unused ones are lost.
-	Silent []string
-	Ended  []string
+	// since it was granted tokens: its unused ones are lost. Uncertain are those that may have more tokens soon.
+	Silent    []string
+	Ended     []string
+	Uncertain []string
 	// Late is set for tokens of a peer that replied after the others were reported.
 	Late bool
 }
@@ -72,6 +73,15 @@
 	Ticket  Ticket
 	Program string
 	Tokens  int
+	// Confirms is set if it will be known whether the peer has received the loan: LoanSettled follows, with this Ticket.
+	Confirms bool
+}
+
+// LoanSettled reports whether a peer has received the tokens of a loan.
+type LoanSettled struct {
+	Program  string
+	Ticket   Ticket
+	Received bool
 }
 
 // Stopping returns the unused tokens before the daemon exits. Send it until UnreturnedPrograms is 0.
@@ -87,6 +97,7 @@
 func (ReadCompleted) message()        {}
 func (TokensReceived) message()       {}
 func (BorrowRequested) message()      {}
+func (LoanSettled) message()          {}
 func (Stopping) message()             {}
 func (Tick) message()                 {}
 
@@ -102,7 +113,7 @@
 	// Spent means that the rest of the budget is too small for the turn.
 	Spent
 	// Contended means that the budget may suffice for the turn, but a peer that may have
-	// unused tokens did not reply.
+	// unused tokens did not reply, or does not know yet how many it has.
 	Contended
 	// Unavailable means that the store did not respond, so the budget is unknown.
 	Unavailable
@@ -153,6 +164,8 @@
 	Tokens int
 	// UnknownProgram is set if this daemon was granted no tokens of the program.
 	UnknownProgram bool
+	// Uncertain is set if this daemon may have more tokens soon.
+	Uncertain bool
 }
 
 // Write writes the budget row of a program if the row has the given version.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -76,11 +76,13 @@
 	rowReadAt time.Time
 	// regionAskedAt is when the region peers were last asked for tokens. holdersAskedAt is
 	// when the peers that the row listed with spare tokens were last asked; holdersAsked
-	// are these peers, and holdersSilent those of them that did not reply.
-	regionAskedAt  time.Time
-	holdersAskedAt time.Time
-	holdersAsked   []string
-	holdersSilent  []string
+	// are these peers, holdersSilent those of them that did not reply, and holdersUncertain is set if
+	// one of them may have more tokens soon.
+	regionAskedAt    time.Time
+	holdersAskedAt   time.Time
+	holdersAsked     []string
+	holdersSilent    []string
+	holdersUncertain bool
 	// hasGrant is set once this daemon has written the row, so that the row lists its tokens.
 	hasGrant bool
 	// pending is the write in progress, nil if there is none.
@@ -90,6 +92,8 @@
 	// borrowHosts are the peers being asked for tokens, nil if they are the region peers.
 	borrowHosts []string
 	waiters     []waiter
+	// loans are the tokens lent to peers of which it is not known whether they have received them.
+	loans map[Ticket]int
 	// reserved is the number of tokens of the running turns.
 	reserved   int
 	lastUsedAt time.Time
@@ -176,8 +180,9 @@
 	case TokensReceived:
 		s.tokensReceived(m)
 	case BorrowRequested:
-		p := s.programs[m.Program]
-		s.emit(Lend{Ticket: m.Ticket, Tokens: s.lend(m), UnknownProgram: p == nil || !p.hasGrant})
+		s.lend(m)
+	case LoanSettled:
+		s.settleLoan(m)
 	case Stopping:
 		s.stopping = true
 		for name, p := range s.programs {
@@ -206,7 +211,8 @@
 	}
 	p.borrowing = false
 	if p.borrowHosts != nil {
-		p.holdersAskedAt, p.holdersAsked, p.holdersSilent = s.now, p.borrowHosts, m.Silent
+		p.holdersAskedAt, p.holdersAsked = s.now, p.borrowHosts
+		p.holdersSilent, p.holdersUncertain = m.Silent, len(m.Uncertain) > 0
 		for _, host := range m.Ended {
 			p.loseSpare(host)
 		}
@@ -216,19 +222,6 @@
 	s.serveWaiters(m.Program, p)
 }
 
-// lend deducts tokens from this daemon's grant and returns their number: what the peer
-// requests, or half of the unused tokens if that is more, so that the peer need not borrow
-// for each turn. It returns 0 while turns wait here.
-func (s *State) lend(m BorrowRequested) int {
-	p := s.programs[m.Program]
-	if p == nil || m.Tokens <= 0 || p.unused <= 0 || len(p.waiters) > 0 {
-		return 0
-	}
-	tokens := min(p.unused, max(m.Tokens, p.unused/2))
-	p.unused -= tokens
-	return tokens
-}
-
 func (s *State) emit(c Command) { s.commands = append(s.commands, c) }
 
 func (s *State) addWaiter(m ReservationRequested) {
@@ -328,6 +321,9 @@
 		return false
 	}
 	hosts := s.hostsWithSpare(p)
+	if len(hosts) == 0 {
+		p.holdersUncertain = false
+	}
 	for _, host := range hosts {
 		if !s.isFresh(p.holdersAskedAt) || !slices.Contains(p.holdersAsked, host) {
 			s.borrow(name, p, hosts)
@@ -371,7 +367,7 @@
 			continue
 		}
 		verdict := Spent
-		if p.silentSpare() > 0 {
+		if p.silentSpare() > 0 || p.holdersUncertain || p.loaned() > 0 {
 			verdict = Contended
 		}
 		s.decide(p, w, verdict)
@@ -409,7 +405,7 @@
 	for host, spare := range p.spare {
 		row.Spare[host] = spare
 	}
-	row.Spare[s.host] = p.unused + p.reserved + max(0, tokens)
+	row.Spare[s.host] = p.unused + p.reserved + p.loaned() + max(0, tokens)
 	p.pending = &pendingWrite{row: row, tokens: tokens}
 	// The type has only numbers and strings, so encoding cannot fail.
 	value, _ := json.Marshal(row)
--- a/assembler/daemon.go
+++ b/assembler/daemon.go
@@ -150,8 +150,8 @@
 	seed := uint64(os.Getpid())<<32 ^ uint64(time.Now().UnixNano())
 	batcherOptions := batcher.DefaultOptions()
 	batcherOptions.Seed = seed
-	d.borrower = borrower.New(d.messenger, d.registrar, settings.Host, borrower.DefaultOptions(), log)
 	incarnation := uuid.NewString()
+	d.borrower = borrower.New(d.messenger, d.registrar, settings.Host, incarnation, borrower.DefaultOptions(), log)
 	d.owners = allocator.NewRunner(allocator.Dependencies{
 		Store: d.store, Clock: bootClock{}, Messenger: d.messenger,
 		Identity: allocator.Identity{Host: settings.Host, Incarnation: incarnation, Boot: bootID()},
@@ -273,6 +273,7 @@
 	}{
 		{"recorder", d.recorder.Run, d.recorder.Rebuild},
 		{"cleanUp", d.recorder.RunCleanup, nil},
+		{"settlement", func(ctx context.Context) { d.borrower.RunSettlement(ctx, d.recorder) }, nil},
 		{"follower", d.follower.run, func() { d.follower.rebuild(d.configurationFeed, d.targetFeed) }},
 		{"feeds", d.runFeeds, nil},
 		{"maintenance", d.runMaintenance, nil},
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -25,11 +25,19 @@
 	MaxPeers int
 	// HolderLifetime is how long a daemon counts as a holder of a program's tokens.
 	HolderLifetime time.Duration
+	// SettleInterval is the interval at which loans are confirmed, SettleDelay the time after which a borrower that has
+	// not confirmed a loan is asked for it, SettleRetryDelay that after which either is tried again.
+	SettleInterval   time.Duration
+	SettleDelay      time.Duration
+	SettleRetryDelay time.Duration
 }
 
 // DefaultOptions returns the options of a daemon.
 func DefaultOptions() Options {
-	return Options{ReplyTimeout: 50 * time.Millisecond, CallTimeout: 400 * time.Millisecond, MaxPeers: 12, HolderLifetime: time.Minute}
+	return Options{
+		ReplyTimeout: 50 * time.Millisecond, CallTimeout: 400 * time.Millisecond, MaxPeers: 12, HolderLifetime: time.Minute,
+		SettleInterval: 50 * time.Millisecond, SettleDelay: 250 * time.Millisecond, SettleRetryDelay: time.Second,
+	}
 }
 
 // Lender provides what a daemon can pass on to a peer: turns that it holds in memory, and
@@ -38,7 +46,10 @@
 	// LendTurn returns a turn that is in memory, or nil. The caller calls done when it has sent the turn's
 	// text. The text is missing if it takes more than maxBytes, or if there is no memory to send it.
 	LendTurn(ctx context.Context, id string, maxBytes int) (turn *historian.Turn, hasText bool, done func())
-	LendTokens(ctx context.Context, program string, tokens int) accountant.Lend
+	// LendTokens lends tokens. The Ticket of the request is set by the Lender, and that of the reply identifies the loan.
+	LendTokens(ctx context.Context, request accountant.BorrowRequested) accountant.Lend
+	// SettleLoan takes the tokens of a loan back if it was not received.
+	SettleLoan(ctx context.Context, settled accountant.LoanSettled)
 }
 
 // Borrower requests turns and tokens from peers. It is safe for concurrent use.
@@ -48,7 +59,13 @@
 	options   Options
 	log       *zap.Logger
 	host      string
-	holders   *holderIndex
+	// incarnation names this run of the daemon.
+	incarnation string
+	holders     *holderIndex
+	receipts    *receipts
+	loans       *loans
+	// unsettled has capacity 1 and holds a value after a loan was made or received.
+	unsettled chan struct{}
 }
 
 // PeerList lists the peers of a daemon.
@@ -60,18 +77,29 @@
 	Refresh(ctx context.Context) error
 }
 
-// New returns a Borrower of the daemon on the given host. It asks the peers on the list.
-func New(m *messenger.Messenger, list PeerList, host string, options Options, log *zap.Logger) *Borrower {
-	return &Borrower{messenger: m, peers: list, host: host, options: options, log: log, holders: newHolderIndex(options.HolderLifetime)}
+// New returns a Borrower of the daemon on the given host, of which the incarnation names this run. It asks the peers on
+// the list. RunSettlement must be running while tokens are borrowed or lent.
+func New(m *messenger.Messenger, list PeerList, host, incarnation string, options Options, log *zap.Logger) *Borrower {
+	return &Borrower{
+		messenger: m, peers: list, host: host, incarnation: incarnation, options: options, log: log,
+		holders: newHolderIndex(options.HolderLifetime), receipts: newReceipts(), loans: newLoans(), unsettled: make(chan struct{}, 1),
+	}
+}
+
+// replyHandler has the functions that a query of peers calls.
+type replyHandler[Reply any] struct {
+	// accept is called for each reply, one at a time. It returns true if no other reply is needed.
+	accept func(host string, reply *Reply) bool
+	// late is called for replies after the end of the query, failed for peers that do not reply. Both may be called at
+	// the same time for several peers, and may be nil.
+	late   func(host string, reply *Reply)
+	failed func(host string)
 }
 
-// queryPeers sends a request to all given peers at once and passes each reply to accept, with the
-// peer's host. It returns when accept returns true, when all calls have ended, or after
-// ReplyTimeout. The remaining calls go on, since a new connection takes longer; their replies are
-// passed to onLate.
+// queryPeers sends a request to all given peers at once. It returns when a reply is accepted as the last one, when all
+// calls have ended, or after ReplyTimeout. The remaining calls go on, since a new connection takes longer.
 func queryPeers[Reply any](
-	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, request any,
-	accept func(host string, reply *Reply) bool, onLate func(*Reply),
+	ctx context.Context, b *Borrower, peers []messenger.Peer, method string, request any, handler replyHandler[Reply],
 ) {
 	type peerReply struct {
 		host  string
@@ -90,12 +118,15 @@
 			if err != nil {
 				b.log.Debug("peer did not reply", zap.String("peer", peer.Host), zap.String("method", method), zap.Error(err))
 				result = nil
+				if handler.failed != nil {
+					handler.failed(peer.Host)
+				}
 			}
 			select {
 			case replies <- peerReply{peer.Host, result}:
 			case <-done:
-				if result != nil {
-					onLate(result)
+				if result != nil && handler.late != nil {
+					handler.late(peer.Host, result)
 				}
 			}
 		}()
@@ -104,7 +135,7 @@
 	for range peers {
 		select {
 		case r := <-replies:
-			if r.reply != nil && accept(r.host, r.reply) {
+			if r.reply != nil && handler.accept(r.host, r.reply) {
 				return
 			}
 		case <-timeout:
@@ -136,10 +167,10 @@
 		return found
 	}
 	queryPeers(ctx, b, b.nearestPeers(), messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: maxBytes},
-		func(host string, reply *encoder.TurnAnswer) bool {
+		replyHandler[encoder.TurnAnswer]{accept: func(host string, reply *encoder.TurnAnswer) bool {
 			found = decodeTurn(host, id, maxBytes, reply)
 			return found.Host != ""
-		}, func(*encoder.TurnAnswer) {})
+		}})
 	return found
 }
 
@@ -206,15 +237,23 @@
 ) accountant.TokensReceived {
 	hosts, received := request.Hosts, accountant.TokensReceived{Program: request.Program}
 	replied := map[string]bool{}
-	queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, encoder.TokenQuestion{Program: request.Program, Tokens: request.Tokens},
-		func(host string, reply *encoder.TokenAnswer) bool {
+	number := b.receipts.ask(hostsOf(peers))
+	query := encoder.TokenQuestion{Program: request.Program, Tokens: request.Tokens, Host: b.host, Incarnation: b.incarnation, Loan: number}
+	queryPeers(ctx, b, peers, messenger.MethodBorrowTokens, query, replyHandler[encoder.TokenAnswer]{
+		accept: func(host string, reply *encoder.TokenAnswer) bool {
 			replied[host] = true
-			received.Tokens += reply.Tokens
+			received.Tokens += b.receive(host, number, reply)
 			if reply.UnknownProgram {
 				received.Ended = append(received.Ended, host)
 			}
+			if reply.Uncertain {
+				received.Uncertain = append(received.Uncertain, host)
+			}
 			return false
-		}, func(reply *encoder.TokenAnswer) { onLate(reply.Tokens) })
+		},
+		late:   func(host string, reply *encoder.TokenAnswer) { onLate(b.receive(host, number, reply)) },
+		failed: func(host string) { b.receipts.close(question{host, number}) },
+	})
 	for _, host := range hosts {
 		isListed := slices.ContainsFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
 		switch {
@@ -228,6 +267,14 @@
 	return received
 }
 
+func hostsOf(peers []messenger.Peer) []string {
+	hosts := make([]string, len(peers))
+	for i, p := range peers {
+		hosts[i] = p.Host
+	}
+	return hosts
+}
+
 // listedPeers returns the peers on the given hosts. The tokens of a daemon that is missing
 // from a current list are lost; current is false if the list could not be refreshed.
 func (b *Borrower) listedPeers(ctx context.Context, hosts []string) (peers []messenger.Peer, current bool) {
@@ -269,15 +316,8 @@
 			return nil, true, err
 		}
 		return encoder.HolderAnswer{Hosts: b.holders.register(request.Program, request.Host)}, true, nil
-	case messenger.MethodBorrowTokens:
-		var request encoder.TokenQuestion
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		lent := lender.LendTokens(ctx, request.Program, request.Tokens)
-		return encoder.TokenAnswer{Tokens: lent.Tokens, UnknownProgram: lent.UnknownProgram}, true, nil
 	}
-	return nil, false, nil
+	return b.handleLoans(ctx, lender, method, params)
 }
 
 // lendTurn returns the reply to a request for a turn. Peers of earlier versions, which name no size, know no deflated
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -46,7 +46,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			l := &list{failure: test.failure}
-			b := borrower.New(nil, l, "a", borrower.DefaultOptions(), zap.NewNop())
+			b := borrower.New(nil, l, "a", "a-run", borrower.DefaultOptions(), zap.NewNop())
 			got := b.BorrowTokens(t.Context(), accountant.Borrow{Program: "p", Tokens: 10, Hosts: test.hosts}, func(int) {})
 			if diff := cmp.Diff(test.want, got); diff != "" {
 				t.Errorf("tokens received (-want +got):\n%s", diff)
--- a/borrower/holders.go
+++ b/borrower/holders.go
@@ -88,10 +88,10 @@
 	} else {
 		replied := false
 		queryPeers(ctx, b, []messenger.Peer{chosen}, messenger.MethodFindHolders, encoder.HolderQuestion{Program: program, Host: b.host},
-			func(_ string, reply *encoder.HolderAnswer) bool {
+			replyHandler[encoder.HolderAnswer]{accept: func(_ string, reply *encoder.HolderAnswer) bool {
 				hosts, replied = reply.Hosts, true
 				return true
-			}, func(*encoder.HolderAnswer) {})
+			}})
 		if !replied && ctx.Err() == nil {
 			b.holders.recordSilent(now, chosen.Host)
 		}
--- a/borrower/holders_test.go
+++ b/borrower/holders_test.go
@@ -50,7 +50,7 @@
 	}
 	borrowers := make([]*Borrower, daemons)
 	for i := range borrowers {
-		borrowers[i] = New(nil, nil, all[i].Host, DefaultOptions(), nil)
+		borrowers[i] = New(nil, nil, all[i].Host, "run", DefaultOptions(), nil)
 	}
 	now := time.Now()
 	kept := map[string]int{}
--- a/borrower/turns_test.go
+++ b/borrower/turns_test.go
@@ -38,7 +38,11 @@
 	return l.turn, true, func() { l.open-- }
 }
 
-func (*lender) LendTokens(context.Context, string, int) accountant.Lend { return accountant.Lend{} }
+func (*lender) LendTokens(context.Context, accountant.BorrowRequested) accountant.Lend {
+	return accountant.Lend{}
+}
+
+func (*lender) SettleLoan(context.Context, accountant.LoanSettled) {}
 
 // lenderHandler serves the requests of peers.
 type lenderHandler struct {
@@ -98,7 +102,7 @@
 			go func() { _ = b.Serve(listener) }()
 			options := borrower.DefaultOptions()
 			options.ReplyTimeout, options.CallTimeout = 5*time.Second, 5*time.Second
-			asking := borrower.New(a, &oneList{}, "a", options, zap.NewNop())
+			asking := borrower.New(a, &oneList{}, "a", "a-run", options, zap.NewNop())
 			handler.borrower = asking
 			found := asking.FindTurn(t.Context(), "a", historian.PlainBytes)
 			if diff := cmp.Diff(test.found, found); diff != "" {
@@ -128,7 +132,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			l := &lender{turn: test.turn}
-			b := borrower.New(nil, &list{}, "a", borrower.DefaultOptions(), zap.NewNop())
+			b := borrower.New(nil, &list{}, "a", "a-run", borrower.DefaultOptions(), zap.NewNop())
 			got, _, err := b.Handle(t.Context(), l, messenger.MethodReadTurn, json.RawMessage(`{"turn":"a"}`))
 			if err != nil {
 				t.Fatal(err)
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -305,6 +305,40 @@
 	Reports int `json:"reports"`
 }
 
+// The answer to a LoanQuestion.
+type LoanAnswer struct {
+	// The incarnation has ended. What it has received is not known.
+	Ended bool `json:"ended,omitempty,omitzero"`
+
+	// Whether the tokens were received, for each loan of the question.
+	Received []bool `json:"received,omitempty,omitzero"`
+}
+
+// Confirms that the sender has received the tokens of loans.
+type LoanNotice struct {
+	// Host of the sender.
+	Host string `json:"host"`
+
+	// Incarnation of the sender.
+	Incarnation string `json:"incarnation"`
+
+	// Numbers of the sender's questions.
+	Loans []int `json:"loans"`
+}
+
+// Asks a borrower which loans of the sender it has received. It will not accept
+// the others later.
+type LoanQuestion struct {
+	// Host of the sender, the lender.
+	Host string `json:"host"`
+
+	// Incarnation of the borrower.
+	Incarnation string `json:"incarnation"`
+
+	// Numbers of the borrower's questions.
+	Loans []int `json:"loans"`
+}
+
 // The value of a row in the list of daemons.
 type PeerEntry struct {
 	// Address of the daemon for connections of other daemons.
@@ -564,9 +598,17 @@
 
 // Tokens that the sender has lent to the receiver and no longer uses itself.
 type TokenAnswer struct {
+	// The sender waits for a LoanNotice, and takes the tokens back if the receiver
+	// has not got them.
+	Confirm bool `json:"confirm,omitempty,omitzero"`
+
 	// Tokens corresponds to the JSON schema field "tokens".
 	Tokens int `json:"tokens"`
 
+	// The sender may have more tokens of the program soon: what became of a grant, a
+	// return or a loan is not known yet, or turns wait for its tokens.
+	Uncertain bool `json:"uncertain,omitempty,omitzero"`
+
 	// The sender was granted no tokens of the program since it started: those that
 	// the row lists for it are lost.
 	UnknownProgram bool `json:"unknownProgram,omitempty,omitzero"`
@@ -574,6 +616,16 @@
 
 // Requests unused tokens of a peer's grant.
 type TokenQuestion struct {
+	// Host of the sender.
+	Host string `json:"host,omitempty,omitzero"`
+
+	// Incarnation of the sender.
+	Incarnation string `json:"incarnation,omitempty,omitzero"`
+
+	// Number of the question, unique within the incarnation. 0: the sender, of an
+	// earlier version, confirms no loans.
+	Loan int `json:"loan,omitempty,omitzero"`
+
 	// Program corresponds to the JSON schema field "program".
 	Program string `json:"program"`
 
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -31,6 +31,8 @@
 	MethodReplica      = "replica"
 	MethodReadTurn     = "turn"
 	MethodBorrowTokens = "tokens"
+	MethodLoanNotice   = "loanNotice"
+	MethodLoanQuestion = "loanQuestion"
 	MethodFindHolders  = "holders"
 	MethodPermits      = "permits"
 	MethodQuotaNotice  = "quotaNotice"
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -241,21 +241,40 @@
 }
 
 // LendTokens deducts tokens from this daemon's grant in a budget row for a peer: more or fewer than
-// requested, and none if there are none or the context ends.
-func (r *Recorder) LendTokens(ctx context.Context, row string, tokens int) accountant.Lend {
+// requested, and none if there are none or the context ends. It sets the ticket of the request.
+func (r *Recorder) LendTokens(ctx context.Context, request accountant.BorrowRequested) accountant.Lend {
+	request.Ticket = accountant.Ticket(r.tickets.Add(1))
 	reply := make(chan accountant.Lend, 1)
-	m := lendRequest{reply: reply, BorrowRequested: accountant.BorrowRequested{
-		Ticket: accountant.Ticket(r.tickets.Add(1)), Program: row, Tokens: tokens,
-	}}
-	r.send(ctx, m)
+	r.send(ctx, lendRequest{reply: reply, BorrowRequested: request})
 	select {
 	case lent := <-reply:
 		return lent
 	case <-ctx.Done():
+		r.inbox <- lendCancelled{request: request, reply: reply}
 		return accountant.Lend{}
 	}
 }
 
+// cancelLoan takes back the tokens of a loan whose reply nobody has taken.
+func (r *Recorder) cancelLoan(ctx context.Context, now time.Time, m lendCancelled) {
+	delete(r.lendReplies, m.request.Ticket)
+	select {
+	case lent := <-m.reply:
+		if m.request.Confirms {
+			r.updateBudgets(ctx, now, accountant.LoanSettled{Program: m.request.Program, Ticket: lent.Ticket})
+			return
+		}
+		r.updateBudgets(ctx, now, accountant.TokensReceived{Program: m.request.Program, Tokens: lent.Tokens, Late: true})
+	default:
+		// The request has not reached the accountant.
+	}
+}
+
+// SettleLoan takes the tokens of a loan back if it was not received.
+func (r *Recorder) SettleLoan(ctx context.Context, settled accountant.LoanSettled) {
+	r.send(ctx, budgetMessage{settled})
+}
+
 func (r *Recorder) updateBudgets(ctx context.Context, now time.Time, m accountant.Message) {
 	commands := r.budgets.Update(now, m)
 	r.programBytes.Store(int64(r.budgets.Bytes()))
@@ -267,8 +286,10 @@
 				reply <- c
 			}
 		case accountant.Lend:
-			r.lendReplies[c.Ticket] <- c
-			delete(r.lendReplies, c.Ticket)
+			if reply := r.lendReplies[c.Ticket]; reply != nil {
+				delete(r.lendReplies, c.Ticket)
+				reply <- c
+			}
 		case accountant.Borrow:
 			r.spawn(ctx, func() { r.borrowTokens(ctx, c) })
 		case accountant.Write:
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -79,6 +79,12 @@
 	reply chan accountant.Lend
 }
 
+// lendCancelled takes back the tokens of a request whose peer no longer waits for the reply.
+type lendCancelled struct {
+	request accountant.BorrowRequested
+	reply   chan accountant.Lend
+}
+
 // submit adds an entry to the queue of a partition.
 type submit struct {
 	partition string
@@ -108,6 +114,7 @@
 func (reserveRequest) message()   {}
 func (budgetMessage) message()    {}
 func (lendRequest) message()      {}
+func (lendCancelled) message()    {}
 func (submit) message()           {}
 func (partitionMessage) message() {}
 func (storeReachable) message()   {}
@@ -221,6 +228,8 @@
 	case lendRequest:
 		r.lendReplies[m.Ticket] = m.reply
 		r.updateBudgets(ctx, now, m.BorrowRequested)
+	case lendCancelled:
+		r.cancelLoan(ctx, now, m)
 	case submit:
 		r.submitReplies[m.entry.Ticket] = m.reply
 		r.updateQueue(ctx, now, m.partition, batcher.Submitted{Entry: m.entry})
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -36,7 +36,7 @@
 type peer struct{ lender *recorder.Recorder }
 
 func (p peer) BorrowTokens(ctx context.Context, request accountant.Borrow, _ func(int)) accountant.TokensReceived {
-	return accountant.TokensReceived{Program: request.Program, Tokens: p.lender.LendTokens(ctx, request.Program, request.Tokens).Tokens}
+	return accountant.TokensReceived{Program: request.Program, Tokens: p.lender.LendTokens(ctx, accountant.BorrowRequested{Program: request.Program, Tokens: request.Tokens}).Tokens}
 }
 func (p peer) PeerCount() int { return 1 }
 func (p peer) FindTurn(ctx context.Context, id string, maxBytes int) borrower.FoundTurn {
