Settle writes of budgets that were not answered

Cause: after a write without an answer the row is read; if the read failed too, the daemon dropped the write and later took its own grant for that of another daemon. Change: a write without an answer stays pending until it is settled. Rows name the last write of each daemon, so that it is recognized although another daemon has written since; if the row has not changed, the same write is sent again. Returns without an answer are settled alike. Peers that ask meanwhile are told that there may be more tokens soon (503, not 402).

--- a/accountant/accountant_test.go
+++ b/accountant/accountant_test.go
@@ -55,6 +55,8 @@
 				got = append(got, "read")
 			case accountant.Borrow:
 				got = append(got, fmt.Sprint("borrow ", c.Tokens, " from ", c.Hosts))
+			case accountant.Lend:
+				got = append(got, fmt.Sprint("lend ", c.Tokens))
 			}
 		}
 	}
@@ -143,7 +145,7 @@
 				requested(2, 1152, 600), accountant.LoanSettled{Program: "p", Ticket: 9}, requested(3, 1152, 600),
 				accountant.WriteCompleted{Program: "p", Version: 6},
 			},
-			want: []string{"write at 0", "1 admitted", "2 contended", "write at 5", "3 admitted"},
+			want: []string{"write at 0", "1 admitted", "lend 576", "2 contended", "write at 5", "3 admitted"},
 		},
 		{
 			// Guards against ending a program too early: when region peers had no tokens,
--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -29,7 +29,7 @@
 // until they are.
 func (s *State) remove(name string, p *program) {
 	s.returnUnused(name, p)
-	if !p.isIdle() || p.unused > 0 {
+	if !p.isIdle() || p.unused > 0 || p.pending != nil {
 		return
 	}
 	delete(s.programs, name)
@@ -40,7 +40,14 @@
 // before the write, and added again if it has no effect. A daemon that has only borrowed tokens does not know the
 // row: its write conflicts and returns it. A failed return is tried again at a later Tick or Stopping.
 func (s *State) returnUnused(name string, p *program) {
-	if !p.isIdle() || p.unused <= 0 || s.now.Before(p.nextReturnAt) {
+	if !p.isIdle() || s.now.Before(p.nextReturnAt) {
+		return
+	}
+	if p.pending != nil {
+		s.readRow(name, p)
+		return
+	}
+	if p.unused <= 0 {
 		return
 	}
 	tokens := p.unused
@@ -53,7 +60,7 @@
 func (s *State) UnreturnedPrograms() int {
 	count := 0
 	for _, p := range s.programs {
-		if p.busy() || len(p.loans) > 0 || p.isIdle() && p.unused > 0 {
+		if p.busy() || p.pending != nil || len(p.loans) > 0 || p.isIdle() && p.unused > 0 {
 			count++
 		}
 	}
@@ -67,7 +74,9 @@
 
 // isEmpty reports whether no daemon is known to have had tokens of a program: all its turns were refused. What is
 // known of it is not used after MaxStaleness.
-func (p *program) isEmpty() bool { return !p.hadTokens && !p.hasGrant && p.unused == 0 }
+func (p *program) isEmpty() bool {
+	return !p.hadTokens && !p.hasGrant && p.unused == 0 && p.pending == nil
+}
 
 // tick removes idle programs from memory, and near the bound those that have been idle the longest.
 func (s *State) tick() {
--- a/accountant/loan.go
+++ b/accountant/loan.go
@@ -17,6 +17,9 @@
 		p.loans[m.Ticket] = reply.Tokens
 	}
 	s.emit(reply)
+	if p.pending != nil && !p.busy() {
+		s.readRow(m.Program, p)
+	}
 }
 
 // loanTokens returns the number of tokens to lend to a peer: what it requests, or half of the unused tokens if that is
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -65,6 +65,8 @@
 	// last wrote the row. lost is the sum of those of daemons that have ended since.
 	spare map[string]int
 	lost  int
+	// writers are the last writes of the row by host.
+	writers map[string]encoder.BudgetWrite
 	// largestRequest is the largest number of tokens requested for one turn.
 	largestRequest int
 	// programStarted and findHolders are those of the last request.
@@ -85,7 +87,7 @@
 	holdersUncertain bool
 	// hasGrant is set once this daemon has written the row, so that the row lists its tokens.
 	hasGrant bool
-	// pending is the write in progress, nil if there is none.
+	// pending is the write that is not settled, nil if there is none.
 	pending   *pendingWrite
 	reading   bool
 	borrowing bool
@@ -101,17 +103,6 @@
 	nextReturnAt time.Time
 }
 
-// pendingWrite is a write of a row that is not completed.
-type pendingWrite struct {
-	row encoder.ProgramBudget
-	// tokens are those that it grants to this daemon. A negative number returns tokens, which are deducted from
-	// the unused ones already.
-	tokens int
-}
-
-// returned returns the number of tokens that the write returns.
-func (w *pendingWrite) returned() int { return max(0, -w.tokens) }
-
 // needed is the number of tokens that waiters lack.
 func (p *program) needed() int {
 	need := -max(0, p.unused)
@@ -136,7 +127,10 @@
 	return tokens
 }
 
-func (p *program) busy() bool { return p.pending != nil || p.reading || p.borrowing }
+// busy reports whether the program waits for the store or for peers.
+func (p *program) busy() bool {
+	return p.pending != nil && p.pending.inProgress || p.reading || p.borrowing
+}
 
 // State holds the budgets of the programs that this daemon serves. It is not safe for
 // concurrent use.
@@ -272,6 +266,10 @@
 	if len(p.waiters) == 0 || p.busy() {
 		return
 	}
+	if p.pending != nil {
+		s.readRow(name, p)
+		return
+	}
 	if !p.rowKnown && (p.programStarted || p.findHolders) && !s.isFresh(p.regionAskedAt) {
 		s.borrow(name, p, nil)
 		return
@@ -393,70 +391,6 @@
 	return 0
 }
 
-// writeGrant writes the row with the given number of further tokens granted to this daemon.
-// A negative number returns tokens.
-func (s *State) writeGrant(name string, p *program, tokens int) {
-	s.sequence++
-	row := encoder.ProgramBudget{
-		// A row that has expired no longer counts the tokens that are returned.
-		Granted: max(0, p.granted+tokens), Holder: s.incarnation, Sequence: s.sequence,
-		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Spare: map[string]int{}, Lost: p.lost,
-	}
-	for host, spare := range p.spare {
-		row.Spare[host] = spare
-	}
-	row.Spare[s.host] = p.unused + p.reserved + p.loaned() + max(0, tokens)
-	p.pending = &pendingWrite{row: row, tokens: tokens}
-	// The type has only numbers and strings, so encoding cannot fail.
-	value, _ := json.Marshal(row)
-	s.emit(Write{Program: name, Version: p.version, Value: value, Needed: p.needed()})
-}
-
-func (s *State) writeCompleted(m WriteCompleted) {
-	p := s.programs[m.Program]
-	if p == nil || p.pending == nil {
-		return
-	}
-	switch m.Kind {
-	case provider.KindNone:
-		s.adoptPending(p, m.Version)
-	case provider.KindConflict:
-		s.dropPending(p)
-		s.adoptRow(p, m.Row)
-	case provider.KindUnknown:
-		s.readRow(m.Program, p)
-		return
-	default:
-		s.dropPending(p)
-		s.delayReturn(p)
-		s.rejectWaiters(p)
-	}
-	s.serveWaiters(m.Program, p)
-}
-
-// adoptPending makes the row of the pending write the current one after it took effect.
-func (s *State) adoptPending(p *program, version int64) {
-	w := p.pending
-	p.unused += max(0, w.tokens)
-	p.granted, p.version, p.spare, p.lost = w.row.Granted, version, w.row.Spare, w.row.Lost
-	p.rowKnown, p.rowReadAt, p.pending, p.hasGrant = true, s.now, nil, true
-}
-
-// dropPending drops a write that had no effect. Tokens that it would have returned can be used again.
-func (s *State) dropPending(p *program) {
-	p.unused += p.pending.returned()
-	p.pending = nil
-}
-
-// delayReturn delays the next attempt to return unused tokens.
-func (s *State) delayReturn(p *program) {
-	delay := s.options.ReturnRetryDelay
-	if s.stopping {
-		delay = s.options.StopRetryDelay
-	}
-	p.nextReturnAt = s.now.Add(delay)
-}
-
 // maxRowTokens bounds the numbers of tokens in a row. Sums of a few of them do not overflow.
 const maxRowTokens = 1 << 53
 
@@ -471,8 +405,7 @@
 	return b.Granted >= 0 && b.Granted <= maxRowTokens && b.Lost >= -maxRowTokens && b.Lost <= maxRowTokens
 }
 
-// adoptRow makes a row that was read the current one. After a lost response it may be the
-// pending row of this daemon. If that write is applied only later, its tokens are lost.
+// adoptRow makes a row that was read the current one, and settles the pending write by it.
 func (s *State) adoptRow(p *program, row *provider.VersionedRow) {
 	var stored encoder.ProgramBudget
 	version := provider.VersionAbsent
@@ -483,14 +416,8 @@
 			stored = encoder.ProgramBudget{Granted: p.budget}
 		}
 	}
-	if p.pending != nil {
-		if stored.Holder == s.incarnation && stored.Sequence == p.pending.row.Sequence {
-			s.adoptPending(p, version)
-			return
-		}
-		s.dropPending(p)
-	}
-	p.granted, p.version, p.spare, p.lost = stored.Granted, version, stored.Spare, stored.Lost
+	s.settlePending(p, &stored, version)
+	p.granted, p.version, p.spare, p.lost, p.writers = stored.Granted, version, stored.Spare, stored.Lost, stored.Writers
 	if !p.hasGrant {
 		// An earlier daemon on this host was granted these tokens.
 		p.loseSpare(s.host)
@@ -515,12 +442,15 @@
 	}
 	p.reading = false
 	if m.Kind != provider.KindNone {
-		// It stays unknown whether the pending row was written. Its tokens are not used. If it
-		// was written, the next write conflicts and returns the current row.
-		p.pending, p.rowKnown = nil, false
+		p.rowKnown = false
+		s.delayReturn(p)
 		s.rejectWaiters(p)
 		return
 	}
 	s.adoptRow(p, m.Row)
+	if p.pending != nil {
+		s.sendPending(m.Program, p)
+		return
+	}
 	s.serveWaiters(m.Program, p)
 }
--- a/encoder/programs.gen.go
+++ b/encoder/programs.gen.go
@@ -31,6 +31,15 @@
 	Unwritten bool `json:"unwritten,omitempty,omitzero"`
 }
 
+// A write of a budget row.
+type BudgetWrite struct {
+	// Incarnation of the daemon.
+	Incarnation string `json:"incarnation"`
+
+	// Increases with each write of the incarnation, over all programs.
+	Sequence int `json:"sequence"`
+}
+
 // The value of a budget row. Each write is conditional on the row's version, so
 // that concurrent writes of daemons exclude one another.
 type ProgramBudget struct {
@@ -54,9 +63,19 @@
 	// The budget is exhausted only when these daemons reply that they have no unused
 	// tokens.
 	Spare ProgramBudgetSpare `json:"spare,omitempty,omitzero"`
+
+	// The last write of each daemon, by host. A daemon whose write was not answered
+	// recognizes by it that the write took effect, whoever has written since. Rows of
+	// earlier versions lack it.
+	Writers ProgramBudgetWriters `json:"writers,omitempty,omitzero"`
 }
 
 // Unused and reserved tokens of each daemon when it last wrote the row, by host.
 // The budget is exhausted only when these daemons reply that they have no unused
 // tokens.
 type ProgramBudgetSpare map[string]int
+
+// The last write of each daemon, by host. A daemon whose write was not answered
+// recognizes by it that the write took effect, whoever has written since. Rows of
+// earlier versions lack it.
+type ProgramBudgetWriters map[string]BudgetWrite
--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -338,8 +338,7 @@
 				r.send(ctx, budgetMessage{accountant.ReadCompleted{Program: c.Program, Row: &row}})
 				return
 			}
-			r.borrowTokens(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed})
-			r.send(ctx, budgetMessage{unavailable})
+			r.borrowBefore(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed}, unavailable)
 		})
 		return
 	}
@@ -355,8 +354,7 @@
 		})
 		if err != nil {
 			r.log.Warn("cannot read budget row; borrowing tokens from peers", zap.String("program", c.Program), zap.Error(err))
-			r.borrowTokens(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed, ProgramStarted: true})
-			r.send(ctx, budgetMessage{unavailable})
+			r.borrowBefore(ctx, accountant.Borrow{Program: c.Program, Tokens: c.Needed, ProgramStarted: true}, unavailable)
 			return
 		}
 		loaded := accountant.ReadCompleted{Program: c.Program}
@@ -371,13 +369,18 @@
 // made or failed, then passes the result of that request to the accountant.
 func (r *Recorder) borrowInstead(ctx context.Context, program string, tokens int, result accountant.Message) {
 	r.spawn(ctx, func() {
-		if tokens > 0 {
-			r.borrowTokens(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true})
-		}
-		r.send(ctx, budgetMessage{result})
+		r.borrowBefore(ctx, accountant.Borrow{Program: program, Tokens: tokens, ProgramStarted: true}, result)
 	})
 }
 
+// borrowBefore borrows tokens from peers, if any are needed, before it passes a result to the accountant.
+func (r *Recorder) borrowBefore(ctx context.Context, c accountant.Borrow, result accountant.Message) {
+	if c.Tokens > 0 {
+		r.borrowTokens(ctx, c)
+	}
+	r.send(ctx, budgetMessage{result})
+}
+
 // borrowTokens borrows tokens from peers and passes them to the accountant.
 func (r *Recorder) borrowTokens(ctx context.Context, c accountant.Borrow) {
 	received := r.peers.BorrowTokens(ctx, c, func(tokens int) {
