Release the tokens of a reservation that is cancelled as it is decided

Cause: a caller whose time is over sends the cancellation and looks once whether the decision has come. A decision between the look and the cancellation kept its tokens reserved for a turn that never runs: they were in nobody's account while the row counted them. Change: the loop that decides looks for the decision after the cancellation, and releases the tokens.

--- a/recorder/budgets.go
+++ b/recorder/budgets.go
@@ -191,17 +191,25 @@
 	case d := <-reply:
 		return d
 	case <-ctx.Done():
-		r.inbox <- budgetMessage{accountant.ReservationCancelled{Ticket: ticket, Program: row.name}}
+		r.inbox <- reserveCancelled{
+			cancelled: accountant.ReservationCancelled{Ticket: ticket, Program: row.name}, tokens: request.Tokens, reply: reply,
+		}
+		return accountant.Decision{Ticket: ticket, Verdict: accountant.Unavailable}
 	}
-	// The decision may have been sent before the cancellation.
+}
+
+// cancelReservation removes a request for tokens that may have been decided. Nobody reads its reply any more.
+func (r *Recorder) cancelReservation(ctx context.Context, now time.Time, m reserveCancelled) {
+	delete(r.reserveReplies, m.cancelled.Ticket)
+	r.updateBudgets(ctx, now, m.cancelled)
 	select {
-	case d := <-reply:
+	case d := <-m.reply:
 		if d.Verdict == accountant.Admitted {
-			r.finishInRow(row.name, request.Tokens, 0)
+			r.updateBudgets(ctx, now, accountant.TurnFinished{Program: m.cancelled.Program, Reserved: m.tokens})
 		}
 	default:
+		// It has not been decided.
 	}
-	return accountant.Decision{Ticket: ticket, Verdict: accountant.Unavailable}
 }
 
 // Finish ends an admitted turn. It releases the reserved tokens beyond the used ones.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -70,6 +70,13 @@
 	reply   chan accountant.Decision
 }
 
+// reserveCancelled cancels a reserveRequest whose caller no longer waits for the reply.
+type reserveCancelled struct {
+	cancelled accountant.ReservationCancelled
+	tokens    int
+	reply     chan accountant.Decision
+}
+
 // budgetMessage is a message for the accountant.
 type budgetMessage struct{ accountant.Message }
 
@@ -112,6 +119,7 @@
 type storeReachable struct{}
 
 func (reserveRequest) message()   {}
+func (reserveCancelled) message() {}
 func (budgetMessage) message()    {}
 func (lendRequest) message()      {}
 func (lendCancelled) message()    {}
@@ -221,10 +229,9 @@
 		r.reserveReplies[m.request.Ticket] = m.reply
 		r.updateBudgets(ctx, now, m.request)
 	case budgetMessage:
-		if c, ok := m.Message.(accountant.ReservationCancelled); ok {
-			delete(r.reserveReplies, c.Ticket)
-		}
 		r.updateBudgets(ctx, now, m.Message)
+	case reserveCancelled:
+		r.cancelReservation(ctx, now, m)
 	case lendRequest:
 		r.lendReplies[m.Ticket] = m.reply
 		r.updateBudgets(ctx, now, m.BorrowRequested)
