Ask all daemons that may have tokens before a budget counts as spent

Cause: 402 rests on the replies of the daemons that the row names, but one that has only borrowed tokens is not in the row. Change: lenders list borrowers in the row, tell them to those that ask, and ask them; the region's daemons are asked if one that may have known has ended. A daemon that knows nothing of a program names its run, so that tokens that it has used do not count as lost. Tokens that arrive for a forgotten program are kept and returned.

--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -19,7 +19,12 @@
 	if s.options.MaxBytes > 0 && s.bytes+memoryOf(name) > s.options.MaxBytes {
 		return nil
 	}
-	p := &program{}
+	return s.insert(name)
+}
+
+// insert adds a program whatever memory there is.
+func (s *State) insert(name string) *program {
+	p := &program{lastUsedAt: s.now}
 	s.programs[name] = p
 	s.bytes += memoryOf(name)
 	return p
@@ -29,15 +34,15 @@
 // until they are.
 func (s *State) remove(name string, p *program) {
 	s.returnUnused(name, p)
-	if !p.isIdle() || p.unused > 0 || p.pending != nil {
+	if !p.isIdle() || p.hasToWrite() || p.pending != nil {
 		return
 	}
 	delete(s.programs, name)
 	s.bytes -= memoryOf(name)
 }
 
-// returnUnused writes the unused tokens of a program without running turns back to its row. They are deducted
-// before the write, and added again if it has no effect. A daemon that has only borrowed tokens does not know the
+// returnUnused writes the unused tokens of a program without running turns back to its row, and lists the borrowers of
+// tokens there. The tokens are deducted before the write, and added again if it has no effect. A daemon that has only borrowed tokens does not know the
 // row: its write conflicts and returns it. A failed return is tried again at a later Tick or Stopping.
 func (s *State) returnUnused(name string, p *program) {
 	if !p.isIdle() || s.now.Before(p.nextReturnAt) {
@@ -47,20 +52,23 @@
 		s.readRow(name, p)
 		return
 	}
-	if p.unused <= 0 {
+	if !p.hasToWrite() {
 		return
 	}
-	tokens := p.unused
-	p.unused = 0
+	tokens := max(0, p.unused)
+	p.unused -= tokens
 	s.writeGrant(name, p, -tokens)
 }
 
+// hasToWrite reports whether a program has unused tokens, or has lent tokens to daemons that the row does not list.
+func (p *program) hasToWrite() bool { return p.unused > 0 || len(p.lent) > 0 }
+
 // UnreturnedPrograms returns the number of programs without running turns that have tokens to be returned, or whose
 // return or loan is not settled.
 func (s *State) UnreturnedPrograms() int {
 	count := 0
 	for _, p := range s.programs {
-		if p.busy() || p.pending != nil || len(p.loans) > 0 || p.isIdle() && p.unused > 0 {
+		if p.busy() || p.pending != nil || len(p.loans) > 0 || p.isIdle() && p.hasToWrite() {
 			count++
 		}
 	}
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -64,15 +64,30 @@
 	Silent    []string
 	Ended     []string
 	Uncertain []string
+	// Unknowing maps the hosts whose daemon knows nothing of the program to its incarnation, which may be empty.
+	Unknowing map[string]string
+	// Borrowers are daemons to which those that replied have lent tokens.
+	Borrowers []Borrower
 	// Late is set for tokens of a peer that replied after the others were reported.
 	Late bool
 }
 
+// Borrower is a daemon that has borrowed tokens.
+type Borrower struct {
+	Host        string
+	Incarnation string
+	// Tokens is the number of tokens lent to it, used ones included.
+	Tokens int
+}
+
 // BorrowRequested is a peer's request for tokens of this daemon's grant.
 type BorrowRequested struct {
 	Ticket  Ticket
 	Program string
 	Tokens  int
+	// Host and Incarnation are those of the peer, empty if they are not known.
+	Host        string
+	Incarnation string
 	// Confirms is set if it will be known whether the peer has received the loan: LoanSettled follows, with this Ticket.
 	Confirms bool
 }
@@ -166,6 +181,10 @@
 	UnknownProgram bool
 	// Uncertain is set if this daemon may have more tokens soon.
 	Uncertain bool
+	// Borrowers are daemons to which this one has lent tokens that the row does not list.
+	Borrowers []Borrower
+	// Incarnation is that of this daemon.
+	Incarnation string
 }
 
 // Write writes the budget row of a program if the row has the given version.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -91,11 +92,17 @@
 	pending   *pendingWrite
 	reading   bool
 	borrowing bool
-	// borrowHosts are the peers being asked for tokens, nil if they are the region peers.
-	borrowHosts []string
-	waiters     []waiter
-	// loans are the tokens lent to peers of which it is not known whether they have received them.
-	loans map[Ticket]int
+	// borrowHosts are the peers being asked for tokens, nil if they are the region peers, and borrowTokens is what
+	// they are asked for.
+	borrowHosts  []string
+	borrowTokens int
+	waiters      []waiter
+	// loans are those of which it is not known whether the borrower has received them. lent maps each host to what its
+	// daemon has received and the row does not list.
+	loans map[Ticket]Borrower
+	lent  map[string]Borrower
+	// told maps each host to what peers have told that they have lent to its daemon, and the row may not list.
+	told map[string]Borrower
 	// reserved is the number of tokens of the running turns.
 	reserved   int
 	lastUsedAt time.Time
@@ -112,17 +119,39 @@
 	return max(0, need)
 }
 
-// loseSpare counts the tokens that the row lists for a host as lost.
+// loseSpare counts the tokens that the row lists for a host, or that were lent to it, as lost.
 func (p *program) loseSpare(host string) {
-	p.lost += p.spare[host]
+	p.lost += p.tokensAt(host)
+	p.unlistHost(host)
+}
+
+// unlistHost removes a host from those that may have unused tokens.
+func (p *program) unlistHost(host string) {
 	delete(p.spare, host)
+	delete(p.lent, host)
+	delete(p.told, host)
+}
+
+// tokensAt returns the tokens that the row lists for a host, or that were lent to it.
+func (p *program) tokensAt(host string) int {
+	return p.spare[host] + max(p.lent[host].Tokens, p.told[host].Tokens)
 }
 
-// silentSpare returns the tokens that the row lists for the hosts that did not reply when asked.
+// clearSpare removes the tokens that the row lists for a host whose daemon knows nothing of the program. A daemon that has
+// had them has used or returned them, since it keeps a program until then. Those of an earlier run are lost.
+func (p *program) clearSpare(host, incarnation string) {
+	hadTokens := p.writers[host].Incarnation == incarnation || p.lent[host].Incarnation == incarnation || p.told[host].Incarnation == incarnation
+	if incarnation == "" || !hadTokens {
+		p.loseSpare(host)
+	}
+	p.unlistHost(host)
+}
+
+// silentSpare returns the tokens that the hosts may have which did not reply when asked.
 func (p *program) silentSpare() int {
 	tokens := 0
 	for _, host := range p.holdersSilent {
-		tokens += p.spare[host]
+		tokens += p.tokensAt(host)
 	}
 	return tokens
 }
@@ -191,10 +220,17 @@
 func (s *State) tokensReceived(m TokensReceived) {
 	p := s.programs[m.Program]
 	if p == nil {
-		return
+		if m.Tokens <= 0 {
+			return
+		}
+		// The program was removed before the tokens arrived. They are returned.
+		p = s.insert(m.Program)
 	}
 	p.unused += m.Tokens
 	p.hadTokens = p.hadTokens || m.Tokens > 0
+	for _, b := range m.Borrowers {
+		s.noteBorrower(p, b)
+	}
 	if !p.borrowing {
 		return
 	}
@@ -206,10 +242,17 @@
 	p.borrowing = false
 	if p.borrowHosts != nil {
 		p.holdersAskedAt, p.holdersAsked = s.now, p.borrowHosts
+		if m.Tokens >= p.borrowTokens {
+			// They may have more tokens.
+			p.holdersAskedAt = time.Time{}
+		}
 		p.holdersSilent, p.holdersUncertain = m.Silent, len(m.Uncertain) > 0
 		for _, host := range m.Ended {
 			p.loseSpare(host)
 		}
+		for host, incarnation := range m.Unknowing {
+			p.clearSpare(host, incarnation)
+		}
 	} else {
 		p.regionAskedAt = s.now
 	}
@@ -328,6 +371,11 @@
 			return false
 		}
 	}
+	if p.lost > 0 && !s.isFresh(p.regionAskedAt) {
+		// Only a daemon that has ended may have known to whom it lent tokens.
+		s.borrow(name, p, nil)
+		return false
+	}
 	return true
 }
 
@@ -337,8 +385,8 @@
 }
 
 func (s *State) borrow(name string, p *program, hosts []string) {
-	p.borrowing, p.borrowHosts = true, hosts
-	s.emit(Borrow{Program: name, Tokens: p.needed(), Hosts: hosts, ProgramStarted: p.programStarted})
+	p.borrowing, p.borrowHosts, p.borrowTokens = true, hosts, p.needed()
+	s.emit(Borrow{Program: name, Tokens: p.borrowTokens, Hosts: hosts, ProgramStarted: p.programStarted})
 }
 
 // hostsWithSpare returns the hosts of the peers that may have unused tokens, sorted.
@@ -349,8 +397,10 @@
 			hosts = append(hosts, host)
 		}
 	}
+	hosts = slices.AppendSeq(hosts, maps.Keys(p.lent))
+	hosts = slices.AppendSeq(hosts, maps.Keys(p.told))
 	slices.Sort(hosts)
-	return hosts
+	return slices.Compact(hosts)
 }
 
 // rejectOverBudget rejects the waiters for which the budget does not suffice and returns the
@@ -418,7 +468,7 @@
 	}
 	s.settlePending(p, &stored, version)
 	p.granted, p.version, p.spare, p.lost, p.writers = stored.Granted, version, stored.Spare, stored.Lost, stored.Writers
-	if !p.hasGrant {
+	if !p.hasGrant && stored.Writers[s.host].Incarnation != s.incarnation {
 		// An earlier daemon on this host was granted these tokens.
 		p.loseSpare(s.host)
 	}
--- a/accountant/write.go
+++ b/accountant/write.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/provider"
@@ -19,6 +20,8 @@
 	// write later, as long as the row has the version.
 	inProgress bool
 	unanswered bool
+	// listed are the borrowers that it lists for this daemon.
+	listed map[string]Borrower
 }
 
 // returned returns the number of tokens that the write returns.
@@ -42,7 +45,8 @@
 	}
 	row.Spare[s.host] = p.unused + p.reserved + p.loaned() + max(0, tokens)
 	row.Writers[s.host] = encoder.BudgetWrite{Incarnation: s.incarnation, Sequence: s.sequence}
-	p.pending = &pendingWrite{row: row, version: p.version, tokens: tokens}
+	listBorrowers(&row, p.lent)
+	p.pending = &pendingWrite{row: row, version: p.version, tokens: tokens, listed: maps.Clone(p.lent)}
 	s.sendPending(name, p)
 }
 
@@ -95,6 +99,9 @@
 // takePending takes the tokens that the pending write granted.
 func (s *State) takePending(p *program) {
 	p.unused += max(0, p.pending.tokens)
+	for host, listed := range p.pending.listed {
+		p.unlist(host, listed.Tokens)
+	}
 	p.pending, p.hasGrant = nil, true
 }
 
--- a/borrower/settlement.go
+++ b/borrower/settlement.go
@@ -138,9 +138,14 @@
 // lendTokens serves a peer's request for tokens.
 func (b *Borrower) lendTokens(ctx context.Context, lender Lender, request encoder.TokenQuestion) encoder.TokenAnswer {
 	lent := lender.LendTokens(ctx, accountant.BorrowRequested{
-		Program: request.Program, Tokens: request.Tokens, Confirms: request.Loan > 0,
+		Program: request.Program, Tokens: request.Tokens, Host: request.Host, Incarnation: request.Incarnation, Confirms: request.Loan > 0,
 	})
-	answer := encoder.TokenAnswer{Tokens: lent.Tokens, UnknownProgram: lent.UnknownProgram, Uncertain: lent.Uncertain}
+	answer := encoder.TokenAnswer{
+		Tokens: lent.Tokens, UnknownProgram: lent.UnknownProgram, Uncertain: lent.Uncertain, Incarnation: lent.Incarnation,
+	}
+	for _, l := range lent.Borrowers {
+		answer.Borrowers = append(answer.Borrowers, encoder.TokenBorrower(l))
+	}
 	if lent.Tokens > 0 && request.Loan > 0 {
 		answer.Confirm = true
 		key := loanKey{borrowerRun{request.Host, request.Incarnation}, request.Loan}
--- a/encoder/peers.gen.go
+++ b/encoder/peers.gen.go
@@ -598,10 +598,17 @@
 
 // Tokens that the sender has lent to the receiver and no longer uses itself.
 type TokenAnswer struct {
+	// Daemons to which the sender has lent tokens that the row does not list for
+	// them.
+	Borrowers []TokenBorrower `json:"borrowers,omitempty,omitzero"`
+
 	// The sender waits for a LoanNotice, and takes the tokens back if the receiver
 	// has not got them.
 	Confirm bool `json:"confirm,omitempty,omitzero"`
 
+	// Incarnation of the sender.
+	Incarnation string `json:"incarnation,omitempty,omitzero"`
+
 	// Tokens corresponds to the JSON schema field "tokens".
 	Tokens int `json:"tokens"`
 
@@ -614,6 +621,18 @@
 	UnknownProgram bool `json:"unknownProgram,omitempty,omitzero"`
 }
 
+// A daemon that has borrowed tokens of a program.
+type TokenBorrower struct {
+	// Host corresponds to the JSON schema field "host".
+	Host string `json:"host"`
+
+	// Incarnation corresponds to the JSON schema field "incarnation".
+	Incarnation string `json:"incarnation"`
+
+	// Number of tokens lent, used ones included.
+	Tokens int `json:"tokens"`
+}
+
 // Requests unused tokens of a peer's grant.
 type TokenQuestion struct {
 	// Host of the sender.
--- a/recorder/cancel_test.go
+++ b/recorder/cancel_test.go
@@ -51,3 +51,22 @@
 		}
 	}
 }
+
+// Guards against tokens that are lent to a peer that has gone before the reply: they were in nobody's account.
+func TestCancelledLoanIsTakenBack(t *testing.T) {
+	const programs, budget = 500, 10
+	r := start(t, emulator.NewRowStore(), "host", noPeers{})
+	for i := range programs {
+		program := fmt.Sprint("p", i)
+		r.Finish(r.Reserve(timeout(t, 10*time.Second), recorder.Request{Program: program, Budget: budget, Tokens: budget}), 0)
+		ctx, cancel := context.WithTimeout(context.Background(), rand.N(20*time.Microsecond))
+		question := accountant.BorrowRequested{Program: program, Tokens: budget, Confirms: i%2 == 0}
+		lent := r.LendTokens(ctx, question)
+		cancel()
+		question.Confirms = false
+		left := r.LendTokens(timeout(t, 10*time.Second), question)
+		if lent.Tokens+left.Tokens != budget {
+			t.Errorf("%s: %d tokens were lent and %d are left of %d", program, lent.Tokens, left.Tokens, budget)
+		}
+	}
+}
