Renew the row of a budget while daemons have tokens of it

Cause: a row expires ten minutes after its last write, while turns that run on tokens granted before write nothing. Clean-up then removes the row, and the budget begins anew beside the tokens that daemons still have. Change: a daemon with tokens renews the row in the middle of its lifetime. Tokens of a row that has expired are void.

--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -24,7 +24,7 @@
 
 // insert adds a program whatever memory there is.
 func (s *State) insert(name string) *program {
-	p := &program{lastUsedAt: s.now}
+	p := &program{lastUsedAt: s.now, renewAt: s.now.Add(s.options.Retention / 2)}
 	s.programs[name] = p
 	s.bytes += memoryOf(name)
 	return p
@@ -96,6 +96,7 @@
 		if p.isIdle() && s.now.Sub(p.lastUsedAt) >= timeout {
 			s.remove(name, p)
 		}
+		s.renewRow(name, p)
 	}
 	if s.options.MaxBytes > 0 && s.bytes > s.options.MaxBytes*3/4 {
 		s.removeOldest(s.options.MaxBytes / 2)
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -106,6 +106,8 @@
 	// reserved is the number of tokens of the running turns.
 	reserved   int
 	lastUsedAt time.Time
+	// renewAt is when the row is written anew, so that it does not expire while this daemon has tokens.
+	renewAt time.Time
 	// nextReturnAt is when unused tokens may be returned, after a return that failed.
 	nextReturnAt time.Time
 }
@@ -472,6 +474,8 @@
 		// An earlier daemon on this host was granted these tokens.
 		p.loseSpare(s.host)
 	}
+	s.setRenewal(p, &stored)
+	s.voidIfExpired(p, version)
 	p.hadTokens = p.hadTokens || stored.Granted > 0
 	p.rowKnown, p.rowReadAt = true, s.now
 }
--- a/accountant/write.go
+++ b/accountant/write.go
@@ -93,6 +93,7 @@
 	row := &p.pending.row
 	p.granted, p.version, p.spare, p.lost, p.writers = row.Granted, version, row.Spare, row.Lost, row.Writers
 	p.rowKnown, p.rowReadAt = true, s.now
+	s.setRenewal(p, row)
 	s.takePending(p)
 }
 
