Record large turns in parts

Cause: a turn was recorded in one transaction, of which the store takes 1 MB, and its size was checked only after it had run. Change: a turn whose deflated text does not fit into one transaction is written in parts, each with an expiry row, and then its first row, without which it does not exist. Keys of parts have a name of the write. Large transactions, and the wait at the end of a large turn, get the time that their size takes at 1 MiB/s. The deflated text is not copied while it grows; peers send no turn for which they lack memory. Turns that fit are stored as before.

--- a/batcher/batcher_test.go
+++ b/batcher/batcher_test.go
@@ -262,3 +262,30 @@
 		run(batcher.Conflicted{Batch: apply.Batch, Rows: rows})
 	}
 }
+
+// Guards against large transactions that never complete on a slow link: their timeout was that of small ones.
+func TestTimeoutGrowsWithSize(t *testing.T) {
+	options := batcher.DefaultOptions()
+	options.SmallBytes, options.MinBytesPerSecond = 1000, 10_000
+	tests := []struct {
+		name  string
+		bytes int
+		want  time.Duration
+	}{
+		{"small", 1000, options.InitialTimeout},
+		{"large", 5000, options.InitialTimeout + 500*time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var got []time.Duration
+			for _, c := range batcher.New(options).Update(time.Unix(1000, 0), batcher.Submitted{Entry: batcher.Entry{Ticket: 1, Bytes: test.bytes}}) {
+				if apply, ok := c.(batcher.Apply); ok {
+					got = append(got, apply.Timeout)
+				}
+			}
+			if diff := cmp.Diff([]time.Duration{test.want}, got); diff != "" {
+				t.Errorf("timeouts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/batcher/state.go
+++ b/batcher/state.go
@@ -20,6 +20,9 @@
 	InitialTimeout time.Duration
 	MinTimeout     time.Duration
 	MaxTimeout     time.Duration
+	// A transaction with more than SmallBytes gets the time in addition that it takes at MinBytesPerSecond.
+	SmallBytes        int
+	MinBytesPerSecond int
 	// InitialBackoff and MaxBackoff bound the backoff after failed transactions, which
 	// doubles with each failure in a row.
 	InitialBackoff time.Duration
@@ -38,7 +41,7 @@
 // takes several hundred transactions a second from all daemons.
 func DefaultOptions() Options {
 	return Options{
-		MaxEntries: 96, MaxBytes: 600_000, MaxInFlight: 3,
+		MaxEntries: 96, MaxBytes: 600_000, MaxInFlight: 3, SmallBytes: 64 << 10, MinBytesPerSecond: 1 << 20,
 		InitialTimeout: 400 * time.Millisecond, MinTimeout: 150 * time.Millisecond, MaxTimeout: 1200 * time.Millisecond,
 		InitialBackoff: 40 * time.Millisecond, MaxBackoff: 320 * time.Millisecond,
 		ProbeTimeout: 350 * time.Millisecond, InitialProbeInterval: 200 * time.Millisecond,
@@ -291,10 +294,22 @@
 		entries := s.takeBatch()
 		s.lastBatch++
 		s.inFlight[s.lastBatch] = &sentBatch{entries: entries, sentAt: now}
-		s.emit(Apply{Batch: s.lastBatch, Transaction: mergeTransactions(entries), Timeout: s.timeout})
+		s.emit(Apply{Batch: s.lastBatch, Transaction: mergeTransactions(entries), Timeout: s.timeout + s.transferTime(entries)})
 	}
 }
 
+// transferTime returns the time that sending entries takes on a slow link. That of small ones is part of the latency.
+func (s *State) transferTime(entries []Entry) time.Duration {
+	bytes := 0
+	for i := range entries {
+		bytes += entries[i].Bytes
+	}
+	if bytes <= s.options.SmallBytes {
+		return 0
+	}
+	return time.Duration(bytes) * time.Second / time.Duration(s.options.MinBytesPerSecond)
+}
+
 // maxInFlightAfterFailure replaces MaxInFlight after a failure. A second transaction can show
 // that the partition is back while the first one still hangs.
 const maxInFlightAfterFailure = 2
--- a/historian/doc.go
+++ b/historian/doc.go
@@ -12,6 +12,8 @@
 //	turns, err := historian.Chain(id, lookup)       // lookup uses both
 //	body := historian.NewHistory(turns, input)
 //
+// A turn that the store does not take in one transaction (InParts) is written in Parts.
+//
 // Text of more than PlainBytes is kept deflated, and inflated while a History is read.
 //
 // The cache only holds copies: the store decides whether a turn exists.
--- a/historian/expiry.go
+++ b/historian/expiry.go
@@ -22,9 +22,13 @@
 
 // ExpiryKey returns the key of a turn's row in ExpiryTable.
 func ExpiryKey(t *Turn) provider.RowKey {
+	return rowPlace{partition: t.Partition, key: turnKey(t.ID), expires: t.Expires}.expiryKey()
+}
+
+// expiryKey returns the key of the expiry row of the rows.
+func (p rowPlace) expiryKey() provider.RowKey {
 	return provider.RowKey{
-		Table: ExpiryTable, Partition: t.Partition,
-		Key: fmt.Sprintf("%0*d/%s", timeDigits, t.Expires.Unix(), turnKey(t.ID)),
+		Table: ExpiryTable, Partition: p.partition, Key: fmt.Sprintf("%0*d/%s", timeDigits, p.expires.Unix(), p.key),
 	}
 }
 
@@ -54,7 +58,7 @@
 }
 
 // ReadExpired reads the turn that an expiry row names, and of a packed one its first row only. It returns nil if there
-// is no such turn.
+// is no such turn, as for a part of one.
 func (r *Reader) ReadExpired(row *provider.VersionedRow) (*ExpiredTurn, error) {
 	key := expiredKey(row)
 	rows, head, err := r.readHead(key, row.Partition)
--- a/historian/read.go
+++ b/historian/read.go
@@ -56,24 +56,28 @@
 	var err error
 	for range maxReads {
 		var rows []provider.VersionedRow
-		if rows, err = r.readRows(key, partition); err != nil {
+		var head *segment
+		if rows, head, err = r.readHead(key, partition); err != nil {
 			return nil, err
 		}
-		turn, err = decode(key, rows, r.admitText)
-		if KindOf(err) != KindCorrupt || len(rows) == 1 {
+		turn, err = r.readOthers(key, partition, rows, head)
+		if KindOf(err) != KindCorrupt || head.Count == 1 {
 			break
 		}
 	}
 	return turn, err
 }
 
-// readRows reads the rows of a turn.
-func (r *Reader) readRows(key, partition string) ([]provider.VersionedRow, error) {
-	rows, head, err := r.readHead(key, partition)
+// readOthers reads the other rows of a turn, or its parts, and decodes it.
+func (r *Reader) readOthers(key, partition string, first []provider.VersionedRow, head *segment) (*Turn, error) {
+	if head.Write != "" {
+		return r.readParts(key, &first[0], head)
+	}
+	rows, err := r.readRest(key, partition, first, head)
 	if err != nil {
 		return nil, err
 	}
-	return r.readRest(key, partition, rows, head)
+	return decode(key, rows, r.admitText)
 }
 
 // readHead reads the first row of a turn, alone, since it has the number of the others.
--- a/historian/rows.go
+++ b/historian/rows.go
@@ -52,13 +52,26 @@
 	Workspace     string `cbor:"5,keyasint,omitempty"`
 	Expires       int64  `cbor:"6,keyasint,omitempty"`
 	EarlierBytes  int    `cbor:"7,keyasint,omitempty"`
+	// The following are set in the first row of a turn in parts: the name of the write, the number of parts, and the size
+	// of the deflated text.
+	Write       string `cbor:"8,keyasint,omitempty"`
+	Parts       int    `cbor:"9,keyasint,omitempty"`
+	PackedBytes int    `cbor:"10,keyasint,omitempty"`
 }
 
 // isPacked reports whether the segment is the first one of a packed turn.
 func (s *segment) isPacked() bool { return s.UnpackedBytes > 0 }
 
+// packedTurn returns the turn of which the segment is the first one, without its ID and its text.
+func (s *segment) packedTurn(partition string) *Turn {
+	return &Turn{
+		Partition: partition, Previous: s.Previous, Workspace: s.Workspace, UnpackedBytes: s.UnpackedBytes,
+		EarlierBytes: s.EarlierBytes, Expires: time.Unix(s.Expires, 0),
+	}
+}
+
 // Encode returns the rows of a turn, each of at most rowBytes, and its expiry row. It fails with KindTooLarge if the
-// store does not take a turn of that size.
+// store does not take them in one transaction; see Parts.
 func Encode(t *Turn, rowBytes int) ([]provider.RowWrite, error) {
 	const operation = "encode turn"
 	head := segment{}
@@ -81,14 +94,19 @@
 		return nil, NewError(operation, KindTooLarge, fmt.Errorf("%d bytes deflated, the store takes %d", len(data), maxStoredBytes))
 	}
 	head.Count = max(1, (len(data)+size-1)/size)
-	return split(t, head, data, size)
+	return encodeRows(head, data, size, head.Count, rowPlace{partition: t.Partition, key: turnKey(t.ID), expires: t.Expires})
+}
+
+// rowPlace says where rows are written, by the key of the first one, and when they expire.
+type rowPlace struct {
+	partition, key string
+	expires        time.Time
 }
 
-// split returns the rows that hold the data, of which each segment has so many bytes, and the expiry row.
-func split(t *Turn, head segment, data []byte, size int) ([]provider.RowWrite, error) {
-	key, partition := turnKey(t.ID), t.Partition
-	writes := make([]provider.RowWrite, 0, head.Count+1)
-	for i := range head.Count {
+// encodeRows returns the rows that hold the data, of which each segment has so many bytes, and the expiry row.
+func encodeRows(head segment, data []byte, size, count int, place rowPlace) ([]provider.RowWrite, error) {
+	writes := make([]provider.RowWrite, 0, count+1)
+	for i := range count {
 		row := segment{}
 		if i == 0 {
 			row = head
@@ -99,10 +117,10 @@
 			return nil, NewError("encode turn", KindCorrupt, err)
 		}
 		writes = append(writes, provider.RowWrite{
-			RowKey: provider.RowKey{Table: Table, Partition: partition, Key: segmentKey(key, i)}, Value: value,
+			RowKey: provider.RowKey{Table: Table, Partition: place.partition, Key: segmentKey(place.key, i)}, Value: value,
 		})
 	}
-	expiry := provider.RowWrite{RowKey: ExpiryKey(t), Value: strconv.AppendInt(nil, int64(head.Count), 10)}
+	expiry := provider.RowWrite{RowKey: place.expiryKey(), Value: strconv.AppendInt(nil, int64(count), 10)}
 	return append(writes, expiry), nil
 }
 
@@ -168,10 +186,9 @@
 		return nil, err
 	}
 	if head.isPacked() {
-		return &Turn{
-			Partition: first.Partition, Previous: head.Previous, Workspace: head.Workspace, Packed: bytes.Clone(data),
-			UnpackedBytes: head.UnpackedBytes, EarlierBytes: head.EarlierBytes, Expires: time.Unix(head.Expires, 0),
-		}, nil
+		turn := head.packedTurn(first.Partition)
+		turn.Packed = bytes.Clone(data)
+		return turn, nil
 	}
 	plain, err := inflate(data, admit)
 	if err != nil {
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -32,12 +32,12 @@
 	// PlainBytes is the size up to which the text of a turn is kept as it is. A larger one is kept deflated, and
 	// inflated while it is sent.
 	PlainBytes = 64 << 10
-	// maxStoredBytes bounds the deflated text of a turn: the store takes calls of 1 MB, in which it takes a third
-	// more.
+	// maxStoredBytes bounds the deflated text of a turn that is written in one transaction: the store takes calls of
+	// 1 MB, in which it takes a third more.
 	maxStoredBytes = 740_000
-	// deflaterBytes is the memory of a deflater, bufferCopies that of a growing buffer in sizes of its content.
+	// deflaterBytes is the memory of a deflater, bufferCopies that of the deflated text, in pieces and as a whole.
 	deflaterBytes = 1 << 20
-	bufferCopies  = 3
+	bufferCopies  = 2
 )
 
 // Draft is a turn that is not written yet.
@@ -87,14 +87,18 @@
 	if size <= PlainBytes {
 		return 0
 	}
-	return deflaterBytes + bufferCopies*min(size, maxStoredBytes)
+	return deflaterBytes + bufferCopies*size
 }
 
-// NewTurn returns the turn of a draft. It fails with KindTooLarge if the store does not take a turn of that size.
+// NewTurn returns the turn of a draft. It fails with KindTooLarge if the text has more than maxTurnBytes.
 func NewTurn(d *Draft) (*Turn, error) {
+	const operation = "new turn"
 	t := &Turn{ID: d.ID, Previous: d.Previous, Workspace: d.Workspace}
-	if err := t.setText(d.TextBytes(), maxStoredBytes, d.Parts...); err != nil {
-		return nil, NewError("new turn", KindTooLarge, err)
+	if size := d.TextBytes(); size > maxTurnBytes {
+		return nil, NewError(operation, KindTooLarge, fmt.Errorf("%d bytes, at most %d are kept", size, maxTurnBytes))
+	}
+	if err := t.setText(d.TextBytes(), maxTurnBytes, d.Parts...); err != nil {
+		return nil, NewError(operation, KindTooLarge, err)
 	}
 	return t, nil
 }
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -86,13 +86,25 @@
 	if err := w.Close(); err != nil {
 		return nil, err
 	}
-	return deflated.Bytes(), nil
+	return deflated.join(), nil
 }
 
-// limitedBuffer is a buffer that fails when it is full.
+// limitedBuffer is a buffer that fails when it is full. It keeps pieces, which are not copied while it grows.
 type limitedBuffer struct {
-	bytes.Buffer
-	rest int
+	pieces [][]byte
+	size   int
+	rest   int
+}
+
+// pieceBytes is the size of a piece of a limitedBuffer. The first one grows up to it.
+const pieceBytes = 64 << 10
+
+// join returns the content in one piece.
+func (b *limitedBuffer) join() []byte {
+	if len(b.pieces) == 1 {
+		return b.pieces[0]
+	}
+	return bytes.Join(b.pieces, nil)
 }
 
 // Write implements io.Writer.
@@ -101,7 +113,17 @@
 		return 0, &Error{operation: "deflate", kind: KindTooLarge, cause: errors.New("value is larger than the limit")}
 	}
 	b.rest -= len(p)
-	return b.Buffer.Write(p)
+	b.size += len(p)
+	last := len(b.pieces) - 1
+	if last < 0 || len(b.pieces[last])+len(p) > pieceBytes {
+		b.pieces = append(b.pieces, nil)
+		last++
+		if last > 0 {
+			b.pieces[last] = make([]byte, 0, max(pieceBytes, len(p)))
+		}
+	}
+	b.pieces[last] = append(b.pieces[last], p...)
+	return len(p), nil
 }
 
 // Inflate returns the decompressed value. It fails with KindTooLarge if the value has more
--- a/receiver/options.go
+++ b/receiver/options.go
@@ -1,6 +1,10 @@
 package receiver
 
-import "time"
+import (
+	"time"
+
+	"github.com/dogwoodweir/dogwoodweir/historian"
+)
 
 // Options configure a Receiver.
 type Options struct {
@@ -18,6 +22,8 @@
 	// caller's deadline, so that a response that is aborted still ends before it.
 	CommitTimeout time.Duration
 	CommitMargin  time.Duration
+	// CommitBytesPerSecond is the rate at which the wait grows with the size of a large turn.
+	CommitBytesPerSecond int
 	// StoreRetryAfter is the shortest retry delay, before jitter, after a rejection because of
 	// the store.
 	StoreRetryAfter time.Duration
@@ -74,7 +80,7 @@
 	return Options{
 		DefaultTimeout: 30 * time.Second, DefaultMaxTokens: 1024, MaxRejections: 4,
 		ChainTimeout: 900 * time.Millisecond, CommitTimeout: 2200 * time.Millisecond,
-		CommitMargin:    60 * time.Millisecond,
+		CommitMargin: 60 * time.Millisecond, CommitBytesPerSecond: 1 << 20,
 		StoreRetryAfter: 300 * time.Millisecond, PeerRetryAfter: 60 * time.Millisecond,
 		TargetsRetryAfter:   75 * time.Millisecond,
 		ContendedRetryAfter: 250 * time.Millisecond,
@@ -96,3 +102,11 @@
 		MaxResponseBytes: 16 << 20, MaxStreamBytes: 1 << 20,
 	}
 }
+
+// commitTimeout returns the longest wait for the store at the end of a turn whose text has so many bytes.
+func (o *Options) commitTimeout(textBytes int) time.Duration {
+	if textBytes <= historian.PlainBytes {
+		return o.CommitTimeout
+	}
+	return o.CommitTimeout + time.Duration(textBytes)*time.Second/time.Duration(o.CommitBytesPerSecond)
+}
--- a/receiver/response.go
+++ b/receiver/response.go
@@ -331,11 +331,11 @@
 	if !h.route.KeepsHistory || h.call.ID == "" {
 		return nil
 	}
-	timeout := min(h.receiver.options.CommitTimeout, h.remaining()-h.receiver.options.CommitMargin)
-	ctx, cancel := context.WithTimeout(h.request.Context(), timeout)
-	defer cancel()
 	draft := historian.Draft{
 		ID: h.call.ID, Previous: h.call.Previous, Workspace: h.workspaceName(), Parts: [][]byte{h.callerBody, h.output},
 	}
+	timeout := h.receiver.options.commitTimeout(draft.TextBytes())
+	ctx, cancel := context.WithTimeout(h.request.Context(), min(timeout, h.remaining()-h.receiver.options.CommitMargin))
+	defer cancel()
 	return h.receiver.deps.Recorder.Commit(ctx, draft, h.chain, h.route.Retention)
 }
--- a/recorder/chain.go
+++ b/recorder/chain.go
@@ -193,7 +193,7 @@
 // LendTurn implements borrower.Lender.
 func (r *Recorder) LendTurn(ctx context.Context, id string, maxBytes int) (turn *historian.Turn, hasText bool, done func()) {
 	turn = r.turns.Get(id)
-	if turn == nil || turn.MemoryBytes() > maxBytes {
+	if turn == nil || turn.MemoryBytes() > maxBytes || int64(sendCopies*turn.MemoryBytes()) > r.lending.capacity {
 		return turn, false, func() {}
 	}
 	ctx, cancel := context.WithTimeout(ctx, lendWait)
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/batcher"
@@ -90,23 +92,18 @@
 	if err != nil {
 		return nil, NewError("commit turn", KindInvalid, err)
 	}
-	work.shrink(writeCopies * turn.MemoryBytes())
+	work.shrink(turn.WriteBytes(writeCopies))
 	return turn, nil
 }
 
 // renew replaces the rows of a turn by those of the same turn with a later expiry.
 func (r *Recorder) renew(ctx context.Context, work *workShare, old, renewed *historian.Turn) error {
 	if renewed.TextBytes() > historian.PlainBytes {
-		if err := work.grow(ctx, writeCopies*renewed.MemoryBytes()); err != nil {
+		if err := work.grow(ctx, renewed.WriteBytes(writeCopies)); err != nil {
 			return err
 		}
 	}
-	entry, err := r.turnEntry(ctx, renewed)
-	if err != nil {
-		return err
-	}
-	entry.Transaction.Deletes = append(entry.Transaction.Deletes, historian.ExpiryKey(old))
-	return r.writeEntry(ctx, old.Partition, entry)
+	return r.writeTurn(ctx, renewed, historian.ExpiryKey(old))
 }
 
 // chainBytes returns the memory of the turns of a chain.
@@ -129,14 +126,10 @@
 				continue
 			}
 			turn.Partition = partition
-			entry, err := r.turnEntry(ctx, turn)
-			if err != nil {
-				return err
-			}
-			if failure = r.writeEntry(ctx, partition, entry); failure == nil {
+			if failure = r.writeTurn(ctx, turn); failure == nil {
 				return nil
 			}
-			if ctx.Err() != nil {
+			if ctx.Err() != nil || KindOf(failure) == KindInvalid {
 				return failure
 			}
 		}
@@ -148,23 +141,55 @@
 	}
 }
 
-// turnEntry returns the entry that writes a turn, with the deadline of the context.
-func (r *Recorder) turnEntry(ctx context.Context, turn *historian.Turn) (batcher.Entry, error) {
-	writes, err := historian.Encode(turn, r.options.RowBytes)
-	if err != nil {
-		return batcher.Entry{}, NewError("commit turn", KindInvalid, err)
+// writeTurn writes a turn to its partition and deletes rows together with it. A turn in parts exists once its first row is
+// written, after all parts; those of a write that fails remain until they expire.
+func (r *Recorder) writeTurn(ctx context.Context, turn *historian.Turn, deletes ...provider.RowKey) error {
+	if !turn.InParts() {
+		writes, err := historian.Encode(turn, r.options.RowBytes)
+		return r.writeRows(ctx, turn.Partition, writes, err, deletes)
 	}
+	parts := historian.NewParts(turn, r.options.RowBytes, fmt.Sprintf("%016x", rand.Uint64()))
+	for i := range parts.Count() {
+		if err := r.writePart(ctx, turn.Partition, parts, i); err != nil {
+			return err
+		}
+	}
+	writes, err := parts.Head()
+	return r.writeRows(ctx, turn.Partition, writes, err, deletes)
+}
+
+// writePart writes a part of a turn. While it is not known whether it was written, it is written again: it is always the
+// same.
+func (r *Recorder) writePart(ctx context.Context, partition string, parts *historian.Parts, number int) error {
+	writes, err := parts.Part(number)
+	for {
+		failure := r.writeRows(ctx, partition, writes, err, nil)
+		if provider.KindOf(failure) != provider.KindUnknown || ctx.Err() != nil || !r.partitionUp(partition) {
+			return failure
+		}
+	}
+}
+
+// writeRows writes rows in one transaction, with deletes, and waits for the outcome. It fails if encoding the rows has.
+func (r *Recorder) writeRows(ctx context.Context, partition string, writes []provider.RowWrite, encoding error, deletes []provider.RowKey) error {
+	if encoding != nil {
+		return NewError("commit turn", KindInvalid, encoding)
+	}
+	return r.writeEntry(ctx, partition, r.turnEntry(ctx, provider.RowTransaction{Writes: writes, Deletes: deletes}))
+}
+
+// turnEntry returns the entry of a transaction, with the deadline of the context.
+func (r *Recorder) turnEntry(ctx context.Context, t provider.RowTransaction) batcher.Entry {
 	entry := batcher.Entry{
-		Ticket: batcher.Ticket(r.tickets.Add(1)), Deadline: time.Now().Add(backgroundTimeout),
-		Transaction: provider.RowTransaction{Writes: writes},
+		Ticket: batcher.Ticket(r.tickets.Add(1)), Deadline: time.Now().Add(backgroundTimeout), Transaction: t,
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		entry.Deadline = deadline
 	}
-	for _, w := range writes {
+	for _, w := range t.Writes {
 		entry.Bytes += len(w.Value)
 	}
-	return entry, nil
+	return entry
 }
 
 // writeEntry submits an entry to the queue of a partition and waits for its outcome.
