--- a/accountant/loan.go
+++ b/accountant/loan.go
@@ -76,19 +76,6 @@
 	return borrowers
 }
 
-// noteBorrower notes that a daemon may have unused tokens that it has borrowed.
-func (s *State) noteBorrower(p *program, b Borrower) {
-	if b.Host == s.host {
-		return
-	}
-	if p.told == nil {
-		p.told = map[string]Borrower{}
-	}
-	if before := p.told[b.Host]; before.Incarnation != b.Incarnation || before.Tokens < b.Tokens {
-		p.told[b.Host] = b
-	}
-}
-
 // listBorrowers lists the tokens that borrowers have received in a row, so that others ask them too.
 func listBorrowers(row *encoder.ProgramBudget, lent map[string]Borrower) {
 	for host, b := range lent {
--- a/accountant/message.go
+++ b/accountant/message.go
@@ -64,8 +64,8 @@
 	Silent    []string
 	Ended     []string
 	Uncertain []string
-	// Unknowing maps the hosts whose daemon knows nothing of the program to its incarnation, which may be empty.
-	Unknowing map[string]string
+	// UnknownAt maps the hosts whose daemon knows nothing of the program to its incarnation, which may be empty.
+	UnknownAt map[string]string
 	// Borrowers are daemons to which those that replied have lent tokens.
 	Borrowers []Borrower
 	// Late is set for tokens of a peer that replied after the others were reported.
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -1,13 +1,10 @@
 package accountant
 
 import (
-	"encoding/json"
-	"maps"
 	"slices"
 	"time"
 
 	"github.com/dogwoodweir/dogwoodweir/encoder"
-	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
 // Options configure a State.
@@ -101,8 +98,8 @@
 	// daemon has received and the row does not list.
 	loans map[Ticket]Borrower
 	lent  map[string]Borrower
-	// told maps each host to what peers have told that they have lent to its daemon, and the row may not list.
-	told map[string]Borrower
+	// reported maps each host to what peers have reported that they lent to its daemon, which the row may not list.
+	reported map[string]Borrower
 	// reserved is the number of tokens of the running turns.
 	reserved   int
 	lastUsedAt time.Time
@@ -121,43 +118,6 @@
 	return max(0, need)
 }
 
-// loseSpare counts the tokens that the row lists for a host, or that were lent to it, as lost.
-func (p *program) loseSpare(host string) {
-	p.lost += p.tokensAt(host)
-	p.unlistHost(host)
-}
-
-// unlistHost removes a host from those that may have unused tokens.
-func (p *program) unlistHost(host string) {
-	delete(p.spare, host)
-	delete(p.lent, host)
-	delete(p.told, host)
-}
-
-// tokensAt returns the tokens that the row lists for a host, or that were lent to it.
-func (p *program) tokensAt(host string) int {
-	return p.spare[host] + max(p.lent[host].Tokens, p.told[host].Tokens)
-}
-
-// clearSpare removes the tokens that the row lists for a host whose daemon knows nothing of the program. A daemon that has
-// had them has used or returned them, since it keeps a program until then. Those of an earlier run are lost.
-func (p *program) clearSpare(host, incarnation string) {
-	hadTokens := p.writers[host].Incarnation == incarnation || p.lent[host].Incarnation == incarnation || p.told[host].Incarnation == incarnation
-	if incarnation == "" || !hadTokens {
-		p.loseSpare(host)
-	}
-	p.unlistHost(host)
-}
-
-// silentSpare returns the tokens that the hosts may have which did not reply when asked.
-func (p *program) silentSpare() int {
-	tokens := 0
-	for _, host := range p.holdersSilent {
-		tokens += p.tokensAt(host)
-	}
-	return tokens
-}
-
 // busy reports whether the program waits for the store or for peers.
 func (p *program) busy() bool {
 	return p.pending != nil && p.pending.inProgress || p.reading || p.borrowing
@@ -252,7 +212,7 @@
 		for _, host := range m.Ended {
 			p.loseSpare(host)
 		}
-		for host, incarnation := range m.Unknowing {
+		for host, incarnation := range m.UnknownAt {
 			p.clearSpare(host, incarnation)
 		}
 	} else {
@@ -381,30 +341,11 @@
 	return true
 }
 
-func (s *State) readRow(name string, p *program) {
-	p.reading = true
-	s.emit(Read{Program: name, Needed: p.needed()})
-}
-
 func (s *State) borrow(name string, p *program, hosts []string) {
 	p.borrowing, p.borrowHosts, p.borrowTokens = true, hosts, p.needed()
 	s.emit(Borrow{Program: name, Tokens: p.borrowTokens, Hosts: hosts, ProgramStarted: p.programStarted})
 }
 
-// hostsWithSpare returns the hosts of the peers that may have unused tokens, sorted.
-func (s *State) hostsWithSpare(p *program) []string {
-	var hosts []string
-	for host, tokens := range p.spare {
-		if host != s.host && tokens > 0 {
-			hosts = append(hosts, host)
-		}
-	}
-	hosts = slices.AppendSeq(hosts, maps.Keys(p.lent))
-	hosts = slices.AppendSeq(hosts, maps.Keys(p.told))
-	slices.Sort(hosts)
-	return slices.Compact(hosts)
-}
-
 // rejectOverBudget rejects the waiters for which the budget does not suffice and returns the
 // tokens that the others lack.
 func (s *State) rejectOverBudget(p *program) int {
@@ -443,43 +384,6 @@
 	return 0
 }
 
-// maxRowTokens bounds the numbers of tokens in a row. Sums of a few of them do not overflow.
-const maxRowTokens = 1 << 53
-
-// inRange reports whether a row has numbers of tokens that daemons write. Others would overflow and
-// grant tokens beyond the budget.
-func inRange(b *encoder.ProgramBudget) bool {
-	for _, tokens := range b.Spare {
-		if tokens < -maxRowTokens || tokens > maxRowTokens {
-			return false
-		}
-	}
-	return b.Granted >= 0 && b.Granted <= maxRowTokens && b.Lost >= -maxRowTokens && b.Lost <= maxRowTokens
-}
-
-// adoptRow makes a row that was read the current one, and settles the pending write by it.
-func (s *State) adoptRow(p *program, row *provider.VersionedRow) {
-	var stored encoder.ProgramBudget
-	version := provider.VersionAbsent
-	if row != nil && row.Version != provider.VersionAbsent {
-		version = row.Version
-		if err := json.Unmarshal(row.Value, &stored); err != nil || !inRange(&stored) {
-			// Treat the budget of a row that cannot be decoded as exhausted.
-			stored = encoder.ProgramBudget{Granted: p.budget}
-		}
-	}
-	s.settlePending(p, &stored, version)
-	p.granted, p.version, p.spare, p.lost, p.writers = stored.Granted, version, stored.Spare, stored.Lost, stored.Writers
-	if !p.hasGrant && stored.Writers[s.host].Incarnation != s.incarnation {
-		// An earlier daemon on this host was granted these tokens.
-		p.loseSpare(s.host)
-	}
-	s.setRenewal(p, &stored)
-	s.voidIfExpired(p, version)
-	p.hadTokens = p.hadTokens || stored.Granted > 0
-	p.rowKnown, p.rowReadAt = true, s.now
-}
-
 // rejectWaiters admits what the grant allows and rejects all other waiters as Unavailable.
 func (s *State) rejectWaiters(p *program) {
 	s.admitWaiters(p)
@@ -488,23 +392,3 @@
 	}
 	p.waiters = nil
 }
-
-func (s *State) readCompleted(m ReadCompleted) {
-	p := s.programs[m.Program]
-	if p == nil || !p.reading {
-		return
-	}
-	p.reading = false
-	if m.Kind != provider.KindNone {
-		p.rowKnown = false
-		s.delayReturn(p)
-		s.rejectWaiters(p)
-		return
-	}
-	s.adoptRow(p, m.Row)
-	if p.pending != nil {
-		s.sendPending(m.Program, p)
-		return
-	}
-	s.serveWaiters(m.Program, p)
-}
--- a/accountant/sum_test.go
+++ b/accountant/sum_test.go
@@ -214,7 +214,7 @@
 
 // completeBorrow asks the peers of a command. Some do not reply in time, and lend to nobody later.
 func (l *ledger) completeBorrow(d *ledgerDaemon, c accountant.Borrow) {
-	received := accountant.TokensReceived{Program: "p", Unknowing: map[string]string{}}
+	received := accountant.TokensReceived{Program: "p", UnknownAt: map[string]string{}}
 	for _, peer := range l.daemons {
 		asked := slices.Contains(c.Hosts, peer.host) || len(c.Hosts) == 0 && !l.indexLost
 		if peer == d || !asked {
@@ -229,7 +229,7 @@
 		received.Tokens += lent.Tokens
 		received.Borrowers = append(received.Borrowers, lent.Borrowers...)
 		if lent.UnknownProgram {
-			received.Unknowing[peer.host] = lent.Incarnation
+			received.UnknownAt[peer.host] = lent.Incarnation
 		}
 		if lent.Uncertain {
 			received.Uncertain = append(received.Uncertain, peer.host)
--- a/accountant/write.go
+++ b/accountant/write.go
@@ -122,6 +122,7 @@
 	case stored.Writers[s.host] == w.row.Writers[s.host] || stored.Holder == s.incarnation && stored.Sequence == w.row.Sequence:
 		s.takePending(p)
 	case w.unanswered && version == w.version:
+		// It may still be applied.
 	case w.unanswered && len(stored.Writers) == 0 && version != provider.VersionAbsent:
 		// A daemon of an earlier version has written since, so that the row does not tell. What was returned must
 		// not be used again.
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -236,7 +236,7 @@
 	ctx context.Context, request accountant.Borrow, peers []messenger.Peer, current bool, onLate func(tokens int),
 ) accountant.TokensReceived {
 	hosts, received := request.Hosts, accountant.TokensReceived{Program: request.Program}
-	unknowing := map[string]string{}
+	unknownAt := map[string]string{}
 	replied := map[string]bool{}
 	number := b.receipts.ask(hostsOf(peers))
 	query := encoder.TokenQuestion{Program: request.Program, Tokens: request.Tokens, Host: b.host, Incarnation: b.incarnation, Loan: number}
@@ -245,7 +245,7 @@
 			replied[host] = true
 			received.Tokens += b.receive(host, number, reply)
 			if reply.UnknownProgram {
-				unknowing[host] = reply.Incarnation
+				unknownAt[host] = reply.Incarnation
 			}
 			for _, l := range reply.Borrowers {
 				received.Borrowers = append(received.Borrowers, accountant.Borrower(l))
@@ -258,8 +258,8 @@
 		late:   func(host string, reply *encoder.TokenAnswer) { onLate(b.receive(host, number, reply)) },
 		failed: func(host string) { b.receipts.close(question{host, number}) },
 	})
-	if len(unknowing) > 0 {
-		received.Unknowing = unknowing
+	if len(unknownAt) > 0 {
+		received.UnknownAt = unknownAt
 	}
 	for _, host := range hosts {
 		isListed := slices.ContainsFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
