Share what is due for loans between borrower and lender

RunSettlement looks for unsettled loans before it waits, so that it goes on with them after a panic. Otherwise behaviour is as before. Measured: make lint, and the tests of borrower (with the race detector too), recorder and assembler pass.

--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -176,15 +176,14 @@
 
 // ReadTurn asks one peer for a turn that FindTurn has found. It returns nil if the peer does not send it.
 func (b *Borrower) ReadTurn(ctx context.Context, id string, found FoundTurn) *historian.Turn {
-	peers := b.nearestPeers()
-	i := slices.IndexFunc(peers, func(p messenger.Peer) bool { return p.Host == found.Host })
-	if i < 0 {
+	peer, listed := peerOn(b.nearestPeers(), found.Host)
+	if !listed {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.options.CallTimeout)
 	defer cancel()
 	reply, err := messenger.Call[encoder.TurnAnswer](
-		ctx, b.messenger, peers[i], messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: found.Bytes})
+		ctx, b.messenger, peer, messenger.MethodReadTurn, encoder.TurnQuestion{Turn: id, MaxBytes: found.Bytes})
 	if err != nil {
 		b.log.Debug("peer did not send a turn", zap.String("peer", found.Host), zap.String("turn", id), zap.Error(err))
 		return nil
@@ -262,7 +261,7 @@
 		received.UnknownAt = unknownAt
 	}
 	for _, host := range hosts {
-		isListed := slices.ContainsFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
+		_, isListed := peerOn(peers, host)
 		switch {
 		case replied[host]:
 		case !isListed && current:
@@ -274,6 +273,15 @@
 	return received
 }
 
+// peerOn returns the peer on a host, and whether there is one.
+func peerOn(peers []messenger.Peer, host string) (messenger.Peer, bool) {
+	i := slices.IndexFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
+	if i < 0 {
+		return messenger.Peer{}, false
+	}
+	return peers[i], true
+}
+
 func hostsOf(peers []messenger.Peer) []string {
 	hosts := make([]string, len(peers))
 	for i, p := range peers {
@@ -312,19 +320,31 @@
 func (b *Borrower) Handle(ctx context.Context, lender Lender, method string, params json.RawMessage) (any, bool, error) {
 	switch method {
 	case messenger.MethodReadTurn:
-		var request encoder.TurnQuestion
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		return lendTurn(ctx, lender, request), true, nil
+		return answer(params, func(request encoder.TurnQuestion) any { return lendTurn(ctx, lender, request) })
 	case messenger.MethodFindHolders:
-		var request encoder.HolderQuestion
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		return encoder.HolderAnswer{Hosts: b.holders.register(request.Program, request.Host)}, true, nil
+		return answer(params, func(request encoder.HolderQuestion) any {
+			return encoder.HolderAnswer{Hosts: b.holders.register(request.Program, request.Host)}
+		})
+	case messenger.MethodBorrowTokens:
+		return answer(params, func(request encoder.TokenQuestion) any { return b.lendTokens(ctx, lender, request) })
+	case messenger.MethodLoanNotice:
+		return answer(params, func(notice encoder.LoanNotice) any {
+			b.settleReceived(ctx, lender, notice)
+			return struct{}{}
+		})
+	case messenger.MethodLoanQuestion:
+		return answer(params, func(request encoder.LoanQuestion) any { return b.answerLoans(request) })
+	}
+	return nil, false, nil
+}
+
+// answer decodes a request and returns the reply to it as Handle does.
+func answer[Request any](params json.RawMessage, reply func(Request) any) (any, bool, error) {
+	var request Request
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, true, err
 	}
-	return b.handleLoans(ctx, lender, method, params)
+	return reply(request), true, nil
 }
 
 // lendTurn returns the reply to a request for a turn. Peers of earlier versions, which name no size, know no deflated
--- a/borrower/loans.go
+++ b/borrower/loans.go
@@ -1,7 +1,6 @@
 package borrower
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -14,33 +13,27 @@
 	incarnation string
 }
 
-// loanKey identifies a loan by the borrower and the number of its question.
-type loanKey struct {
-	borrower borrowerRun
-	number   int
-}
-
 // loan is a loan of which it is not known whether it was received.
 type loan struct {
 	program string
 	ticket  accountant.Ticket
 	tokens  int
-	// askAt is when the borrower is asked.
-	askAt time.Time
 }
 
-// loans are the loans of this daemon that are not settled. It is safe for concurrent use.
+// loans are the loans of this daemon that are not settled, by borrower and the number of its question. It is safe for
+// concurrent use.
 type loans struct {
 	mutex     sync.Mutex
-	unsettled map[loanKey]loan
+	unsettled dueTable[borrowerRun, loan]
 }
 
-func newLoans() *loans { return &loans{unsettled: map[loanKey]loan{}} }
+func newLoans() *loans { return &loans{unsettled: dueTable[borrowerRun, loan]{}} }
 
-func (l *loans) add(key loanKey, made loan) {
+// add adds a loan, for which its borrower is to be asked at the given time.
+func (l *loans) add(borrower borrowerRun, number int, made loan, askAt time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.unsettled[key] = made
+	l.unsettled.add(borrower, number, made, askAt)
 }
 
 // settle removes loans of a borrower and returns those that were not settled, by number.
@@ -49,10 +42,8 @@
 	defer l.mutex.Unlock()
 	settled := map[int]loan{}
 	for _, number := range numbers {
-		key := loanKey{borrower, number}
-		if made, ok := l.unsettled[key]; ok {
+		if made, ok := l.unsettled.remove(borrower, number); ok {
 			settled[number] = made
-			delete(l.unsettled, key)
 		}
 	}
 	return settled
@@ -62,18 +53,7 @@
 func (l *loans) takeDue(now time.Time, delay time.Duration) map[borrowerRun][]int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	due := map[borrowerRun][]int{}
-	for key, made := range l.unsettled {
-		if !now.Before(made.askAt) {
-			due[key.borrower] = append(due[key.borrower], key.number)
-			made.askAt = now.Add(delay)
-			l.unsettled[key] = made
-		}
-	}
-	for _, numbers := range due {
-		slices.Sort(numbers)
-	}
-	return due
+	return l.unsettled.takeDue(now, delay)
 }
 
 // isEmpty reports whether all loans are settled.
--- a/borrower/receipts.go
+++ b/borrower/receipts.go
@@ -1,7 +1,6 @@
 package borrower
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
@@ -19,13 +18,12 @@
 	lastNumber int
 	// open are the questions whose replies are accepted.
 	open map[question]struct{}
-	// unconfirmed maps the loans that were received to the time at which they are confirmed to their lenders, for as
-	// long as these may ask for them.
-	unconfirmed map[question]time.Time
+	// unconfirmed are the loans that were received, by lender, for as long as it may ask for them.
+	unconfirmed dueTable[string, struct{}]
 }
 
 func newReceipts() *receipts {
-	return &receipts{open: map[question]struct{}{}, unconfirmed: map[question]time.Time{}}
+	return &receipts{open: map[question]struct{}{}, unconfirmed: dueTable[string, struct{}]{}}
 }
 
 // ask opens a question to lenders and returns its number.
@@ -47,7 +45,7 @@
 		return false
 	}
 	delete(r.open, q)
-	r.unconfirmed[q] = now
+	r.unconfirmed.add(q.lender, q.number, struct{}{}, now)
 	return true
 }
 
@@ -63,7 +61,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	delete(r.open, q)
-	_, received := r.unconfirmed[q]
+	_, received := r.unconfirmed[q.lender][q.number]
 	return received
 }
 
@@ -71,17 +69,7 @@
 func (r *receipts) takeDue(now time.Time, delay time.Duration) map[string][]int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	due := map[string][]int{}
-	for q, at := range r.unconfirmed {
-		if !now.Before(at) {
-			due[q.lender] = append(due[q.lender], q.number)
-			r.unconfirmed[q] = now.Add(delay)
-		}
-	}
-	for _, numbers := range due {
-		slices.Sort(numbers)
-	}
-	return due
+	return r.unconfirmed.takeDue(now, delay)
 }
 
 // confirmed removes loans that their lender will not ask for any more.
@@ -89,7 +77,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, number := range numbers {
-		delete(r.unconfirmed, question{lender, number})
+		r.unconfirmed.remove(lender, number)
 	}
 }
 
--- a/borrower/settlement.go
+++ b/borrower/settlement.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"slices"
 	"time"
@@ -23,11 +22,6 @@
 // tokens back if the borrower has not received them and will not accept them any more.
 func (b *Borrower) RunSettlement(ctx context.Context, lender Lender) {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-b.unsettled:
-		}
 		for !b.loans.isEmpty() || !b.receipts.isEmpty() {
 			select {
 			case <-ctx.Done():
@@ -36,6 +30,11 @@
 				b.settle(ctx, lender)
 			}
 		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-b.unsettled:
+		}
 	}
 }
 
@@ -79,7 +78,8 @@
 		return nil
 	}
 	return slices.DeleteFunc(hosts, func(host string) bool {
-		return slices.ContainsFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
+		_, listed := peerOn(peers, host)
+		return listed
 	})
 }
 
@@ -124,15 +124,14 @@
 
 // callHost calls the daemon on a host.
 func callHost[Reply any](ctx context.Context, b *Borrower, host, method string, request any) (Reply, error) {
-	var reply Reply
-	peers := b.peers.Peers()
-	i := slices.IndexFunc(peers, func(p messenger.Peer) bool { return p.Host == host })
-	if i < 0 {
-		return reply, errNotListed
+	peer, listed := peerOn(b.peers.Peers(), host)
+	if !listed {
+		var none Reply
+		return none, errNotListed
 	}
 	ctx, cancel := context.WithTimeout(ctx, b.options.CallTimeout)
 	defer cancel()
-	return messenger.Call[Reply](ctx, b.messenger, peers[i], method, request)
+	return messenger.Call[Reply](ctx, b.messenger, peer, method, request)
 }
 
 // lendTokens serves a peer's request for tokens.
@@ -148,10 +147,8 @@
 	}
 	if lent.Tokens > 0 && request.Loan > 0 {
 		answer.Confirm = true
-		key := loanKey{borrowerRun{request.Host, request.Incarnation}, request.Loan}
-		b.loans.add(key, loan{
-			program: request.Program, ticket: lent.Ticket, tokens: lent.Tokens, askAt: time.Now().Add(b.options.SettleDelay),
-		})
+		made := loan{program: request.Program, ticket: lent.Ticket, tokens: lent.Tokens}
+		b.loans.add(borrowerRun{request.Host, request.Incarnation}, request.Loan, made, time.Now().Add(b.options.SettleDelay))
 		b.wakeSettlement()
 	}
 	return answer
@@ -189,29 +186,3 @@
 	}
 	return answer
 }
-
-// handleLoans serves the requests of peers for tokens and on loans. It reports whether the method is one of them.
-func (b *Borrower) handleLoans(ctx context.Context, lender Lender, method string, params json.RawMessage) (any, bool, error) {
-	switch method {
-	case messenger.MethodBorrowTokens:
-		var request encoder.TokenQuestion
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		return b.lendTokens(ctx, lender, request), true, nil
-	case messenger.MethodLoanNotice:
-		var request encoder.LoanNotice
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		b.settleReceived(ctx, lender, request)
-		return struct{}{}, true, nil
-	case messenger.MethodLoanQuestion:
-		var request encoder.LoanQuestion
-		if err := json.Unmarshal(params, &request); err != nil {
-			return nil, true, err
-		}
-		return b.answerLoans(request), true, nil
-	}
-	return nil, false, nil
-}
