--- a/accountant/expiry.go
+++ b/accountant/expiry.go
@@ -27,7 +27,7 @@
 
 // voidIfExpired drops unused tokens if the row that counts them has expired, since the budget begins anew.
 func (s *State) voidIfExpired(p *program, version int64) {
-	if version == provider.VersionAbsent && p.pending == nil && p.unused > 0 {
-		p.unused = 0
+	if version == provider.VersionAbsent && p.pending == nil {
+		p.unused = min(p.unused, 0)
 	}
 }
--- a/accountant/holder.go
+++ b/accountant/holder.go
@@ -27,10 +27,11 @@
 // had them has used or returned them, since it keeps a program until then. Those of an earlier run are lost.
 func (p *program) clearSpare(host, incarnation string) {
 	hadTokens := p.writers[host].Incarnation == incarnation || p.lent[host].Incarnation == incarnation || p.reported[host].Incarnation == incarnation
-	if incarnation == "" || !hadTokens {
-		p.loseSpare(host)
+	if incarnation != "" && hadTokens {
+		p.unlistHost(host)
+		return
 	}
-	p.unlistHost(host)
+	p.loseSpare(host)
 }
 
 // silentSpare returns the tokens that the hosts may have which did not reply when asked.
--- a/accountant/idle.go
+++ b/accountant/idle.go
@@ -42,8 +42,9 @@
 }
 
 // returnUnused writes the unused tokens of a program without running turns back to its row, and lists the borrowers of
-// tokens there. The tokens are deducted before the write, and added again if it has no effect. A daemon that has only borrowed tokens does not know the
-// row: its write conflicts and returns it. A failed return is tried again at a later Tick or Stopping.
+// tokens there. The tokens are deducted before the write, and added again if it has no effect. A daemon that has only
+// borrowed tokens does not know the row: its write conflicts and returns it. A failed return is tried again at a later
+// Tick or Stopping.
 func (s *State) returnUnused(name string, p *program) {
 	if !p.isIdle() || s.now.Before(p.nextReturnAt) {
 		return
--- a/accountant/state.go
+++ b/accountant/state.go
@@ -358,7 +358,7 @@
 			continue
 		}
 		verdict := Spent
-		if p.silentSpare() > 0 || p.holdersUncertain || p.loaned() > 0 {
+		if p.silentSpare() > 0 || p.holdersUncertain || len(p.loans) > 0 {
 			verdict = Contended
 		}
 		s.decide(p, w, verdict)
--- a/accountant/write.go
+++ b/accountant/write.go
@@ -37,12 +37,8 @@
 		ExpiresAt: int(s.now.Add(s.options.Retention).Unix()), Lost: p.lost,
 		Spare: encoder.ProgramBudgetSpare{}, Writers: encoder.ProgramBudgetWriters{},
 	}
-	for host, spare := range p.spare {
-		row.Spare[host] = spare
-	}
-	for host, write := range p.writers {
-		row.Writers[host] = write
-	}
+	maps.Copy(row.Spare, p.spare)
+	maps.Copy(row.Writers, p.writers)
 	row.Spare[s.host] = p.unused + p.reserved + p.loaned() + max(0, tokens)
 	row.Writers[s.host] = encoder.BudgetWrite{Incarnation: s.incarnation, Sequence: s.sequence}
 	listBorrowers(&row, p.lent)
--- a/batcher/state.go
+++ b/batcher/state.go
@@ -291,19 +291,15 @@
 
 func (s *State) flush(now time.Time) {
 	for len(s.queue) > 0 && !s.down && len(s.inFlight) < s.inFlightLimit() && !now.Before(s.resumeAt) {
-		entries := s.takeBatch()
+		entries, bytes := s.takeBatch()
 		s.lastBatch++
 		s.inFlight[s.lastBatch] = &sentBatch{entries: entries, sentAt: now}
-		s.emit(Apply{Batch: s.lastBatch, Transaction: mergeTransactions(entries), Timeout: s.timeout + s.transferTime(entries)})
+		s.emit(Apply{Batch: s.lastBatch, Transaction: mergeTransactions(entries), Timeout: s.timeout + s.transferTime(bytes)})
 	}
 }
 
-// transferTime returns the time that sending entries takes on a slow link. That of small ones is part of the latency.
-func (s *State) transferTime(entries []Entry) time.Duration {
-	bytes := 0
-	for i := range entries {
-		bytes += entries[i].Bytes
-	}
+// transferTime returns the time that sending so many bytes takes on a slow link. That of few is part of the latency.
+func (s *State) transferTime(bytes int) time.Duration {
 	if bytes <= s.options.SmallBytes {
 		return 0
 	}
@@ -323,8 +319,8 @@
 
 // takeBatch removes the next batch from the queue: the oldest entries, with background
 // entries only when no others wait. Two entries that change the same row are never in one
-// batch.
-func (s *State) takeBatch() []Entry {
+// batch. It returns the batch and its size in bytes.
+func (s *State) takeBatch() ([]Entry, int) {
 	onlyBackground := true
 	for i := range s.queue {
 		onlyBackground = onlyBackground && s.queue[i].Background
@@ -345,7 +341,7 @@
 		size += e.Bytes
 	}
 	s.queue = rest
-	return batch
+	return batch, size
 }
 
 // sharesRow reports whether an entry changes one of the rows.
--- a/historian/parts.go
+++ b/historian/parts.go
@@ -13,9 +13,9 @@
 const (
 	// partBytes bounds the rows of a part, so that the store takes one in a transaction.
 	partBytes = 600_000
-	// laterVersionCount is the number of rows in the first row of a turn in parts. Earlier versions, which do not know
+	// partsCount is the number of rows that the first row of a turn in parts tells. Earlier versions, which do not know
 	// parts, look for that many rows, find fewer and cannot decode the turn.
-	laterVersionCount = 2
+	partsCount = 2
 )
 
 // InParts reports whether the turn is too large for one transaction, so that it is written in parts.
@@ -69,7 +69,7 @@
 func (p *Parts) Head() ([]provider.RowWrite, error) {
 	t := p.turn
 	value, err := cbor.Marshal(segment{
-		Count: laterVersionCount, UnpackedBytes: t.UnpackedBytes, Previous: t.Previous, Workspace: t.Workspace,
+		Count: partsCount, UnpackedBytes: t.UnpackedBytes, Previous: t.Previous, Workspace: t.Workspace,
 		Expires: t.Expires.Unix(), EarlierBytes: t.EarlierBytes, Write: p.write, Parts: p.Count(), PackedBytes: len(t.Packed),
 	})
 	if err != nil {
--- a/historian/rows.go
+++ b/historian/rows.go
@@ -205,7 +205,7 @@
 		Partition: first.Partition, Previous: stored.Previous, Workspace: stored.Workspace,
 		EarlierBytes: stored.EarlierBytes, Expires: time.Unix(stored.Expires, 0),
 	}
-	if err := t.setText(len(stored.Text), maxTurnBytes, stored.Text); err != nil {
+	if err := t.setText(len(stored.Text), stored.Text); err != nil {
 		return nil, NewError(operation, KindCorrupt, err)
 	}
 	return t, nil
--- a/historian/turn.go
+++ b/historian/turn.go
@@ -94,23 +94,24 @@
 func NewTurn(d *Draft) (*Turn, error) {
 	const operation = "new turn"
 	t := &Turn{ID: d.ID, Previous: d.Previous, Workspace: d.Workspace}
-	if size := d.TextBytes(); size > maxTurnBytes {
+	size := d.TextBytes()
+	if size > maxTurnBytes {
 		return nil, NewError(operation, KindTooLarge, fmt.Errorf("%d bytes, at most %d are kept", size, maxTurnBytes))
 	}
-	if err := t.setText(d.TextBytes(), maxTurnBytes, d.Parts...); err != nil {
+	if err := t.setText(size, d.Parts...); err != nil {
 		return nil, NewError(operation, KindTooLarge, err)
 	}
 	return t, nil
 }
 
-// setText sets the text of so many bytes, deflated to at most maxPacked bytes if it is large.
-func (t *Turn) setText(size, maxPacked int, parts ...[]byte) error {
+// setText sets the text of so many bytes, deflated to at most maxTurnBytes if it is large.
+func (t *Turn) setText(size int, parts ...[]byte) error {
 	if size <= PlainBytes {
 		t.Text = bytes.Join(parts, nil)
 		return nil
 	}
 	var err error
-	t.Packed, err = packer.DeflateParts(maxPacked, parts...)
+	t.Packed, err = packer.DeflateParts(maxTurnBytes, parts...)
 	t.UnpackedBytes = size
 	return err
 }
--- a/packer/packer.go
+++ b/packer/packer.go
@@ -92,11 +92,10 @@
 // limitedBuffer is a buffer that fails when it is full. It keeps pieces, which are not copied while it grows.
 type limitedBuffer struct {
 	pieces [][]byte
-	size   int
 	rest   int
 }
 
-// pieceBytes is the size of a piece of a limitedBuffer. The first one grows up to it.
+// pieceBytes is the size up to which a piece of a limitedBuffer grows.
 const pieceBytes = 64 << 10
 
 // join returns the content in one piece.
@@ -113,14 +112,10 @@
 		return 0, &Error{operation: "deflate", kind: KindTooLarge, cause: errors.New("value is larger than the limit")}
 	}
 	b.rest -= len(p)
-	b.size += len(p)
 	last := len(b.pieces) - 1
 	if last < 0 || len(b.pieces[last])+len(p) > pieceBytes {
 		b.pieces = append(b.pieces, nil)
 		last++
-		if last > 0 {
-			b.pieces[last] = make([]byte, 0, max(pieceBytes, len(p)))
-		}
 	}
 	b.pieces[last] = append(b.pieces[last], p...)
 	return len(p), nil
--- a/recorder/turns.go
+++ b/recorder/turns.go
@@ -144,38 +144,41 @@
 // writeTurn writes a turn to its partition and deletes rows together with it. A turn in parts exists once its first row is
 // written, after all parts; those of a write that fails remain until they expire.
 func (r *Recorder) writeTurn(ctx context.Context, turn *historian.Turn, deletes ...provider.RowKey) error {
-	if !turn.InParts() {
-		writes, err := historian.Encode(turn, r.options.RowBytes)
-		return r.writeRows(ctx, turn.Partition, writes, err, deletes)
-	}
-	parts := historian.NewParts(turn, r.options.RowBytes, fmt.Sprintf("%016x", rand.Uint64()))
-	for i := range parts.Count() {
-		if err := r.writePart(ctx, turn.Partition, parts, i); err != nil {
-			return err
+	encode := func() ([]provider.RowWrite, error) { return historian.Encode(turn, r.options.RowBytes) }
+	if turn.InParts() {
+		parts := historian.NewParts(turn, r.options.RowBytes, fmt.Sprintf("%016x", rand.Uint64()))
+		for i := range parts.Count() {
+			if err := r.writePart(ctx, turn.Partition, parts, i); err != nil {
+				return err
+			}
 		}
+		encode = parts.Head
+	}
+	writes, err := encode()
+	if err != nil {
+		return NewError("commit turn", KindInvalid, err)
 	}
-	writes, err := parts.Head()
-	return r.writeRows(ctx, turn.Partition, writes, err, deletes)
+	return r.writeRows(ctx, turn.Partition, provider.RowTransaction{Writes: writes, Deletes: deletes})
 }
 
 // writePart writes a part of a turn. While it is not known whether it was written, it is written again: it is always the
 // same.
 func (r *Recorder) writePart(ctx context.Context, partition string, parts *historian.Parts, number int) error {
 	writes, err := parts.Part(number)
+	if err != nil {
+		return NewError("commit turn", KindInvalid, err)
+	}
 	for {
-		failure := r.writeRows(ctx, partition, writes, err, nil)
-		if provider.KindOf(failure) != provider.KindUnknown || ctx.Err() != nil || !r.partitionUp(partition) {
-			return failure
+		err := r.writeRows(ctx, partition, provider.RowTransaction{Writes: writes})
+		if provider.KindOf(err) != provider.KindUnknown || ctx.Err() != nil || !r.partitionUp(partition) {
+			return err
 		}
 	}
 }
 
-// writeRows writes rows in one transaction, with deletes, and waits for the outcome. It fails if encoding the rows has.
-func (r *Recorder) writeRows(ctx context.Context, partition string, writes []provider.RowWrite, encoding error, deletes []provider.RowKey) error {
-	if encoding != nil {
-		return NewError("commit turn", KindInvalid, encoding)
-	}
-	return r.writeEntry(ctx, partition, r.turnEntry(ctx, provider.RowTransaction{Writes: writes, Deletes: deletes}))
+// writeRows performs a transaction on the rows of turns in a partition and waits for the outcome.
+func (r *Recorder) writeRows(ctx context.Context, partition string, t provider.RowTransaction) error {
+	return r.writeEntry(ctx, partition, r.turnEntry(ctx, t))
 }
 
 // turnEntry returns the entry of a transaction, with the deadline of the context.
