--- a/accountant/simulation_test.go
+++ b/accountant/simulation_test.go
@@ -16,10 +16,8 @@
 // simulation runs several daemons on one budget row. Their writes may be rejected or
 // delayed, and responses may be lost.
 type simulation struct {
-	t       *rapid.T
+	storedBudget
 	now     time.Time
-	row     encoder.ProgramBudget
-	version int64
 	daemons []*daemon
 	// delayedWrites are writes that may still take effect.
 	delayedWrites []accountant.Write
@@ -37,8 +35,15 @@
 	turns int
 }
 
+// storedBudget is the budget row of the simulated store.
+type storedBudget struct {
+	t       *rapid.T
+	row     encoder.ProgramBudget
+	version int64
+}
+
 // apply writes the row if its version is that of the command.
-func (s *simulation) apply(c accountant.Write) bool {
+func (s *storedBudget) apply(c accountant.Write) bool {
 	if c.Version != s.version {
 		return false
 	}
@@ -50,8 +55,8 @@
 	return true
 }
 
-func (s *simulation) current() *provider.VersionedRow {
-	if s.version == 0 {
+func (s *storedBudget) current() *provider.VersionedRow {
+	if s.version == provider.VersionAbsent {
 		return nil
 	}
 	return row(s.version, s.row)
@@ -84,7 +89,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, rapid.MakeCheck(func(t *rapid.T) {
-			s := &simulation{t: t, now: start, overdraft: test.overdraft}
+			s := &simulation{storedBudget: storedBudget{t: t}, now: start, overdraft: test.overdraft}
 			for range 3 {
 				s.daemons = append(s.daemons, &daemon{state: accountant.New(accountant.DefaultOptions(), s.newIncarnation(), s.newIncarnation())})
 			}
--- a/accountant/sum_test.go
+++ b/accountant/sum_test.go
@@ -1,7 +1,6 @@
 package accountant_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,7 +11,6 @@
 	"pgregory.net/rapid"
 
 	"github.com/dogwoodweir/dogwoodweir/accountant"
-	"github.com/dogwoodweir/dogwoodweir/encoder"
 	"github.com/dogwoodweir/dogwoodweir/provider"
 )
 
@@ -23,10 +21,8 @@
 
 // ledger runs daemons on one budget row and knows where each token is.
 type ledger struct {
-	t       *rapid.T
+	storedBudget
 	now     time.Time
-	row     encoder.ProgramBudget
-	version int64
 	daemons []*ledgerDaemon
 	// delayed are writes without an answer that the store may still apply.
 	delayed []accountant.Write
@@ -66,7 +62,7 @@
 }
 
 func newLedger(t *rapid.T) *ledger {
-	l := &ledger{t: t, now: start, version: provider.VersionAbsent, waiting: map[accountant.Ticket]*ledgerDaemon{}}
+	l := &ledger{storedBudget: storedBudget{t: t}, now: start, waiting: map[accountant.Ticket]*ledgerDaemon{}}
 	for i := range 3 {
 		d := &ledgerDaemon{host: fmt.Sprint("host", i)}
 		l.startDaemon(d)
@@ -130,26 +126,6 @@
 // happens draws whether something happens, which nothing bad does once all is healthy.
 func (l *ledger) happens(what string) bool { return !l.healthy && rapid.Bool().Draw(l.t, what) }
 
-// apply performs a write if the row has its version.
-func (l *ledger) apply(c accountant.Write) bool {
-	if c.Version != l.version {
-		return false
-	}
-	l.row = encoder.ProgramBudget{}
-	if err := json.Unmarshal(c.Value, &l.row); err != nil {
-		l.t.Fatal(err)
-	}
-	l.version++
-	return true
-}
-
-func (l *ledger) current() *provider.VersionedRow {
-	if l.version == provider.VersionAbsent {
-		return nil
-	}
-	return row(l.version, l.row)
-}
-
 func (l *ledger) request(d *ledgerDaemon) {
 	l.tickets++
 	l.waiting[l.tickets] = d
@@ -401,15 +377,21 @@
 	return d.verdicts[len(d.verdicts)-1]
 }
 
+// runLedger returns a ledger after random steps, once all failures have ended.
+func runLedger(t *rapid.T) *ledger {
+	l := newLedger(t)
+	for range rapid.IntRange(10, 150).Draw(t, "steps") {
+		l.step()
+	}
+	l.heal()
+	return l
+}
+
 // Guards against tokens that are in no daemon's account while the row counts them as granted, whatever was lost, late or
 // repeated on the way: grants, returns and loans without an answer, programs that are forgotten, planned stops.
 func TestNoTokenIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := newLedger(t)
-		for range rapid.IntRange(10, 150).Draw(t, "steps") {
-			l.step()
-		}
-		l.heal()
+		l := runLedger(t)
 		l.returnAll()
 		if diff := cmp.Diff(l.used, l.row.Granted); diff != "" {
 			t.Fatalf("tokens that the row counts as granted, want those that were used (-want +got):\n%s", diff)
@@ -426,11 +408,7 @@
 // one may know: each turn that the rest of the budget holds is admitted.
 func TestWholeBudgetIsServed(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		l := newLedger(t)
-		for range rapid.IntRange(10, 150).Draw(t, "steps") {
-			l.step()
-		}
-		l.heal()
+		l := runLedger(t)
 		l.indexLost = rapid.Bool().Draw(t, "index lost")
 		for l.used+sumTurn <= sumBudget {
 			d := rapid.SampledFrom(l.daemons).Draw(t, "daemon")
--- a/recorder/parts_test.go
+++ b/recorder/parts_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,14 +15,6 @@
 	"github.com/dogwoodweir/dogwoodweir/recorder"
 )
 
-// noise returns bytes that do not deflate, the same for a seed.
-func noise(n int, seed byte) []byte {
-	source := rand.NewChaCha8([32]byte{seed})
-	data := make([]byte, n)
-	_, _ = source.Read(data)
-	return data
-}
-
 // Guards against turns inside the limit on bodies that cannot be recorded: they ran, and their connection was closed. They
 // are read by a daemon that has just started, alone and as a chain.
 func TestTurnsOfAnySizeAreRecorded(t *testing.T) {
@@ -31,7 +22,7 @@
 	writer := start(t, rows, "writer", noPeers{})
 	previous, whole := "", []byte(nil)
 	for i, size := range []int{12_000, 700_000, 741_000, 1_200_000, 4 << 20, 20_000, 4<<20 + 500_000} {
-		id, data := fmt.Sprint("turn", i), noise(size, byte(i))
+		id, data := fmt.Sprint("turn", i), text(size, byte(i))
 		for _, d := range []historian.Draft{
 			{ID: id + " alone", Parts: [][]byte{data}}, {ID: id, Previous: previous, Parts: [][]byte{data}},
 		} {
@@ -77,7 +68,7 @@
 // daemon cannot write then.
 func TestCrashBetweenWritesOfTurn(t *testing.T) {
 	const size = 2_000_000
-	first, second := noise(size, 1), noise(size, 2)
+	first, second := text(size, 1), text(size, 2)
 	for written := int64(0); ; written++ {
 		rows := emulator.NewRowStore()
 		dying := &dyingStore{RowStore: rows}
@@ -109,8 +100,8 @@
 func TestRenewalOfTurnInParts(t *testing.T) {
 	rows := emulator.NewRowStore()
 	writer := start(t, rows, "writer", noPeers{})
-	text := noise(1_500_000, 1)
-	if err := writer.Commit(timeout(t, 10*time.Second), historian.Draft{ID: "a", Parts: [][]byte{text}}, nil, time.Second); err != nil {
+	first := text(1_500_000, 1)
+	if err := writer.Commit(timeout(t, 10*time.Second), historian.Draft{ID: "a", Parts: [][]byte{first}}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	chain, err := writer.Chain(timeout(t, 10*time.Second), "a", anyMemory{})
@@ -123,7 +114,7 @@
 	}
 	reader := start(t, rows, "reader", noPeers{})
 	got, err := reader.Chain(timeout(t, 10*time.Second), "b", anyMemory{})
-	if err != nil || len(got) != 2 || !bytes.Equal(append(text, "more"...), textOf(t, got)) {
+	if err != nil || len(got) != 2 || !bytes.Equal(append(first, "more"...), textOf(t, got)) {
 		t.Fatalf("%d turns: %v", len(got), err)
 	}
 	if !got[1].Expires.After(before.Add(time.Hour)) {
